Add the HTTP data path of the router

Cause: requests need a path from callers to backend servers that streams, keeps answers whole and says truthfully whether a call ran. Ruled out: cxxtools' HTTP server on this path, because it buffers whole replies; reuse of connections to backend servers, because a late answer on a reused connection can be taken for the answer to the next request. Before: no path.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -54,6 +54,8 @@
       return "invalid_config";
     case ErrorCode::kLeaving:
       return "leaving";
+    case ErrorCode::kCallerGone:
+      return "caller_gone";
     case ErrorCode::kNotLeaseHolder:
       return "not_lease_holder";
     case ErrorCode::kInternal:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -36,6 +36,7 @@
   kNotFound,
   kInvalidConfig,
   kLeaving,
+  kCallerGone,
   kNotLeaseHolder,
   kInternal,
 };
--- /dev/null
+++ b/src/router/internal/authenticator.cc
@@ -0,0 +1,110 @@
+#include "router/internal/authenticator.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+constexpr std::string_view kBearerPrefix = "Bearer ";
+// Shorter texts are no keys; they could occur in a body by chance.
+constexpr std::size_t kMinKeyLength = 16;
+constexpr std::size_t kMaxKeyLength = 512;
+
+std::optional<int> HexDigit(char c) {
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F')
+    return c - 'A' + 10;
+  return std::nullopt;
+}
+
+std::string PercentDecoded(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool escaped = text[i] == '%' && i + 2 < text.size();
+    const auto high = escaped ? HexDigit(text[i + 1]) : std::nullopt;
+    const auto low = escaped ? HexDigit(text[i + 2]) : std::nullopt;
+    if (!high || !low) {
+      decoded.push_back(text[i]);
+      continue;
+    }
+    decoded.push_back(static_cast<char>(*high * 16 + *low));
+    i += 2;
+  }
+  return decoded;
+}
+
+bool BodyContains(const std::string& body, const std::string& key) {
+  if (body.find(key) != std::string::npos)
+    return true;
+  // JSON escapes such as \u0041 could spell the key; the dump has none.
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  return !json.is_discarded() && json.dump().find(key) != std::string::npos;
+}
+
+bool AnotherHeaderContains(const HttpRequest& request, const std::string& key) {
+  for (const auto& field : request) {
+    if (field.name() == http::field::authorization)
+      continue;
+    if (std::string(field.value()).find(key) != std::string::npos)
+      return true;
+  }
+  return false;
+}
+
+Error Refusal(ErrorCode code, std::string message) {
+  return {code, RunVerdict::kNotRun, std::move(message), {}};
+}
+
+}  // namespace
+
+Authenticator::Authenticator(const ControlStateHolder& state,
+                             std::function<bool()> is_fresh)
+    : state_(state), is_fresh_(std::move(is_fresh)) {}
+
+Result<CallerIdentity> Authenticator::Authenticate(
+    const HttpRequest& request) const {
+  if (request.count(http::field::authorization) > 1)
+    return Refusal(ErrorCode::kMissingKey,
+                   "more than one Authorization header");
+  const std::string header(request[http::field::authorization]);
+  if (header.compare(0, kBearerPrefix.size(), kBearerPrefix) != 0)
+    return Refusal(ErrorCode::kMissingKey,
+                   "the request needs a header Authorization: Bearer KEY");
+  const std::string key = header.substr(kBearerPrefix.size());
+  if (key.size() < kMinKeyLength || key.size() > kMaxKeyLength)
+    return Refusal(ErrorCode::kUnknownKey, "the key is not known");
+  BOOST_OUTCOME_TRY(identity, FindIdentity(key));
+  const std::string target(request.target());
+  if (target.find(key) != std::string::npos ||
+      PercentDecoded(target).find(key) != std::string::npos ||
+      AnotherHeaderContains(request, key) || BodyContains(request.body(), key))
+    return Refusal(ErrorCode::kKeyInRequest,
+                   "the key must stand in the Authorization header only");
+  return std::move(identity);
+}
+
+Result<CallerIdentity> Authenticator::FindIdentity(
+    const std::string& key) const {
+  if (!is_fresh_()) {
+    Error stale = Refusal(ErrorCode::kStaleState,
+                          "this instance cannot confirm that keys are granted");
+    stale.retry_after = std::chrono::seconds(1);
+    return stale;
+  }
+  const auto state = state_.current();
+  const auto found = state->keys.find(KeyDigest(Sha256Hex(key)));
+  if (found == state->keys.end())
+    return Refusal(ErrorCode::kUnknownKey, "the key is not known");
+  const KeyEntry& entry = found->second;
+  if (entry.withdrawn || state_.IsEmergencyWithdrawn(entry.key))
+    return Refusal(ErrorCode::kWithdrawnKey, "the key was withdrawn");
+  return CallerIdentity{entry.key, entry.customer};
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/router/internal/blocking_pool.h
@@ -0,0 +1,70 @@
+#ifndef ROUTER_INTERNAL_BLOCKING_POOL_H_
+#define ROUTER_INTERNAL_BLOCKING_POOL_H_
+
+#include <atomic>
+#include <boost/asio/thread_pool.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "base/base.h"
+#include "router/internal/asio.h"
+
+namespace bamboomount {
+
+// Runs blocking calls to the platform away from the threads that serve
+// callers. At most `max_waiting` calls wait or run; more are refused at once,
+// so that a slow store cannot collect requests without bound.
+class BlockingPool {
+ public:
+  BlockingPool(int threads, int max_waiting)
+      : max_waiting_(max_waiting), pool_(threads) {}
+  ~BlockingPool() { pool_.join(); }
+  BlockingPool(const BlockingPool&) = delete;
+  BlockingPool& operator=(const BlockingPool&) = delete;
+
+  // The result of `call`, or kStoreUnavailable with verdict kNotRun if too
+  // many calls wait already.
+  template <typename T>
+  asio::awaitable<Result<T>> Run(std::function<Result<T>()> call);
+
+ private:
+  const int max_waiting_;
+  std::atomic<int> waiting_ = 0;
+  asio::thread_pool pool_;
+};
+
+template <typename T>
+asio::awaitable<Result<T>> BlockingPool::Run(std::function<Result<T>()> call) {
+  if (++waiting_ > max_waiting_) {
+    --waiting_;
+    co_return Error{ErrorCode::kStoreUnavailable,
+                    RunVerdict::kNotRun,
+                    "too many requests wait for the platform's store",
+                    {}};
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  struct State {
+    explicit State(const asio::any_io_executor& executor)
+        : wake(executor, asio::steady_timer::time_point::max()) {}
+    asio::steady_timer wake;
+    std::optional<Result<T>> result;
+  };
+  const auto state = std::make_shared<State>(executor);
+  asio::post(pool_, [this, state, call = std::move(call)] {
+    auto result = call();
+    --waiting_;
+    asio::post(state->wake.get_executor(), [state, result = std::move(result)] {
+      state->result = result;
+      state->wake.cancel();
+    });
+  });
+  error_code ignored;
+  while (!state->result)
+    co_await state->wake.async_wait(Await(ignored));
+  co_return *state->result;
+}
+
+}  // namespace bamboomount
+
+#endif  // ROUTER_INTERNAL_BLOCKING_POOL_H_
--- /dev/null
+++ b/src/router/internal/caller_session.cc
@@ -0,0 +1,315 @@
+#include "router/internal/caller_session.h"
+
+#include <array>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/beast/ssl.hpp>
+#include <exception>
+#include <optional>
+#include <utility>
+
+#include "router/internal/error_reply.h"
+
+namespace bamboomount {
+namespace {
+
+// 16 KiB fits every known client's headers; more is taken for an attack.
+constexpr std::uint32_t kMaxHeaderBytes = 16'384;
+constexpr std::uint64_t kMaxBodyBytes = 1'048'576;
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::chrono::seconds kIdleTimeout{60};
+// Bounds the time that a slow sender holds a connection.
+constexpr std::chrono::seconds kHeaderTimeout{10};
+constexpr std::chrono::seconds kBodyTimeout{30};
+constexpr std::chrono::seconds kWriteTimeout{30};
+
+using PlainStream = beast::tcp_stream;
+using TlsStream = beast::ssl_stream<beast::tcp_stream>;
+
+bool HasHandshake(const PlainStream&) {
+  return false;
+}
+bool HasHandshake(const TlsStream&) {
+  return true;
+}
+
+asio::awaitable<error_code> Handshake(PlainStream&) {
+  co_return error_code();
+}
+asio::awaitable<error_code> Handshake(TlsStream& stream) {
+  error_code error;
+  co_await stream.async_handshake(asio::ssl::stream_base::server, Await(error));
+  co_return error;
+}
+
+Error ReadError(const error_code& error) {
+  const auto refusal = [](ErrorCode code, std::string message) {
+    return Error{code, RunVerdict::kNotRun, std::move(message), {}};
+  };
+  if (error == http::error::header_limit)
+    return refusal(ErrorCode::kHeaderTooLarge,
+                   "the headers exceed 16384 bytes");
+  if (error == http::error::body_limit)
+    return refusal(ErrorCode::kBodyTooLarge, "the body exceeds 1048576 bytes");
+  if (error == beast::error::timeout)
+    return refusal(ErrorCode::kRequestTimeout,
+                   "the request was not received in time");
+  return refusal(ErrorCode::kBadRequest,
+                 "the request is not valid HTTP: " + error.message());
+}
+
+// Whether the peer has closed or reset; data that waits to be read is left.
+bool IsDisconnected(tcp::socket& socket) {
+  std::array<char, 1> probe{};
+  error_code error;
+  socket.non_blocking(true, error);
+  const std::size_t size =
+      socket.receive(asio::buffer(probe), tcp::socket::message_peek, error);
+  if (error)
+    return error != asio::error::would_block;
+  return size == 0;
+}
+
+template <typename Stream>
+class SessionOn : public CallerSession,
+                  public CallerReply,
+                  public std::enable_shared_from_this<SessionOn<Stream>> {
+ public:
+  template <typename... StreamArguments>
+  explicit SessionOn(SessionEnvironment environment,
+                     StreamArguments&&... arguments)
+      : environment_(environment),
+        stream_(std::forward<StreamArguments>(arguments)...) {}
+
+  void Start() {
+    asio::co_spawn(
+        Lowest().get_executor(),
+        [self = this->shared_from_this()] { return self->Run(); },
+        asio::detached);
+  }
+
+  void CloseIfIdle() override {
+    asio::post(Lowest().get_executor(), [self = this->shared_from_this()] {
+      error_code error;
+      if (self->idle_ && self->Lowest().socket().available(error) == 0)
+        self->Lowest().close();
+    });
+  }
+
+  void CancelOnDisconnect(std::shared_ptr<RunningRequest> request) override {
+    if (buffer_.size() > 0)
+      return;
+    Lowest().socket().async_wait(
+        tcp::socket::wait_read,
+        [self = this->shared_from_this(),
+         request = std::move(request)](const error_code& error) {
+          if (error || !IsDisconnected(self->Lowest().socket()))
+            return;
+          request->Cancel({ErrorCode::kCallerGone,
+                           RunVerdict::kMayHaveRun,
+                           "the caller closed its connection",
+                           {}});
+        });
+  }
+
+  asio::awaitable<bool> Send(WholeReply reply) override {
+    http::response<http::string_body> response(
+        static_cast<http::status>(reply.status), 11);
+    SetHeaders(response, reply.content_type, reply.headers);
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    error_code error;
+    Lowest().expires_after(kWriteTimeout);
+    co_await http::async_write(stream_, response, Await(error));
+    replied_ = true;
+    CountReply(reply.status);
+    if (error)
+      keep_alive_ = false;
+    co_return !error;
+  }
+
+  asio::awaitable<bool> BeginStream(std::string content_type,
+                                    std::vector<ReplyHeader> headers) override {
+    http::response<http::empty_body> response(http::status::ok, 11);
+    SetHeaders(response, content_type, headers);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    error_code error;
+    Lowest().expires_after(kWriteTimeout);
+    co_await http::async_write_header(stream_, serializer, Await(error));
+    replied_ = true;
+    CountReply(static_cast<int>(response.result_int()));
+    co_return !error;
+  }
+
+  asio::awaitable<bool> SendChunk(std::string_view data) override {
+    error_code error;
+    Lowest().expires_after(kWriteTimeout);
+    co_await asio::async_write(
+        stream_, http::make_chunk(asio::buffer(data.data(), data.size())),
+        Await(error));
+    co_return !error;
+  }
+
+  asio::awaitable<bool> EndStream() override {
+    error_code error;
+    Lowest().expires_after(kWriteTimeout);
+    co_await asio::async_write(stream_, http::make_chunk_last(), Await(error));
+    if (error)
+      keep_alive_ = false;
+    co_return !error;
+  }
+
+  void AbortStream() override {
+    replied_ = true;
+    keep_alive_ = false;
+  }
+
+ private:
+  using Parser = http::request_parser<http::string_body>;
+
+  beast::tcp_stream& Lowest() { return beast::get_lowest_layer(stream_); }
+
+  asio::awaitable<void> Run() {
+    error_code error;
+    Lowest().socket().set_option(tcp::no_delay(true), error);
+    if (HasHandshake(stream_)) {
+      Lowest().expires_after(kHeaderTimeout);
+      if (co_await Handshake(stream_))
+        co_return;
+    }
+    while (keep_alive_ && !environment_.closing) {
+      if (!co_await WaitForData())
+        break;
+      if (!co_await ServeOne())
+        break;
+    }
+    Lowest().close();
+  }
+
+  // Waits for the first byte of a request; false when the caller closes.
+  asio::awaitable<bool> WaitForData() {
+    if (buffer_.size() > 0)
+      co_return true;
+    idle_ = true;
+    error_code error;
+    Lowest().expires_after(kIdleTimeout);
+    const std::size_t size = co_await stream_.async_read_some(
+        buffer_.prepare(kReadBytes), Await(error));
+    idle_ = false;
+    buffer_.commit(size);
+    co_return !error;
+  }
+
+  asio::awaitable<bool> ServeOne() {
+    Parser parser;
+    parser.header_limit(kMaxHeaderBytes);
+    parser.body_limit(kMaxBodyBytes);
+    error_code error;
+    Lowest().expires_after(kHeaderTimeout);
+    co_await http::async_read_header(stream_, buffer_, parser, Await(error));
+    if (!error)
+      error = co_await ReadBody(parser);
+    keep_alive_ = !error && parser.get().keep_alive();
+    if (error) {
+      if (error != http::error::end_of_stream)
+        co_await Send(ErrorReply(ReadError(error)));
+      co_await Linger();
+      co_return false;
+    }
+    co_await Serve(parser);
+    co_return keep_alive_;
+  }
+
+  asio::awaitable<error_code> ReadBody(Parser& parser) {
+    error_code error;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> go_on(http::status::continue_, 11);
+      co_await http::async_write(stream_, go_on, Await(error));
+      if (error)
+        co_return error;
+    }
+    Lowest().expires_after(kBodyTimeout);
+    co_await http::async_read(stream_, buffer_, parser, Await(error));
+    co_return error;
+  }
+
+  asio::awaitable<void> Serve(Parser& parser) {
+    replied_ = false;
+    // Handlers wait for backend servers under their own timeouts.
+    Lowest().expires_never();
+    std::optional<Error> failure;
+    try {
+      co_await environment_.handler.Handle(parser.release(), *this);
+    } catch (const std::exception& exception) {
+      failure = Error{
+          ErrorCode::kInternal, RunVerdict::kMayHaveRun, exception.what(), {}};
+    }
+    // Ends the wait for a disconnect.
+    error_code ignored;
+    Lowest().socket().cancel(ignored);
+    if (failure && !replied_)
+      co_await Send(ErrorReply(*failure));
+    else if (failure)
+      keep_alive_ = false;
+  }
+
+  // Reads what the caller still sends, for a bounded time: closing with unread
+  // data resets the connection and the caller would lose the error reply.
+  asio::awaitable<void> Linger() {
+    error_code error;
+    Lowest().socket().shutdown(tcp::socket::shutdown_send, error);
+    std::array<char, kReadBytes> discarded{};
+    std::size_t total = 0;
+    Lowest().expires_after(std::chrono::seconds(1));
+    while (!error && total < 2 * kMaxBodyBytes) {
+      total += co_await Lowest().async_read_some(asio::buffer(discarded),
+                                                 Await(error));
+    }
+  }
+
+  template <typename Response>
+  void SetHeaders(Response& response,
+                  const std::string& content_type,
+                  const std::vector<ReplyHeader>& headers) {
+    if (environment_.closing)
+      keep_alive_ = false;
+    response.keep_alive(keep_alive_);
+    response.set(http::field::content_type, content_type);
+    response.set(http::field::cache_control, "no-store");
+    for (const ReplyHeader& header : headers)
+      response.set(header.name, header.value);
+  }
+
+  void CountReply(int status) {
+    environment_.metrics.Increment("bamboomount_requests_total",
+                                   {{"status", std::to_string(status)}});
+  }
+
+  const SessionEnvironment environment_;
+  Stream stream_;
+  beast::flat_buffer buffer_;
+  bool idle_ = false;
+  bool keep_alive_ = true;
+  bool replied_ = false;
+};
+
+template <typename Session>
+std::shared_ptr<CallerSession> Started(std::shared_ptr<Session> session) {
+  session->Start();
+  return session;
+}
+
+}  // namespace
+
+std::shared_ptr<CallerSession> StartCallerSession(
+    tcp::socket socket,
+    asio::ssl::context* tls,
+    SessionEnvironment environment) {
+  if (tls == nullptr)
+    return Started(std::make_shared<SessionOn<PlainStream>>(environment,
+                                                            std::move(socket)));
+  return Started(std::make_shared<SessionOn<TlsStream>>(
+      environment, std::move(socket), *tls));
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/router/internal/chat_exchange.h
@@ -0,0 +1,67 @@
+#ifndef ROUTER_INTERNAL_CHAT_EXCHANGE_H_
+#define ROUTER_INTERNAL_CHAT_EXCHANGE_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "router/internal/backend_call.h"
+#include "router/internal/caller_reply.h"
+#include "router/internal/caller_request.h"
+#include "router/internal/chat_plan.h"
+#include "router/internal/handler_context.h"
+
+namespace bamboomount {
+
+// One chat request: slots, attempts at backend servers, and the answer to the
+// caller. A stream that breaks is resumed at another engine after the last
+// token that the caller has.
+class ChatExchange {
+ public:
+  ChatExchange(HandlerContext& context,
+               CallerRequest& request,
+               RunningRequest& running,
+               CallerReply& reply,
+               ChatPlan plan);
+
+  // Runs until the caller has the whole answer or an error.
+  asio::awaitable<void> Run();
+
+ private:
+  asio::awaitable<Result<Slot>> NextSlot(int attempt);
+  asio::awaitable<Result<void>> Attempt(const Slot& slot, SlotOutcome& outcome);
+  asio::awaitable<Result<void>> Exchange(BackendCall& call,
+                                         const BackendRule& backend,
+                                         const TraceContext& trace,
+                                         SlotOutcome& outcome);
+  asio::awaitable<Result<void>> PassWhole(BackendCall& call,
+                                          const BackendReplyHead& head);
+  asio::awaitable<Result<void>> PassStream(BackendCall& call,
+                                           SlotOutcome& outcome);
+  // Passes the whole events in `pending` on; returns true after the end mark.
+  asio::awaitable<Result<bool>> PassEvents(class EventStreamSplitter& pending,
+                                           SlotOutcome& outcome);
+  asio::awaitable<void> Fail(Error error);
+  void RecordFirstToken(SlotOutcome& outcome);
+  void RecordUsage();
+  std::vector<ReplyHeader> ReplyHeaders() const;
+  Millis Timeout(const std::string& limit, Millis fallback) const;
+
+  HandlerContext& context_;
+  CallerRequest& request_;
+  RunningRequest& running_;
+  CallerReply& reply_;
+  const ChatPlan plan_;
+  std::vector<BackendId> excluded_;
+  // Tokens that the caller has, over all attempts.
+  Tokens delivered_;
+  bool answer_begun_ = false;
+  bool caller_gone_ = false;
+  bool may_have_run_ = false;
+  SteadyTime attempt_start_;
+  SteadyTime last_progress_report_;
+};
+
+}  // namespace bamboomount
+
+#endif  // ROUTER_INTERNAL_CHAT_EXCHANGE_H_
--- /dev/null
+++ b/src/router/internal/endpoint.h
@@ -0,0 +1,17 @@
+#ifndef ROUTER_INTERNAL_ENDPOINT_H_
+#define ROUTER_INTERNAL_ENDPOINT_H_
+
+#include <optional>
+#include <string>
+
+#include "router/internal/asio.h"
+
+namespace bamboomount {
+
+// The endpoint for "ip:port" ("[ip]:port" for IPv6); empty if `address` has
+// another form.
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& address);
+
+}  // namespace bamboomount
+
+#endif  // ROUTER_INTERNAL_ENDPOINT_H_
--- /dev/null
+++ b/src/router/internal/event_stream_splitter.h
@@ -0,0 +1,31 @@
+#ifndef ROUTER_INTERNAL_EVENT_STREAM_SPLITTER_H_
+#define ROUTER_INTERNAL_EVENT_STREAM_SPLITTER_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboomount {
+
+// Splits server-sent events at their blank lines, so that only whole events
+// are passed on and a resumed stream continues at an event boundary.
+class EventStreamSplitter {
+ public:
+  void Append(std::string_view data) { pending_.append(data); }
+
+  // The next whole event with its blank line, if one is complete.
+  std::optional<std::string> Next();
+
+  // Bytes of an event that is not complete yet.
+  std::size_t pending_bytes() const { return pending_.size(); }
+
+ private:
+  std::string pending_;
+};
+
+// Whether `event` is the "data: [DONE]" mark that ends a complete stream.
+bool IsDoneEvent(std::string_view event);
+
+}  // namespace bamboomount
+
+#endif  // ROUTER_INTERNAL_EVENT_STREAM_SPLITTER_H_
--- /dev/null
+++ b/src/router/internal/service_exchange.cc
@@ -0,0 +1,251 @@
+#include "router/internal/service_exchange.h"
+
+#include <utility>
+
+#include "router/events.h"
+#include "router/internal/backend_request_builder.h"
+#include "router/internal/error_reply.h"
+#include "router/internal/slot_request_factory.h"
+#include "router/internal/slot_wait.h"
+#include "router/internal/span_recorder.h"
+
+namespace bamboomount {
+namespace {
+
+constexpr int kMaxAttempts = 3;
+constexpr Millis kConnectTimeout{1000};
+constexpr Millis kSendTimeout{5000};
+constexpr Millis kAnswerTimeout{30'000};
+constexpr std::size_t kMaxReplyBytes = 16'777'216;
+constexpr std::size_t kMaxIdempotencyKeyLength = 256;
+// How long a repeat waits for the first call of the same Idempotency-Key.
+constexpr Millis kClaimPollInterval{100};
+constexpr int kClaimPolls = 50;
+
+}  // namespace
+
+ServiceExchange::ServiceExchange(HandlerContext& context,
+                                 CallerRequest& request,
+                                 RunningRequest& running,
+                                 CallerReply& reply,
+                                 std::shared_ptr<const ServiceConfig> config,
+                                 RouteRule route)
+    : context_(context),
+      request_(request),
+      running_(running),
+      reply_(reply),
+      config_(std::move(config)),
+      route_(std::move(route)) {}
+
+asio::awaitable<void> ServiceExchange::Run() {
+  if (!route_.repeatable) {
+    co_await RunClaimed();
+    co_return;
+  }
+  auto answer = co_await Call();
+  if (answer)
+    co_await Answer(answer.value(), false);
+  else
+    co_await Refuse(answer.error());
+}
+
+asio::awaitable<void> ServiceExchange::RunClaimed() {
+  const std::string idempotency_key = request_.Header("Idempotency-Key");
+  if (idempotency_key.empty() ||
+      idempotency_key.size() > kMaxIdempotencyKeyLength) {
+    co_await Refuse({ErrorCode::kMissingIdempotencyKey,
+                     RunVerdict::kNotRun,
+                     "this route needs an Idempotency-Key of 1 to 256 bytes",
+                     {}});
+    co_return;
+  }
+  auto outcome = co_await AcquireClaim();
+  if (!outcome) {
+    co_await Refuse(outcome.error());
+    co_return;
+  }
+  if (const auto* claim = std::get_if<Claim>(&outcome.value()))
+    co_await FinishClaimed(*claim);
+  else if (const auto* kept = std::get_if<KeptAnswer>(&outcome.value()))
+    co_await Answer(*kept, true);
+  else if (std::holds_alternative<ClaimBodyMismatch>(outcome.value()))
+    co_await Refuse({ErrorCode::kIdempotencyKeyReused,
+                     RunVerdict::kNotRun,
+                     "the Idempotency-Key was used with another body",
+                     {}});
+  else
+    co_await Refuse({ErrorCode::kMayHaveRun,
+                     RunVerdict::kMayHaveRun,
+                     "a call with this Idempotency-Key was started and its "
+                     "answer is not known",
+                     {}});
+}
+
+asio::awaitable<Result<ClaimOutcome>> ServiceExchange::AcquireClaim() {
+  const std::string customer =
+      request_.identity ? request_.identity->customer.value() : "";
+  const std::string row_key = ClaimStore::RowKey(
+      customer, request_.path, request_.Header("Idempotency-Key"));
+  const std::string body_digest =
+      Sha256Hex(std::string(request_.http.method_string()) + '\n' +
+                request_.query + '\n' + request_.http.body());
+  asio::steady_timer poll(running_.executor());
+  for (int i = 0;; ++i) {
+    auto outcome = co_await context_.blocking.Run<ClaimOutcome>(
+        [&claims = context_.claims, row_key, body_digest] {
+          return claims.Acquire(row_key, body_digest);
+        });
+    if (!outcome || i == kClaimPolls || running_.cancel_reason() ||
+        !std::holds_alternative<ClaimInProgress>(outcome.value()))
+      co_return outcome;
+    error_code ignored;
+    poll.expires_after(kClaimPollInterval);
+    co_await poll.async_wait(Await(ignored));
+  }
+}
+
+asio::awaitable<void> ServiceExchange::FinishClaimed(const Claim& claim) {
+  const auto answer = co_await Call();
+  if (answer) {
+    co_await UpdateClaim({claim, answer.value()});
+    co_await Answer(answer.value(), false);
+    co_return;
+  }
+  if (!may_have_run_)
+    co_await UpdateClaim({claim, std::nullopt});
+  co_await Refuse(answer.error());
+}
+
+asio::awaitable<void> ServiceExchange::UpdateClaim(ClaimUpdate update) {
+  const auto updated = co_await context_.blocking.Run<void>(
+      [&claims = context_.claims, update]() -> Result<void> {
+        claims.Update(update);
+        return Success();
+      });
+  if (!updated)
+    context_.claims.UpdateLater(update);
+}
+
+asio::awaitable<Result<KeptAnswer>> ServiceExchange::Call() {
+  const ClassRule* class_rule = config_->FindClass(route_.class_id);
+  if (class_rule == nullptr)
+    co_return Error{ErrorCode::kUnknownRoute,
+                    RunVerdict::kNotRun,
+                    "the route has no service class",
+                    {}};
+  Error last_error;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    SlotRequest slot_request = MakeSlotRequest(request_, *config_, *class_rule,
+                                               context_.options.zone, attempt);
+    slot_request.excluded = excluded_;
+    auto slot = co_await WaitForSlot(context_.dependencies.slots, route_.pool,
+                                     slot_request, running_);
+    if (!slot)
+      co_return slot.error();
+    auto answer = co_await Attempt(slot.value());
+    if (answer)
+      co_return answer;
+    last_error = answer.error();
+    may_have_run_ |= last_error.verdict == RunVerdict::kMayHaveRun;
+    if (running_.cancel_reason())
+      co_return *running_.cancel_reason();
+    if (may_have_run_ && !route_.repeatable)
+      break;
+    excluded_.push_back(slot.value().backend);
+    Log(kBackendAttemptFailed, {{"request", request_.id.value()},
+                                {"backend", slot.value().backend.value()},
+                                {"error", last_error.message}});
+  }
+  co_return last_error;
+}
+
+asio::awaitable<Result<KeptAnswer>> ServiceExchange::Attempt(const Slot& slot) {
+  SpanRecorder span(context_.dependencies.spans, request_.trace.NewChild(),
+                    request_.trace.span_id, "backend server",
+                    context_.options.instance.value());
+  span.Attribute("backend", slot.backend.value());
+  const auto start = std::chrono::steady_clock::now();
+  const BackendRule* backend = config_->FindBackend(slot.backend);
+  Result<KeptAnswer> answer = Error{ErrorCode::kNoBackend,
+                                    RunVerdict::kNotRun,
+                                    "backend server is not configured",
+                                    {}};
+  if (backend != nullptr) {
+    BackendCall call(running_);
+    answer = co_await Exchange(call, *backend, span.context());
+  }
+  SlotOutcome outcome;
+  if (answer)
+    outcome.time_to_first_token = std::chrono::duration_cast<Millis>(
+        std::chrono::steady_clock::now() - start);
+  else if (running_.cancel_reason())
+    outcome.end = SlotEnd::kCancelled;
+  else if (answer.error().verdict == RunVerdict::kNotRun)
+    outcome.end = SlotEnd::kConnectFailed;
+  else
+    outcome.end = SlotEnd::kBackendFailed;
+  context_.dependencies.slots.Release(slot.request, outcome);
+  span.Attribute("result", answer ? "ok" : answer.error().message);
+  span.Finish();
+  co_return answer;
+}
+
+asio::awaitable<Result<KeptAnswer>> ServiceExchange::Exchange(
+    BackendCall& call,
+    const BackendRule& backend,
+    const TraceContext& trace) {
+  auto connected = co_await call.Connect(backend.address, kConnectTimeout);
+  if (!connected)
+    co_return connected.error();
+  const BackendRequest backend_request =
+      BackendRequestBuilder(request_, backend.address)
+          .Credential(context_.options.backend_credential)
+          .Trace(trace)
+          .Body(request_.http.body())
+          .Build();
+  auto sent = co_await call.Send(backend_request, kSendTimeout);
+  if (!sent)
+    co_return sent.error();
+  auto head = co_await call.ReadHead(kAnswerTimeout);
+  if (!head)
+    co_return head.error();
+  if (head.value().request_id != request_.id.value()) {
+    Log(kForeignAnswer, {{"request", request_.id.value()},
+                         {"answer", head.value().request_id},
+                         {"backend", backend.backend.value()}});
+    co_return Error{ErrorCode::kBackendFailed,
+                    RunVerdict::kMayHaveRun,
+                    "the answer belongs to another request",
+                    {}};
+  }
+  auto body = co_await call.ReadAll(kMaxReplyBytes, kAnswerTimeout);
+  if (!body)
+    co_return body.error();
+  co_return KeptAnswer{head.value().status, head.value().content_type,
+                       std::move(body).value()};
+}
+
+asio::awaitable<void> ServiceExchange::Answer(const KeptAnswer& answer,
+                                              bool replayed) {
+  WholeReply whole;
+  whole.status = answer.status;
+  whole.content_type = answer.content_type;
+  whole.body = answer.body;
+  whole.headers = {{"X-Request-Id", request_.id.value()},
+                   {"traceparent", request_.trace.ToHeader()}};
+  if (replayed)
+    whole.headers.push_back({"Idempotency-Replayed", "true"});
+  else if (request_.identity)
+    context_.dependencies.record_usage(request_.identity->customer, Tokens(0),
+                                       Tokens(0));
+  co_await reply_.Send(std::move(whole));
+}
+
+asio::awaitable<void> ServiceExchange::Refuse(const Error& error) {
+  Error refusal = error;
+  if (may_have_run_)
+    refusal.verdict = RunVerdict::kMayHaveRun;
+  co_await reply_.Send(ErrorReply(refusal));
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/router/router.h
@@ -0,0 +1,10 @@
+// Public header of the router library: the HTTP data path between callers and
+// backend servers.
+#ifndef ROUTER_ROUTER_H_
+#define ROUTER_ROUTER_H_
+
+#include "router/events.h"
+#include "router/router_options.h"
+#include "router/router_server.h"
+
+#endif  // ROUTER_ROUTER_H_
--- a/src/state/control_state_holder.cc
+++ b/src/state/control_state_holder.cc
@@ -41,6 +41,11 @@
   return emergency_withdrawals_;
 }
 
+bool ControlStateHolder::IsEmergencyWithdrawn(const KeyId& key) const {
+  const std::lock_guard lock(mutex_);
+  return emergency_withdrawals_.contains(key);
+}
+
 void ControlStateHolder::AddListener(Listener listener) {
   listeners_.push_back(std::move(listener));
 }
--- a/src/state/control_state_holder.h
+++ b/src/state/control_state_holder.h
@@ -30,6 +30,7 @@
   // Returns the ids that were new.
   std::set<KeyId> AddEmergencyWithdrawals(const std::set<KeyId>& keys);
   std::set<KeyId> emergency_withdrawals() const;
+  bool IsEmergencyWithdrawn(const KeyId& key) const;
 
   // `listener` runs after each advance and each new emergency withdrawal. Add
   // listeners before other threads use the holder.
