--- /dev/null
+++ b/src/platform/http_instance_directory.cc
@@ -0,0 +1,26 @@
+#include "platform/http_instance_directory.h"
+
+#include "platform/internal/json_answer.h"
+#include "platform/wire.h"
+
+namespace bamboomount {
+
+Result<DirectoryListing> HttpInstanceDirectory::List(Millis timeout) {
+  BOOST_OUTCOME_TRY(
+      answer, internal::Exchange(address_, {"GET", "/instances", {}}, timeout));
+  return internal::ReadJson<DirectoryListing>(answer,
+                                              wire::DirectoryListingFrom);
+}
+
+Result<void> HttpInstanceDirectory::Register(const ListedInstance& instance,
+                                             Millis timeout) {
+  BOOST_OUTCOME_TRY(answer, internal::Exchange(address_,
+                                               {"POST", "/instances",
+                                                wire::ToJson(instance).dump()},
+                                               timeout));
+  if (answer.status != 200)
+    return internal::StatusError(answer);
+  return Success();
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/platform/http_object_store.h
@@ -0,0 +1,32 @@
+#ifndef PLATFORM_HTTP_OBJECT_STORE_H_
+#define PLATFORM_HTTP_OBJECT_STORE_H_
+
+#include <string>
+#include <utility>
+
+#include "platform/object_store.h"
+
+namespace bamboomount {
+
+// The platform's object store over HTTP. Every call uses a
+// connection of its own. A call that fails before its connection is
+// established, or that the platform refuses, has verdict kNotRun.
+class HttpObjectStore : public ObjectStore {
+ public:
+  // `address` is "ip:port".
+  explicit HttpObjectStore(std::string address)
+      : address_(std::move(address)) {}
+
+  Result<void> Put(const std::string& name,
+                   const std::string& content,
+                   Millis timeout) override;
+  Result<std::optional<std::string>> Get(const std::string& name,
+                                         Millis timeout) override;
+
+ private:
+  const std::string address_;
+};
+
+}  // namespace bamboomount
+
+#endif  // PLATFORM_HTTP_OBJECT_STORE_H_
--- /dev/null
+++ b/src/platform/http_usage_reports.h
@@ -0,0 +1,29 @@
+#ifndef PLATFORM_HTTP_USAGE_REPORTS_H_
+#define PLATFORM_HTTP_USAGE_REPORTS_H_
+
+#include <string>
+#include <utility>
+
+#include "platform/usage_reports.h"
+
+namespace bamboomount {
+
+// The platform's usage interface over HTTP and JSON. A report with a stale
+// fencing token fails with code kConflict. Every call uses a connection of its
+// own. A call that fails before its connection is established, or that the
+// platform refuses, has verdict kNotRun.
+class HttpUsageReports : public UsageReports {
+ public:
+  // `address` is "ip:port".
+  explicit HttpUsageReports(std::string address)
+      : address_(std::move(address)) {}
+
+  Result<void> Submit(const UsageReport& report, Millis timeout) override;
+
+ private:
+  const std::string address_;
+};
+
+}  // namespace bamboomount
+
+#endif  // PLATFORM_HTTP_USAGE_REPORTS_H_
--- /dev/null
+++ b/src/platform/internal/http_exchange.cc
@@ -0,0 +1,151 @@
+#include "platform/internal/http_exchange.h"
+
+#include <cxxtools/query_params.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace bamboomount::internal {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+// Objects such as change log snapshots are the largest bodies.
+constexpr std::uint64_t kMaxBodyBytes = 64ULL << 20;
+
+std::optional<asio::ip::tcp::endpoint> ParseAddress(
+    const std::string& address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos)
+    return std::nullopt;
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+Error Unavailable(RunVerdict verdict, const std::string& message) {
+  return Error{ErrorCode::kStoreUnavailable, verdict, message, std::nullopt};
+}
+
+// One call in flight. The chain of handlers runs inside io_context::run, and
+// the deadline of the stream ends whichever step is pending.
+class Flight {
+ public:
+  Flight(const HttpCall& call, const std::string& host) : stream_(context_) {
+    request_.version(11);
+    request_.method_string(call.method);
+    request_.target(call.target);
+    request_.set(http::field::host, host);
+    if (!call.body.empty())
+      request_.set(http::field::content_type, "application/json");
+    request_.keep_alive(false);
+    request_.body() = call.body;
+    request_.prepare_payload();
+    parser_.body_limit(kMaxBodyBytes);
+  }
+
+  Result<HttpAnswer> Run(const asio::ip::tcp::endpoint& endpoint,
+                         Millis timeout) {
+    stream_.expires_after(timeout);
+    stream_.async_connect(
+        endpoint, [this](beast::error_code error) { OnConnected(error); });
+    context_.run();
+    if (!error_) {
+      return HttpAnswer{static_cast<int>(parser_.get().result_int()),
+                        std::move(parser_.get().body())};
+    }
+    return Unavailable(
+        connected_ ? RunVerdict::kMayHaveRun : RunVerdict::kNotRun,
+        error_.message());
+  }
+
+ private:
+  void OnConnected(beast::error_code error) {
+    error_ = error;
+    if (error)
+      return;
+    connected_ = true;
+    http::async_write(
+        stream_, request_,
+        [this](beast::error_code failure, std::size_t) { OnWritten(failure); });
+  }
+
+  void OnWritten(beast::error_code error) {
+    // A receiver that refuses early may close its reading side and answer all
+    // the same, so the answer is read even after a failed write.
+    write_error_ = error;
+    if (error == beast::error::timeout) {
+      error_ = error;
+      return;
+    }
+    http::async_read(stream_, buffer_, parser_,
+                     [this](beast::error_code failure, std::size_t) {
+                       error_ =
+                           failure && write_error_ ? write_error_ : failure;
+                     });
+  }
+
+  asio::io_context context_{1};
+  beast::tcp_stream stream_;
+  http::request<http::string_body> request_;
+  http::response_parser<http::string_body> parser_;
+  beast::flat_buffer buffer_;
+  beast::error_code error_;
+  beast::error_code write_error_;
+  bool connected_ = false;
+};
+
+}  // namespace
+
+Result<HttpAnswer> Exchange(const std::string& address,
+                            const HttpCall& call,
+                            Millis timeout) {
+  const auto endpoint = ParseAddress(address);
+  if (!endpoint) {
+    return Unavailable(RunVerdict::kNotRun,
+                       "not an ip:port address: " + address);
+  }
+  if (timeout <= Millis(0))
+    return Unavailable(RunVerdict::kNotRun, "no time left for the call");
+  return Flight(call, address).Run(*endpoint, timeout);
+}
+
+std::string WithQuery(const std::string& path,
+                      const std::string& name,
+                      const std::string& value) {
+  cxxtools::QueryParams params;
+  params.add(name, value);
+  return path + "?" + params.getUrl();
+}
+
+Error StatusError(const HttpAnswer& answer) {
+  const bool refused =
+      (answer.status >= 400 && answer.status < 500) || answer.status == 503;
+  constexpr std::size_t kMaxQuotedBytes = 200;
+  return Error{answer.status == 409 ? ErrorCode::kConflict
+                                    : ErrorCode::kStoreUnavailable,
+               refused ? RunVerdict::kNotRun : RunVerdict::kMayHaveRun,
+               "platform answered " + std::to_string(answer.status) + ": " +
+                   answer.body.substr(0, kMaxQuotedBytes),
+               std::nullopt};
+}
+
+Error MalformedAnswer(const std::string& detail) {
+  return Unavailable(RunVerdict::kMayHaveRun, "malformed answer: " + detail);
+}
+
+}  // namespace bamboomount::internal
