Add standin_platform, ChildProcess and the tests of the platform clients

Cause: clients and controllers need a platform to run against.

The tests cover each member of each message and the verdict after each kind of failure.

Refused connections are tested with a closed port, since a stand-in that refuses connections could not be told to stop.

--- /dev/null
+++ b/standins/platform/endpoints.cc
@@ -0,0 +1,162 @@
+#include "endpoints.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace bamboomount::standin {
+namespace {
+
+using Json = nlohmann::json;
+
+// The table in memory answers at once; the bound only fills the argument.
+constexpr Millis kTableTimeout{1000};
+
+Answer JsonAnswer(const Json& json, int status = 200) {
+  return {status, json.dump()};
+}
+
+Answer ErrorAnswer(int status, const std::string& code) {
+  return JsonAnswer({{"error", {{"code", code}}}}, status);
+}
+
+Answer NotFound() {
+  return ErrorAnswer(404, "not_found");
+}
+
+template <typename Entry>
+Json ListOf(const std::vector<Entry>& entries) {
+  Json list = Json::array();
+  for (const Entry& entry : entries)
+    list.push_back(wire::ToJson(entry));
+  return list;
+}
+
+Answer CommitTable(PlatformState& state, const Call& call) {
+  const auto outcome = state.table.Commit(
+      wire::TransactionFrom(Json::parse(call.body)), kTableTimeout);
+  return JsonAnswer(
+      {{"committed", outcome.value() == CommitOutcome::kCommitted}});
+}
+
+Answer ReadRow(PlatformState& state, const Call& call) {
+  const auto row = state.table.Read(call.parameter, kTableTimeout).value();
+  return row ? JsonAnswer(wire::ToJson(*row)) : NotFound();
+}
+
+Answer ScanTable(PlatformState& state, const Call& call) {
+  const auto rows = state.table.Scan(call.parameter, kTableTimeout).value();
+  return JsonAnswer({{"rows", ListOf(rows)}});
+}
+
+Answer PutObject(PlatformState& state, const Call& call) {
+  const std::lock_guard lock(state.objects_mutex);
+  state.objects[call.parameter] = call.body;
+  return JsonAnswer(Json::object());
+}
+
+Answer GetObject(PlatformState& state, const Call& call) {
+  const std::lock_guard lock(state.objects_mutex);
+  const auto found = state.objects.find(call.parameter);
+  return found == state.objects.end() ? NotFound() : Answer{200, found->second};
+}
+
+Answer SubmitOrder(PlatformState& state, const Call& call) {
+  if (!state.orders.Append(wire::BackendOrderFrom(Json::parse(call.body))))
+    return ErrorAnswer(409, "stale_fencing_token");
+  return JsonAnswer(Json::object(), 202);
+}
+
+Answer GetOrders(PlatformState& state, const Call& call) {
+  const auto orders = state.orders.entries();
+  if (call.parameter.empty())
+    return JsonAnswer({{"orders", ListOf(orders)}});
+  const auto found = std::find_if(
+      orders.begin(), orders.end(),
+      [&](const auto& order) { return order.order_id == call.parameter; });
+  return found == orders.end() ? NotFound() : JsonAnswer(wire::ToJson(*found));
+}
+
+Answer SubmitUsage(PlatformState& state, const Call& call) {
+  if (!state.usage.Append(wire::UsageReportFrom(Json::parse(call.body))))
+    return ErrorAnswer(409, "stale_fencing_token");
+  return JsonAnswer(Json::object(), 202);
+}
+
+Answer GetUsage(PlatformState& state, const Call&) {
+  return JsonAnswer({{"usage", ListOf(state.usage.entries())}});
+}
+
+Answer RegisterInstance(PlatformState& state, const Call& call) {
+  state.directory.SetInstance(wire::ListedInstanceFrom(Json::parse(call.body)));
+  return JsonAnswer(Json::object());
+}
+
+Answer GetInstances(PlatformState& state, const Call&) {
+  return JsonAnswer(wire::ToJson(state.directory.Lagged()));
+}
+
+Answer GetWeights(PlatformState& state, const Call& call) {
+  if (!state.weights.Allow())
+    return ErrorAnswer(429, "rate_limited");
+  return {200, "weights of " + call.parameter};
+}
+
+// Besides the switches of FaultSwitches: "check_fencing" (orders and usage),
+// "directory_lag_ms", "weights_per_second", "backends" (entries of the
+// instance list) and "remove_instances" (ids).
+Answer SetFaults(PlatformState& state, const Call& call) {
+  const Json json = Json::parse(call.body);
+  state.faults.Apply(json);
+  if (json.contains("check_fencing")) {
+    const bool check = json.at("check_fencing").get<bool>();
+    state.orders.set_check_tokens(check);
+    state.usage.set_check_tokens(check);
+  }
+  if (json.contains("directory_lag_ms")) {
+    state.directory.set_lag(
+        Millis(json.at("directory_lag_ms").get<std::int64_t>()));
+  }
+  if (json.contains("weights_per_second"))
+    state.weights.set_per_second(json.at("weights_per_second").get<int>());
+  const DirectoryListing listed = wire::DirectoryListingFrom(
+      {{"instances", Json::array()},
+       {"backends", json.value("backends", Json::array())}});
+  for (const ListedBackend& backend : listed.backends)
+    state.directory.SetBackend(backend);
+  for (const Json& instance : json.value("remove_instances", Json::array()))
+    state.directory.RemoveInstance(InstanceId(instance.get<std::string>()));
+  return JsonAnswer(Json::object());
+}
+
+const std::vector<Endpoint>& Endpoints() {
+  static const std::vector<Endpoint> endpoints{
+      {"POST", "/table/commit", "", CommitTable},
+      {"GET", "/table/row", "key", ReadRow},
+      {"GET", "/table/scan", "prefix", ScanTable},
+      {"PUT", "/objects", "name", PutObject},
+      {"GET", "/objects", "name", GetObject},
+      {"POST", "/orders", "", SubmitOrder},
+      {"GET", "/orders", "order_id", GetOrders},
+      {"POST", "/usage", "", SubmitUsage},
+      {"GET", "/usage", "", GetUsage},
+      {"POST", "/instances", "", RegisterInstance},
+      {"GET", "/instances", "", GetInstances},
+      {"GET", "/weights", "model", GetWeights},
+      {"POST", "/faults", "", SetFaults},
+  };
+  return endpoints;
+}
+
+}  // namespace
+
+const Endpoint* FindEndpoint(const std::string& method,
+                             const std::string& path) {
+  for (const Endpoint& endpoint : Endpoints()) {
+    if (endpoint.method == method && endpoint.path == path)
+      return &endpoint;
+  }
+  return nullptr;
+}
+
+}  // namespace bamboomount::standin
--- /dev/null
+++ b/standins/platform/fenced_log.h
@@ -0,0 +1,47 @@
+#ifndef STANDINS_PLATFORM_FENCED_LOG_H_
+#define STANDINS_PLATFORM_FENCED_LOG_H_
+
+#include <algorithm>
+#include <mutex>
+#include <vector>
+
+#include "base/base.h"
+
+namespace bamboomount::standin {
+
+// Everything received on one interface, repeats included, in order of arrival.
+// Entries have a member fencing_token. Thread-safe.
+template <typename Entry>
+class FencedLog {
+ public:
+  // Returns false and keeps nothing if tokens are checked and the entry's
+  // token is older than one already seen.
+  bool Append(const Entry& entry) {
+    const std::lock_guard lock(mutex_);
+    if (check_tokens_ && entry.fencing_token < newest_token_)
+      return false;
+    newest_token_ = std::max(newest_token_, entry.fencing_token);
+    entries_.push_back(entry);
+    return true;
+  }
+
+  std::vector<Entry> entries() const {
+    const std::lock_guard lock(mutex_);
+    return entries_;
+  }
+
+  void set_check_tokens(bool check) {
+    const std::lock_guard lock(mutex_);
+    check_tokens_ = check;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  bool check_tokens_ = true;
+  FencingToken newest_token_;
+  std::vector<Entry> entries_;
+};
+
+}  // namespace bamboomount::standin
+
+#endif  // STANDINS_PLATFORM_FENCED_LOG_H_
--- /dev/null
+++ b/standins/platform/platform_state.h
@@ -0,0 +1,34 @@
+#ifndef STANDINS_PLATFORM_PLATFORM_STATE_H_
+#define STANDINS_PLATFORM_PLATFORM_STATE_H_
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "fault_switches.h"
+#include "fenced_log.h"
+#include "lagging_directory.h"
+#include "platform/platform.h"
+#include "rate_limit.h"
+
+namespace bamboomount::standin {
+
+// Everything the stand-in keeps, in memory.
+struct PlatformState {
+  // Weight fetches a second until a fault switch says otherwise.
+  static constexpr int kDefaultWeightsPerSecond = 4;
+
+  InMemoryTableStore table;
+  FencedLog<BackendOrder> orders;
+  FencedLog<UsageReport> usage;
+  LaggingDirectory directory;
+  RateLimit weights{kDefaultWeightsPerSecond};
+  FaultSwitches faults;
+
+  std::mutex objects_mutex;
+  std::map<std::string, std::string> objects;
+};
+
+}  // namespace bamboomount::standin
+
+#endif  // STANDINS_PLATFORM_PLATFORM_STATE_H_
--- /dev/null
+++ b/tests/platform/in_memory_table_store_test.cc
@@ -0,0 +1,59 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/platform.h"
+
+namespace bamboomount {
+namespace {
+
+constexpr Millis kTimeout{1000};
+
+BOOST_AUTO_TEST_SUITE(in_memory_table_store)
+
+// The faults stand for what a real store does; a switch that does nothing
+// would make every test that relies on it pass.
+BOOST_AUTO_TEST_CASE(faults_differ_in_what_reaches_the_table) {
+  InMemoryTableStore store;
+  const auto put = [&](const std::string& key) {
+    return store.Commit(Transaction().ExpectAbsent(key).Put(key, "v"),
+                        kTimeout);
+  };
+  const auto stored = [&](const std::string& key) {
+    return store.Read(key, kTimeout).value().has_value();
+  };
+  store.SetFaults({.outage = true});
+  BOOST_TEST((put("a").error().verdict == RunVerdict::kNotRun));
+  store.SetFaults({.lost_commit_answers = 1});
+  BOOST_TEST((put("b").error().verdict == RunVerdict::kMayHaveRun));
+  store.SetFaults({.lost_commits = 1});
+  BOOST_TEST((put("c").error().verdict == RunVerdict::kMayHaveRun));
+  store.SetFaults({.held_commits = 1});
+  BOOST_TEST((put("d").error().verdict == RunVerdict::kMayHaveRun));
+  BOOST_TEST(!stored("a"));
+  BOOST_TEST(stored("b"));
+  BOOST_TEST(!stored("c"));
+  BOOST_TEST(!stored("d"));
+  store.ReleaseHeldCommits();
+  BOOST_TEST(stored("d"));
+  store.SetFaults({.delay = Millis(2)});
+  BOOST_TEST(
+      (store.Commit(Transaction().Put("e", "v"), Millis(1)).error().verdict ==
+       RunVerdict::kMayHaveRun));
+  BOOST_TEST(stored("e"));
+}
+
+// A held commit that ignored its conditions would undo a later writer.
+BOOST_AUTO_TEST_CASE(a_held_commit_checks_its_conditions_when_it_arrives) {
+  InMemoryTableStore store;
+  store.SetFaults({.held_commits = 1});
+  const auto first = Transaction().ExpectAbsent("a").Put("a", "first");
+  BOOST_TEST(store.Commit(first, kTimeout).has_error());
+  const auto second = Transaction().ExpectAbsent("a").Put("a", "second");
+  BOOST_TEST(store.Commit(second, kTimeout).has_value());
+  store.ReleaseHeldCommits();
+  BOOST_TEST(store.Read("a", kTimeout).value()->value == "second");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
