--- a/src/config/config.h
+++ b/src/config/config.h
@@ -4,6 +4,7 @@
 #define CONFIG_CONFIG_H_
 
 #include "config/config_error.h"
+#include "config/limit_table.h"
 #include "config/process_settings.h"
 #include "config/service_config.h"
 #include "config/service_config_reader.h"
--- a/src/config/service_config.cc
+++ b/src/config/service_config.cc
@@ -1,5 +1,9 @@
 #include "config/service_config.h"
 
+#include <stdexcept>
+
+#include "config/limit_table.h"
+
 namespace bamboomount {
 namespace {
 
@@ -54,6 +58,13 @@
   return found;
 }
 
+double ServiceConfig::Limit(const std::string& name) const {
+  const LimitSpec* spec = FindLimitSpec(name);
+  if (spec == nullptr)
+    throw std::out_of_range("no limit is named " + name);
+  return Limit(name, spec->default_value);
+}
+
 double ServiceConfig::Limit(const std::string& name, double fallback) const {
   const LimitRule* rule =
       FindRule(limits, [&](const auto& limit) { return limit.name == name; });
--- a/src/config/service_config.h
+++ b/src/config/service_config.h
@@ -53,7 +53,9 @@
   // Request path, for example "/v1/registrations"; "/v1/chat/completions"
   // for model pools, where the model in the body selects the pool.
   std::string path;
+  // Empty for chat completions where the customer's classes decide.
   ClassId class_id;
+  // Empty for chat completions.
   PoolId pool;
   // Served without a key.
   bool open = false;
@@ -70,7 +72,11 @@
   std::vector<ClassId> classes;
 };
 
-// A named number, for example {"limit":"max_body_bytes","value":1048576}.
+// The path whose pool the model in the body selects.
+inline constexpr char kChatCompletionsPath[] = "/v1/chat/completions";
+
+// A named number, for example {"limit":"max_body_bytes","value":1048576}. The
+// names are those of LimitTable().
 struct LimitRule {
   std::string name;
   double value = 0;
@@ -95,6 +101,9 @@
   const RouteRule* FindRoute(const std::string& path) const;
   const CustomerRule* FindCustomer(const CustomerId& customer) const;
   std::vector<BackendRule> BackendsOf(const PoolId& pool) const;
+  // The value of the limit `name`, or its default from LimitTable(). Throws
+  // std::out_of_range if the table has no such name.
+  double Limit(const std::string& name) const;
   // The value of the limit `name`, or `fallback`.
   double Limit(const std::string& name, double fallback) const;
 };
