Keep operators' changes in a log and follow it on each router

Cause: nothing carried configurations, keys and drains from the operators to the routers, and nothing said when a router's knowledge is too old to serve a key.

Ruled out: one row for the whole state (every key change would rewrite the configuration, and two operators would overwrite each other); a scan for reads (it returns the whole log); a monotonic clock for freshness (it stops while a machine is suspended).

Change: ChangeLog appends conditional on change/head and folds to the head before it checks a change, so that a stale base is refused with the name of who was first. StateFollower polls with jitter, puts pushed changes in force in order and reports gaps.

Conclusion: of two racing operators one wins, and no order, loss or duplication of pushes takes a router back. Rows in change/ and the sets of drained instances and withdrawn keys only grow; nothing trims them yet.

--- a/src/state/change.h
+++ b/src/state/change.h
@@ -1,6 +1,7 @@
 #ifndef STATE_CHANGE_H_
 #define STATE_CHANGE_H_
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -30,6 +31,9 @@
   InstanceId instance;
 };
 
+using ChangeBody =
+    std::variant<ConfigApplied, KeyGranted, KeyWithdrawn, InstanceDrained>;
+
 // One entry of the change log.
 struct Change {
   ChangeSequence sequence;
@@ -37,7 +41,10 @@
   std::string author;
   // Seconds since the Unix epoch.
   std::int64_t unix_seconds = 0;
-  std::variant<ConfigApplied, KeyGranted, KeyWithdrawn, InstanceDrained> body;
+  ChangeBody body;
+  // Random; tells an author's own append from another one with equal content
+  // when the outcome of a commit is unknown.
+  std::string nonce = {};
 };
 
 // JSON text of a change, as stored in the table and sent between peers.
--- a/src/state/control_state.h
+++ b/src/state/control_state.h
@@ -1,6 +1,7 @@
 #ifndef STATE_CONTROL_STATE_H_
 #define STATE_CONTROL_STATE_H_
 
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
@@ -23,6 +24,9 @@
 struct ControlState {
   ChangeSequence sequence;
   ConfigVersion config_version;
+  // Who applied the configuration in force, and when (Unix seconds).
+  std::string config_author;
+  std::int64_t config_unix_seconds = 0;
   std::string config_text;
   std::shared_ptr<const ServiceConfig> config =
       std::make_shared<const ServiceConfig>();
@@ -31,10 +35,22 @@
 };
 
 // `state` after `change`. Fails with kConflict unless the change has the next
-// sequence, and with kInvalidConfig if its configuration cannot be read.
+// sequence and, for a configuration, the next version; with kInvalidConfig if
+// its configuration cannot be read. A key that was withdrawn stays withdrawn:
+// granting its id or digest again changes nothing.
 Result<ControlState> ApplyChange(const ControlState& state,
                                  const Change& change);
 
+// The entry of the key `key`, or nullptr.
+const KeyEntry* FindKey(const ControlState& state, const KeyId& key);
+
+// JSON text of a whole state, as kept in the object store and sent to a peer
+// that starts while the store is down.
+std::string EncodeControlState(const ControlState& state);
+// Fails with kBadRequest if `text` is not a state, and with kInvalidConfig if
+// its configuration cannot be read.
+Result<ControlState> DecodeControlState(const std::string& text);
+
 }  // namespace bamboomount
 
 #endif  // STATE_CONTROL_STATE_H_
--- /dev/null
+++ b/src/state/internal/change_check.h
@@ -0,0 +1,22 @@
+#ifndef STATE_INTERNAL_CHANGE_CHECK_H_
+#define STATE_INTERNAL_CHANGE_CHECK_H_
+
+#include "base/base.h"
+#include "state/change.h"
+#include "state/control_state.h"
+
+namespace bamboomount::internal {
+
+enum class Need {
+  kAppend,
+  // The state already is as the change asks.
+  kNothing,
+};
+
+// Whether `body` may follow `state`; numbers the version of a configuration.
+// Errors as in ChangeLog::Append.
+Result<Need> CheckChange(const ControlState& state, ChangeBody& body);
+
+}  // namespace bamboomount::internal
+
+#endif  // STATE_INTERNAL_CHANGE_CHECK_H_
--- /dev/null
+++ b/src/state/internal/deadline.h
@@ -0,0 +1,31 @@
+#ifndef STATE_INTERNAL_DEADLINE_H_
+#define STATE_INTERNAL_DEADLINE_H_
+
+#include <algorithm>
+#include <chrono>
+
+#include "base/base.h"
+
+namespace bamboomount::internal {
+
+// Bounds a sequence of calls by one time limit.
+class Deadline {
+ public:
+  explicit Deadline(Millis timeout)
+      : end_(std::chrono::steady_clock::now() + timeout) {}
+
+  // At least 1 ms, since transports take 0 for "no limit".
+  Millis Remaining() const {
+    const auto left = std::chrono::duration_cast<Millis>(
+        end_ - std::chrono::steady_clock::now());
+    return std::max(left, Millis(1));
+  }
+  bool HasPassed() const { return std::chrono::steady_clock::now() >= end_; }
+
+ private:
+  SteadyTime end_;
+};
+
+}  // namespace bamboomount::internal
+
+#endif  // STATE_INTERNAL_DEADLINE_H_
--- /dev/null
+++ b/tests/state/in_memory_stores.cc
@@ -0,0 +1,104 @@
+#include "state/in_memory_stores.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+Error Unavailable(RunVerdict verdict) {
+  return {ErrorCode::kStoreUnavailable, verdict, "no answer", {}};
+}
+
+}  // namespace
+
+Result<CommitOutcome> InMemoryTableStore::Commit(const Transaction& transaction,
+                                                 Millis /*timeout*/) {
+  std::function<void()> run;
+  {
+    const std::lock_guard lock(mutex_);
+    run = std::exchange(before_commit, nullptr);
+  }
+  if (run)
+    run();
+  const std::lock_guard lock(mutex_);
+  CommitFault fault = CommitFault::kNone;
+  if (!faults.empty()) {
+    fault = faults.front();
+    faults.erase(faults.begin());
+  }
+  if (silent || fault == CommitFault::kNotSent)
+    return Unavailable(RunVerdict::kNotRun);
+  if (fault == CommitFault::kLostRequest)
+    return Unavailable(RunVerdict::kMayHaveRun);
+  const bool holds = Holds(transaction);
+  for (const auto& write : transaction.writes()) {
+    if (!holds)
+      continue;
+    if (!write.value) {
+      rows_.erase(write.key);
+      continue;
+    }
+    Row& row = rows_[write.key];
+    row = {write.key, *write.value, row.version + RowVersion(1)};
+  }
+  if (fault == CommitFault::kLostAnswer)
+    return Unavailable(RunVerdict::kMayHaveRun);
+  return holds ? CommitOutcome::kCommitted : CommitOutcome::kConflict;
+}
+
+Result<std::optional<Row>> InMemoryTableStore::Read(const std::string& key,
+                                                    Millis /*timeout*/) {
+  ++reads;
+  if (silent)
+    return Unavailable(RunVerdict::kNotRun);
+  const std::lock_guard lock(mutex_);
+  const auto found = rows_.find(key);
+  if (found == rows_.end())
+    return std::optional<Row>();
+  return std::optional<Row>(found->second);
+}
+
+Result<std::vector<Row>> InMemoryTableStore::Scan(const std::string& prefix,
+                                                  Millis /*timeout*/) {
+  if (silent)
+    return Unavailable(RunVerdict::kNotRun);
+  const std::lock_guard lock(mutex_);
+  std::vector<Row> found;
+  for (const auto& [key, row] : rows_) {
+    if (key.starts_with(prefix))
+      found.push_back(row);
+  }
+  return found;
+}
+
+bool InMemoryTableStore::Holds(const Transaction& transaction) const {
+  const auto& conditions = transaction.conditions();
+  return std::all_of(
+      conditions.begin(), conditions.end(), [&](const auto& condition) {
+        const auto found = rows_.find(condition.key);
+        const RowVersion version =
+            found == rows_.end() ? RowVersion() : found->second.version;
+        return version == condition.version;
+      });
+}
+
+Result<void> InMemoryObjectStore::Put(const std::string& name,
+                                      const std::string& content,
+                                      Millis /*timeout*/) {
+  const std::lock_guard lock(mutex);
+  objects[name] = content;
+  return Success();
+}
+
+Result<std::optional<std::string>> InMemoryObjectStore::Get(
+    const std::string& name,
+    Millis /*timeout*/) {
+  const std::lock_guard lock(mutex);
+  const auto found = objects.find(name);
+  if (found == objects.end())
+    return std::optional<std::string>();
+  return std::optional<std::string>(found->second);
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/tests/state/state_follower_test.cc
@@ -0,0 +1,120 @@
+#include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+
+#include "state/log_fixture.h"
+
+namespace bamboomount {
+namespace {
+
+using std::chrono::seconds;
+
+struct FollowerFixture : LogFixture {
+  BootTime now = seconds(1000);
+  ControlStateHolder holder;
+  StateFollower follower{log, holder, {.self = InstanceId("a"), .now = [this] {
+                                         return now;
+                                       }}};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(state_follower)
+
+// I13: an accepted configuration never reverts on any router, whatever the
+// network does to the pushes.
+BOOST_AUTO_TEST_CASE(state_never_goes_back_under_reorder_duplication_and_loss) {
+  BOOST_TEST(rc::check([] {
+    FollowerFixture fixture;
+    const auto changes = fixture.AppendRandomChanges();
+    std::vector<ControlState> states(1);
+    for (const Change& change : changes)
+      states.push_back(ApplyChange(states.back(), change).value());
+    ChangeSequence last;
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int i = 0; i < steps; ++i) {
+      const auto pick = *rc::gen::inRange<std::size_t>(0, changes.size());
+      const int action = *rc::gen::inRange(0, 40);
+      if (action == 0)
+        (void)fixture.follower.PollOnce();
+      else if (action == 1)
+        fixture.follower.OfferState(
+            std::make_shared<const ControlState>(states[pick]));
+      else
+        fixture.follower.OfferChange(changes[pick]);
+      const auto state = fixture.holder.current();
+      RC_ASSERT(state->sequence >= last);
+      last = state->sequence;
+      RC_ASSERT(EncodeControlState(*state) ==
+                EncodeControlState(states[last.value()]));
+      const auto kept = fixture.follower.ChangesAfter(ChangeSequence(pick));
+      for (std::size_t k = 0; k < kept.size(); ++k)
+        RC_ASSERT(kept[k].sequence.value() == pick + 1 + k);
+    }
+    RC_ASSERT(fixture.follower.PollOnce().has_value());
+    RC_ASSERT(fixture.holder.current()->sequence.value() == changes.size());
+  }));
+}
+
+// A lost push must not leave a router behind until somebody notices.
+BOOST_AUTO_TEST_CASE(a_gap_is_announced_and_fetched_from_the_store) {
+  LogFixture fixture;
+  ControlStateHolder holder;
+  std::mutex mutex;
+  std::condition_variable advanced;
+  holder.AddListener([&](const auto&) {
+    const std::lock_guard lock(mutex);
+    advanced.notify_all();
+  });
+  // Long enough that only the gap can start the second poll.
+  StateFollower follower(
+      fixture.log, holder,
+      {.self = InstanceId("a"), .poll_interval = Millis(3600000)});
+  std::optional<ChangeSequence> gap_after;
+  follower.SetGapListener([&](ChangeSequence after) { gap_after = after; });
+  BOOST_REQUIRE(fixture.ApplyConfig("ANNA", 0).has_value());
+  BOOST_REQUIRE(fixture.Drain("x").has_value());
+  follower.Start();
+  const auto wait_for = [&](std::uint64_t sequence) {
+    std::unique_lock lock(mutex);
+    advanced.wait(lock, [&] {
+      return holder.current()->sequence == ChangeSequence(sequence);
+    });
+  };
+  wait_for(2);
+  BOOST_REQUIRE(fixture.Drain("y").has_value());
+  const auto last = fixture.Drain("z");
+  follower.OfferChange(*last.value().change);
+  wait_for(4);
+  BOOST_REQUIRE(gap_after.has_value());
+  BOOST_TEST(gap_after->value() == 2U);
+  follower.Stop();
+}
+
+// A router cut off from the store must not serve withdrawn keys for longer
+// than the window.
+BOOST_AUTO_TEST_CASE(freshness_follows_polls_and_peers) {
+  FollowerFixture fixture;
+  StateFollower& follower = fixture.follower;
+  BOOST_TEST((follower.freshness() == Freshness::kStale));
+  BOOST_REQUIRE(fixture.ApplyConfig("ANNA", 0).has_value());
+  BOOST_REQUIRE(follower.PollOnce().has_value());
+  BOOST_TEST((follower.freshness() == Freshness::kConfirmed));
+  fixture.now += seconds(3);
+  BOOST_TEST((follower.confirmation_age().value() == seconds(3)));
+  fixture.table.silent = true;
+  BOOST_TEST(!follower.PollOnce().has_value());
+  BOOST_TEST((follower.freshness() == Freshness::kConfirmed));
+  fixture.now += seconds(2);
+  BOOST_TEST((follower.freshness() == Freshness::kStale));
+  follower.OnInstanceList({InstanceId("a"), InstanceId("b"), InstanceId("c")});
+  follower.OnPeerHeard(InstanceId("b"), {ChangeSequence(1), {}}, fixture.now);
+  BOOST_TEST((follower.freshness() == Freshness::kMajority));
+  fixture.table.silent = false;
+  BOOST_REQUIRE(follower.PollOnce().has_value());
+  BOOST_TEST((follower.freshness() == Freshness::kConfirmed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bamboomount
