Add the stand-in for a model engine

Cause: process tests, the demonstration and the load tool need a backend server whose answers are known in advance and whose faults can be switched.

Ruled out: the cxxtools HTTP server, because it buffers whole replies.

Change: standin_engine serves the engine interface of design section 12 with server-sent events, a bounded batch, a limited prefix cache, tiers, resume, cancel, lagged load, late cache events with gaps, and orders with fencing. POST /faults replaces all switches; "times" bounds how many requests they affect. Token deadlines are absolute, so the pace does not drift.

--- /dev/null
+++ b/standins/engine/chat_request.cc
@@ -0,0 +1,51 @@
+#include "engine/chat_request.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace standin {
+namespace {
+
+// Requests without a priority come after all others.
+constexpr int kNoTier = 1000;
+
+template <typename Number>
+Number NumberOr(const std::string& text, Number fallback) {
+  Number value = fallback;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace
+
+std::optional<ChatRequest> ReadChatRequest(const HttpRequest& request) {
+  const nlohmann::json body =
+      nlohmann::json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("messages") ||
+      !body["messages"].is_array()) {
+    return std::nullopt;
+  }
+  ChatRequest chat;
+  try {
+    for (const auto& message : body["messages"]) {
+      if (!chat.prompt.empty()) {
+        chat.prompt += "\n";
+      }
+      chat.prompt += message.at("content").get<std::string>();
+    }
+    chat.model = body.value("model", "");
+    chat.stream = body.value("stream", false);
+    if (body.contains("max_tokens")) {
+      chat.max_tokens = body["max_tokens"].get<std::int64_t>();
+    }
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+  chat.request_id = request.header("X-Request-Id");
+  chat.tier = NumberOr(request.header("X-Priority"), kNoTier);
+  chat.resume_offset =
+      NumberOr(request.header("X-Resume-Offset"), std::int64_t{0});
+  return chat;
+}
+
+}  // namespace standin
--- /dev/null
+++ b/standins/engine/engine.cc
@@ -0,0 +1,305 @@
+#include "engine/engine.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <cstdlib>
+
+#include "engine/chat_reply.h"
+#include "support/json_text.h"
+
+namespace standin {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kFreezePoll{10};
+
+HttpReply Problem(int status, const std::string& message) {
+  HttpReply reply;
+  reply.status = status;
+  reply.body = ToText({{"error", {{"message", message}}}});
+  return reply;
+}
+
+HttpReply StreamHead(const ChatRequest& chat) {
+  HttpReply head;
+  head.content_type = "text/event-stream";
+  head.headers.emplace_back("X-Request-Id", chat.request_id);
+  return head;
+}
+
+std::int64_t NumberIn(const std::string& text) {
+  std::int64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace
+
+// Lists a generation for cancellation while it exists.
+class Engine::Registration {
+ public:
+  Registration(std::multimap<std::string, Generation*>& list, Generation& entry)
+      : list_(list), place_(list.emplace(entry.chat.request_id, &entry)) {}
+  ~Registration() { list_.erase(place_); }
+  Registration(const Registration&) = delete;
+  Registration& operator=(const Registration&) = delete;
+
+ private:
+  std::multimap<std::string, Generation*>& list_;
+  std::multimap<std::string, Generation*>::iterator place_;
+};
+
+Engine::Engine(asio::io_context& io,
+               FaultSwitches& faults,
+               EngineOptions options)
+    : io_(io),
+      faults_(faults),
+      options_(std::move(options)),
+      slots_(io, options_.slots),
+      cache_(static_cast<std::size_t>(options_.cache_blocks),
+             options_.event_gap),
+      orders_(options_.check_fencing) {}
+
+asio::awaitable<void> Engine::Handle(Exchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  const std::string path = request.path();
+  if (path == "/v1/chat/completions" && request.method == "POST") {
+    co_await Complete(exchange);
+    co_return;
+  }
+  while (faults_.current().freeze && path != "/faults" && path != "/seen") {
+    co_await exchange.Wait(kFreezePoll.count());
+  }
+  HttpReply reply = Control(request);
+  co_await exchange.Reply(std::move(reply));
+}
+
+HttpReply Engine::Control(const HttpRequest& request) {
+  const std::string path = request.path();
+  const bool is_post = request.method == "POST";
+  HttpReply reply;
+  if (path == "/faults" && is_post) {
+    const std::string error = faults_.Set(request.body);
+    return error.empty() ? reply : Problem(400, error);
+  }
+  if (path == "/seen") {
+    reply.body = seen_.ToJson();
+    return reply;
+  }
+  seen_.Add(request);
+  if (path == "/load") {
+    return Load();
+  }
+  if (path == "/cancel" && is_post) {
+    return Cancel(request.query("request_id"));
+  }
+  if (path == "/cache-events") {
+    reply.body =
+        cache_.EventsJson(NumberIn(request.query("after")),
+                          std::chrono::milliseconds(options_.event_lag_ms));
+    return reply;
+  }
+  if (path == "/orders") {
+    return is_post ? orders_.Submit(request.body) : orders_.List();
+  }
+  return Problem(404, "no such path");
+}
+
+HttpReply Engine::Cancel(const std::string& request_id) {
+  const auto [first, last] = generations_.equal_range(request_id);
+  for (auto it = first; it != last; ++it) {
+    it->second->cancelled = true;
+  }
+  HttpReply reply;
+  reply.body = ToText({{"cancelled", first != last}});
+  return reply;
+}
+
+HttpReply Engine::Load() const {
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() - load_.time);
+  HttpReply reply;
+  reply.body = ToText({{"running", load_.running},
+                       {"waiting", load_.waiting},
+                       {"slots", slots_.slots()},
+                       {"tokens_per_second", load_.tokens_per_second},
+                       {"leaving", load_.leaving},
+                       {"age_ms", age.count()}});
+  return reply;
+}
+
+asio::awaitable<void> Engine::SampleLoad() {
+  while (true) {
+    const Clock::time_point now = Clock::now();
+    const double seconds =
+        std::chrono::duration<double>(now - load_.time).count();
+    const double rate =
+        seconds > 0
+            ? static_cast<double>(tokens_made_ - load_.tokens_made) / seconds
+            : 0;
+    load_ = {now,
+             tokens_made_,
+             slots_.running(),
+             slots_.waiting(),
+             rate,
+             faults_.current().leaving};
+    asio::steady_timer timer(io_,
+                             std::chrono::milliseconds(options_.load_lag_ms));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> Engine::Complete(Exchange& exchange) {
+  seen_.Add(exchange.request());
+  const Faults faults = faults_.Take();
+  const std::optional<ChatRequest> chat = ReadChatRequest(exchange.request());
+  HttpReply refusal;
+  if (!chat) {
+    refusal = Problem(400, "not a chat completion request");
+  } else if (faults.refuse) {
+    refusal = Problem(503, "refused by a fault switch");
+  } else if (slots_.waiting() >= options_.queue) {
+    refusal = Problem(503, "queue is full");
+  } else {
+    Generation generation;
+    generation.chat = *chat;
+    generation.faults = faults;
+    if (faults.cross_answers && !previous_.prompt.empty()) {
+      generation.chat.prompt = previous_.prompt;
+      generation.chat.request_id = previous_.request_id;
+    }
+    previous_ = *chat;
+    generation.total = std::max<std::int64_t>(
+        0, chat->max_tokens.value_or(options_.default_tokens));
+    co_await Generate(exchange, generation);
+    co_return;
+  }
+  refusal.headers.emplace_back("X-Request-Id",
+                               exchange.request().header("X-Request-Id"));
+  co_await exchange.Reply(std::move(refusal));
+}
+
+asio::awaitable<void> Engine::Generate(Exchange& exchange,
+                                       Generation& generation) {
+  const Registration registration(generations_, generation);
+  if (generation.faults.delay_ms > 0) {
+    co_await exchange.Wait(generation.faults.delay_ms);
+  }
+  std::function<bool()> given_up = [&exchange, &generation] {
+    return generation.cancelled || exchange.is_abandoned();
+  };
+  if (!co_await slots_.Acquire(generation.chat.tier, given_up)) {
+    exchange.Close(false);
+    co_return;
+  }
+  struct SlotHolder {
+    SlotQueue& slots;
+    ~SlotHolder() { slots.Release(); }
+  };
+  const SlotHolder holder{slots_};
+  if (generation.chat.stream) {
+    co_await Stream(exchange, generation);
+  } else {
+    co_await Whole(exchange, generation);
+  }
+}
+
+asio::awaitable<void> Engine::Stream(Exchange& exchange,
+                                     Generation& generation) {
+  const int answers = generation.faults.answer_twice ? 2 : 1;
+  if (generation.faults.late_ms > 0) {
+    co_await exchange.Wait(generation.faults.late_ms);
+  }
+  for (int answer = 0; answer < answers && !exchange.is_closed(); ++answer) {
+    HttpReply head = StreamHead(generation.chat);
+    co_await exchange.StartStream(std::move(head));
+    co_await StreamTokens(exchange, generation);
+  }
+}
+
+asio::awaitable<void> Engine::StreamTokens(Exchange& exchange,
+                                           Generation& generation) {
+  const Faults& faults = generation.faults;
+  Clock::time_point due = Clock::now() + FirstTokenDelay(generation);
+  std::int64_t sent = 0;
+  for (std::int64_t index = generation.chat.resume_offset;; ++index, ++sent) {
+    if (sent == faults.crash_after_tokens && faults.crash_process) {
+      std::_Exit(1);
+    }
+    if (sent == faults.crash_after_tokens ||
+        sent == faults.close_after_tokens) {
+      exchange.Close(sent == faults.crash_after_tokens);
+      co_return;
+    }
+    if (sent == faults.truncate_after_tokens) {
+      co_await exchange.EndStream();
+      co_return;
+    }
+    if (index >= generation.total) {
+      break;
+    }
+    if (!co_await WaitUntil(due, exchange, generation)) {
+      exchange.Close(false);
+      co_return;
+    }
+    std::string event = TokenEvent(generation.chat, index);
+    co_await exchange.WriteChunk(std::move(event));
+    ++tokens_made_;
+    due += TokenInterval();
+  }
+  std::string last = LastEvents(generation.chat, generation.total);
+  co_await exchange.WriteChunk(std::move(last));
+  co_await exchange.EndStream();
+}
+
+asio::awaitable<void> Engine::Whole(Exchange& exchange,
+                                    Generation& generation) {
+  Clock::time_point due = Clock::now() + FirstTokenDelay(generation);
+  for (std::int64_t index = generation.chat.resume_offset;
+       index < generation.total; ++index) {
+    if (!co_await WaitUntil(due, exchange, generation)) {
+      exchange.Close(false);
+      co_return;
+    }
+    ++tokens_made_;
+    due += TokenInterval();
+  }
+  HttpReply reply;
+  reply.headers.emplace_back("X-Request-Id", generation.chat.request_id);
+  reply.body = WholeAnswer(generation.chat, generation.total);
+  co_await exchange.ReplyWithFaults(std::move(reply), generation.faults);
+}
+
+asio::awaitable<bool> Engine::WaitUntil(Clock::time_point due,
+                                        Exchange& exchange,
+                                        const Generation& generation) {
+  asio::steady_timer timer(io_, due);
+  co_await timer.async_wait(asio::use_awaitable);
+  while (faults_.current().freeze) {
+    timer.expires_after(kFreezePoll);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  co_return !generation.cancelled && !exchange.is_abandoned();
+}
+
+Engine::Clock::duration Engine::FirstTokenDelay(const Generation& generation) {
+  const std::string& prompt = generation.chat.prompt;
+  const std::int64_t uncached = CountWords(prompt) - cache_.Use(prompt);
+  return std::chrono::microseconds(options_.first_token_us +
+                                   options_.prompt_word_us * uncached) *
+         faults_.current().slow_factor;
+}
+
+Engine::Clock::duration Engine::TokenInterval() const {
+  const double crowding =
+      std::max(1.0, static_cast<double>(slots_.running()) / options_.batch);
+  const double seconds = crowding / options_.pace *
+                         static_cast<double>(faults_.current().slow_factor);
+  return std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace standin
--- /dev/null
+++ b/standins/engine/engine.h
@@ -0,0 +1,86 @@
+#ifndef ENGINE_ENGINE_H_
+#define ENGINE_ENGINE_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "engine/chat_request.h"
+#include "engine/engine_options.h"
+#include "engine/order_log.h"
+#include "engine/prefix_cache.h"
+#include "engine/slot_queue.h"
+#include "support/http_server.h"
+#include "support/seen_log.h"
+
+namespace standin {
+
+// A model engine that produces made-up tokens at a set pace.
+class Engine {
+ public:
+  Engine(boost::asio::io_context& io,
+         FaultSwitches& faults,
+         EngineOptions options);
+
+  boost::asio::awaitable<void> Handle(Exchange& exchange);
+  // Refreshes what /load answers; runs until the process ends.
+  boost::asio::awaitable<void> SampleLoad();
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  // A request that waits or runs.
+  struct Generation {
+    ChatRequest chat;
+    Faults faults;
+    std::int64_t total = 0;
+    bool cancelled = false;
+  };
+  class Registration;
+
+  HttpReply Control(const HttpRequest& request);
+  HttpReply Cancel(const std::string& request_id);
+  HttpReply Load() const;
+  boost::asio::awaitable<void> Complete(Exchange& exchange);
+  boost::asio::awaitable<void> Generate(Exchange& exchange,
+                                        Generation& generation);
+  boost::asio::awaitable<void> Stream(Exchange& exchange,
+                                      Generation& generation);
+  boost::asio::awaitable<void> StreamTokens(Exchange& exchange,
+                                            Generation& generation);
+  boost::asio::awaitable<void> Whole(Exchange& exchange,
+                                     Generation& generation);
+  // Waits until `due`, and longer while frozen. False if the request was
+  // cancelled or its caller has gone.
+  boost::asio::awaitable<bool> WaitUntil(Clock::time_point due,
+                                         Exchange& exchange,
+                                         const Generation& generation);
+  Clock::duration FirstTokenDelay(const Generation& generation);
+  // Time between two tokens at the present load.
+  Clock::duration TokenInterval() const;
+
+  boost::asio::io_context& io_;
+  FaultSwitches& faults_;
+  const EngineOptions options_;
+  SlotQueue slots_;
+  PrefixCache cache_;
+  OrderLog orders_;
+  SeenLog seen_;
+  std::multimap<std::string, Generation*> generations_;
+  ChatRequest previous_;
+  std::int64_t tokens_made_ = 0;
+
+  struct LoadSample {
+    Clock::time_point time = Clock::now();
+    std::int64_t tokens_made = 0;
+    int running = 0;
+    int waiting = 0;
+    double tokens_per_second = 0;
+    bool leaving = false;
+  };
+  LoadSample load_;
+};
+
+}  // namespace standin
+
+#endif  // ENGINE_ENGINE_H_
--- /dev/null
+++ b/standins/engine/slot_queue.cc
@@ -0,0 +1,48 @@
+#include "engine/slot_queue.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace standin {
+namespace {
+
+// How often a waiting request checks whether its caller is still there.
+constexpr std::chrono::milliseconds kGivenUpPoll{20};
+
+}  // namespace
+
+boost::asio::awaitable<bool> SlotQueue::Acquire(
+    int tier,
+    std::function<bool()> given_up) {
+  if (running_ < slots_) {
+    ++running_;
+    co_return true;
+  }
+  Waiter waiter{boost::asio::steady_timer(io_)};
+  const std::pair<int, std::int64_t> place(tier, arrivals_++);
+  waiting_.emplace(place, &waiter);
+  while (!waiter.granted) {
+    waiter.timer.expires_after(kGivenUpPoll);
+    boost::system::error_code ignored;
+    co_await waiter.timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    if (!waiter.granted && given_up()) {
+      waiting_.erase(place);
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+void SlotQueue::Release() {
+  if (waiting_.empty()) {
+    --running_;
+    return;
+  }
+  Waiter* next = waiting_.begin()->second;
+  waiting_.erase(waiting_.begin());
+  next->granted = true;
+  next->timer.cancel();
+}
+
+}  // namespace standin
