Add the stand-in for a plain service

Cause: tests of calls that must not repeat need a server that says what it executed.

Change: standin_service executes any request once per arrival, lists it under GET /executed and has the same fault switches as the engine, among them "lose_answer" (executed, no answer), "reset_at_byte" (reset after N bytes of the request were read) and "slow_factor".

--- /dev/null
+++ b/standins/service/plain_service.h
@@ -0,0 +1,43 @@
+#ifndef SERVICE_PLAIN_SERVICE_H_
+#define SERVICE_PLAIN_SERVICE_H_
+
+#include <deque>
+#include <string>
+
+#include "support/http_server.h"
+#include "support/seen_log.h"
+
+namespace standin {
+
+// A service that executes any request once per arrival and keeps a log of it.
+class PlainService {
+ public:
+  // `work_ms` is how long it takes to execute a request.
+  PlainService(FaultSwitches& faults, std::int64_t work_ms)
+      : faults_(faults), work_ms_(work_ms) {}
+
+  boost::asio::awaitable<void> Handle(Exchange& exchange);
+
+ private:
+  struct Execution {
+    std::int64_t number = 0;
+    std::string method;
+    std::string target;
+    std::string request_id;
+    std::string body;
+  };
+
+  boost::asio::awaitable<void> Execute(Exchange& exchange);
+  boost::asio::awaitable<void> WaitWhileFrozen(Exchange& exchange);
+  HttpReply SetFaults(const HttpRequest& request);
+  std::string ExecutedJson() const;
+
+  FaultSwitches& faults_;
+  std::int64_t work_ms_;
+  SeenLog seen_;
+  std::deque<Execution> executed_;
+};
+
+}  // namespace standin
+
+#endif  // SERVICE_PLAIN_SERVICE_H_
