--- a/tests/state/in_memory_stores.cc
+++ b/tests/state/in_memory_stores.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-Result<CommitOutcome> InMemoryTableStore::Commit(const Transaction& transaction,
+Result<CommitOutcome> ScriptedTableStore::Commit(const Transaction& transaction,
                                                  Millis /*timeout*/) {
   std::function<void()> run;
   {
@@ -47,7 +47,7 @@
   return holds ? CommitOutcome::kCommitted : CommitOutcome::kConflict;
 }
 
-Result<std::optional<Row>> InMemoryTableStore::Read(const std::string& key,
+Result<std::optional<Row>> ScriptedTableStore::Read(const std::string& key,
                                                     Millis /*timeout*/) {
   ++reads;
   if (silent)
@@ -59,7 +59,7 @@
   return std::optional<Row>(found->second);
 }
 
-Result<std::vector<Row>> InMemoryTableStore::Scan(const std::string& prefix,
+Result<std::vector<Row>> ScriptedTableStore::Scan(const std::string& prefix,
                                                   Millis /*timeout*/) {
   if (silent)
     return Unavailable(RunVerdict::kNotRun);
@@ -72,7 +72,7 @@
   return found;
 }
 
-bool InMemoryTableStore::Holds(const Transaction& transaction) const {
+bool ScriptedTableStore::Holds(const Transaction& transaction) const {
   const auto& conditions = transaction.conditions();
   return std::all_of(
       conditions.begin(), conditions.end(), [&](const auto& condition) {
--- a/tests/state/in_memory_stores.h
+++ b/tests/state/in_memory_stores.h
@@ -24,7 +24,7 @@
   kLostAnswer,
 };
 
-class InMemoryTableStore : public TableStore {
+class ScriptedTableStore : public TableStore {
  public:
   Result<CommitOutcome> Commit(const Transaction& transaction,
                                Millis timeout) override;
--- a/tests/state/log_fixture.h
+++ b/tests/state/log_fixture.h
@@ -16,7 +16,7 @@
 
 // A log over in-memory stores.
 struct LogFixture {
-  InMemoryTableStore table;
+  ScriptedTableStore table;
   InMemoryObjectStore objects;
   ChangeLog log{table, objects, [] { return std::int64_t{1796000000}; }};
 
