--- a/src/router/internal/asio.h
+++ b/src/router/internal/asio.h
@@ -21,6 +21,11 @@
 
 namespace bamboomount {
 
+// g++ 12 destroys temporaries of a full expression twice or not at all when
+// the expression holds co_await in a condition or passes them by value to the
+// awaited coroutine (seen as crashes). Coroutines here therefore take
+// references to named variables, and conditions use a named result.
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
--- a/src/router/internal/backend_call.cc
+++ b/src/router/internal/backend_call.cc
@@ -1,5 +1,6 @@
 #include "router/internal/backend_call.h"
 
+#include <limits>
 #include <sstream>
 
 #include "router/internal/endpoint.h"
@@ -14,7 +15,9 @@
 
 BackendCall::BackendCall(RunningRequest& request)
     : request_(request), stream_(request.executor()), chunk_(kReadBytes, '\0') {
-  parser_.body_limit(boost::none);
+  // Replies are bounded where they are collected; boost::none does not lift the
+  // limit in Boost 1.74.
+  parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
   parser_.header_limit(kMaxReplyHeaderBytes);
   request_.SetCancelAction([this] { stream_.close(); });
 }
--- a/src/router/internal/blocking_pool.h
+++ b/src/router/internal/blocking_pool.h
@@ -26,7 +26,7 @@
   // The result of `call`, or kStoreUnavailable with verdict kNotRun if too
   // many calls wait already.
   template <typename T>
-  asio::awaitable<Result<T>> Run(std::function<Result<T>()> call);
+  asio::awaitable<Result<T>> Run(const std::function<Result<T>()>& call);
 
  private:
   const int max_waiting_;
@@ -35,7 +35,8 @@
 };
 
 template <typename T>
-asio::awaitable<Result<T>> BlockingPool::Run(std::function<Result<T>()> call) {
+asio::awaitable<Result<T>> BlockingPool::Run(
+    const std::function<Result<T>()>& call) {
   if (++waiting_ > max_waiting_) {
     --waiting_;
     co_return Error{ErrorCode::kStoreUnavailable,
@@ -51,7 +52,7 @@
     std::optional<Result<T>> result;
   };
   const auto state = std::make_shared<State>(executor);
-  asio::post(pool_, [this, state, call = std::move(call)] {
+  asio::post(pool_, [this, state, call] {
     auto result = call();
     --waiting_;
     asio::post(state->wake.get_executor(), [state, result = std::move(result)] {
--- a/src/router/internal/caller_reply.h
+++ b/src/router/internal/caller_reply.h
@@ -33,12 +33,12 @@
   // Cancels `request` with kCallerGone when the caller closes its connection.
   virtual void CancelOnDisconnect(std::shared_ptr<RunningRequest> request) = 0;
 
-  virtual asio::awaitable<bool> Send(WholeReply reply) = 0;
+  virtual asio::awaitable<bool> Send(const WholeReply& reply) = 0;
 
   // Starts a reply of unknown length, sent as it is made.
   virtual asio::awaitable<bool> BeginStream(
-      std::string content_type,
-      std::vector<ReplyHeader> headers) = 0;
+      const std::string& content_type,
+      const std::vector<ReplyHeader>& headers) = 0;
   virtual asio::awaitable<bool> SendChunk(std::string_view data) = 0;
   // Ends the stream so that the caller sees it as complete.
   virtual asio::awaitable<bool> EndStream() = 0;
--- a/src/router/internal/caller_session.cc
+++ b/src/router/internal/caller_session.cc
@@ -111,11 +111,11 @@
         });
   }
 
-  asio::awaitable<bool> Send(WholeReply reply) override {
+  asio::awaitable<bool> Send(const WholeReply& reply) override {
     http::response<http::string_body> response(
         static_cast<http::status>(reply.status), 11);
     SetHeaders(response, reply.content_type, reply.headers);
-    response.body() = std::move(reply.body);
+    response.body() = reply.body;
     response.prepare_payload();
     error_code error;
     Lowest().expires_after(kWriteTimeout);
@@ -127,8 +127,9 @@
     co_return !error;
   }
 
-  asio::awaitable<bool> BeginStream(std::string content_type,
-                                    std::vector<ReplyHeader> headers) override {
+  asio::awaitable<bool> BeginStream(
+      const std::string& content_type,
+      const std::vector<ReplyHeader>& headers) override {
     http::response<http::empty_body> response(http::status::ok, 11);
     SetHeaders(response, content_type, headers);
     response.chunked(true);
@@ -144,16 +145,16 @@
   asio::awaitable<bool> SendChunk(std::string_view data) override {
     error_code error;
     Lowest().expires_after(kWriteTimeout);
-    co_await asio::async_write(
-        stream_, http::make_chunk(asio::buffer(data.data(), data.size())),
-        Await(error));
+    const auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+    co_await asio::async_write(stream_, chunk, Await(error));
     co_return !error;
   }
 
   asio::awaitable<bool> EndStream() override {
     error_code error;
     Lowest().expires_after(kWriteTimeout);
-    co_await asio::async_write(stream_, http::make_chunk_last(), Await(error));
+    const auto last_chunk = http::make_chunk_last();
+    co_await asio::async_write(stream_, last_chunk, Await(error));
     if (error)
       keep_alive_ = false;
     co_return !error;
@@ -174,14 +175,15 @@
     Lowest().socket().set_option(tcp::no_delay(true), error);
     if (HasHandshake(stream_)) {
       Lowest().expires_after(kHeaderTimeout);
-      if (co_await Handshake(stream_))
+      error = co_await Handshake(stream_);
+      if (error)
         co_return;
     }
-    while (keep_alive_ && !environment_.closing) {
-      if (!co_await WaitForData())
-        break;
-      if (!co_await ServeOne())
-        break;
+    bool open = true;
+    while (open && keep_alive_ && !environment_.closing) {
+      open = co_await WaitForData();
+      if (open)
+        open = co_await ServeOne();
     }
     Lowest().close();
   }
@@ -211,8 +213,9 @@
       error = co_await ReadBody(parser);
     keep_alive_ = !error && parser.get().keep_alive();
     if (error) {
+      const WholeReply refusal = ErrorReply(ReadError(error));
       if (error != http::error::end_of_stream)
-        co_await Send(ErrorReply(ReadError(error)));
+        co_await Send(refusal);
       co_await Linger();
       co_return false;
     }
@@ -239,7 +242,8 @@
     Lowest().expires_never();
     std::optional<Error> failure;
     try {
-      co_await environment_.handler.Handle(parser.release(), *this);
+      HttpRequest request = parser.release();
+      co_await environment_.handler.Handle(request, *this);
     } catch (const std::exception& exception) {
       failure = Error{
           ErrorCode::kInternal, RunVerdict::kMayHaveRun, exception.what(), {}};
@@ -247,10 +251,12 @@
     // Ends the wait for a disconnect.
     error_code ignored;
     Lowest().socket().cancel(ignored);
-    if (failure && !replied_)
-      co_await Send(ErrorReply(*failure));
-    else if (failure)
-      keep_alive_ = false;
+    if (!failure)
+      co_return;
+    keep_alive_ = false;
+    const WholeReply reply = ErrorReply(*failure);
+    if (!replied_)
+      co_await Send(reply);
   }
 
   // Reads what the caller still sends, for a bounded time: closing with unread
--- a/src/router/internal/chat_exchange.cc
+++ b/src/router/internal/chat_exchange.cc
@@ -113,7 +113,8 @@
                                 {"backend", slot.value().backend.value()},
                                 {"error", last_error.message}});
   }
-  co_await Fail(running_.cancel_reason().value_or(last_error));
+  const Error cause = running_.cancel_reason().value_or(last_error);
+  co_await Fail(cause);
 }
 
 asio::awaitable<Result<Slot>> ChatExchange::NextSlot(int attempt) {
@@ -186,8 +187,9 @@
   auto sent = co_await call.Send(backend_request, kSendTimeout);
   if (!sent)
     co_return sent;
-  auto head = co_await call.ReadHead(
-      Timeout("first_byte_timeout_ms", kDefaultFirstByteTimeout));
+  const Millis first_byte_timeout =
+      Timeout("first_byte_timeout_ms", kDefaultFirstByteTimeout);
+  auto head = co_await call.ReadHead(first_byte_timeout);
   if (!head)
     co_return head.error();
   if (head.value().request_id != request_.id.value()) {
@@ -199,17 +201,20 @@
   const bool is_error = head.value().status != kOk;
   if (is_error && !IsCallersFault(head.value().status))
     co_return BackendError("status " + std::to_string(head.value().status));
-  if (plan_.streamed && !is_error)
-    co_return co_await PassStream(call, outcome);
-  co_return co_await PassWhole(call, head.value());
+  if (plan_.streamed && !is_error) {
+    auto passed = co_await PassStream(call, outcome);
+    co_return passed;
+  }
+  auto passed = co_await PassWhole(call, head.value());
+  co_return passed;
 }
 
 asio::awaitable<Result<void>> ChatExchange::PassWhole(
     BackendCall& call,
     const BackendReplyHead& head) {
-  auto body = co_await call.ReadAll(
-      kMaxReplyBytes,
-      Timeout("first_byte_timeout_ms", kDefaultFirstByteTimeout));
+  const Millis timeout =
+      Timeout("first_byte_timeout_ms", kDefaultFirstByteTimeout);
+  auto body = co_await call.ReadAll(kMaxReplyBytes, timeout);
   if (!body)
     co_return body.error();
   const Json json = Json::parse(body.value(), nullptr, false);
@@ -224,7 +229,8 @@
   whole.status = head.status;
   whole.headers = ReplyHeaders();
   whole.body = std::move(body).value();
-  caller_gone_ = !co_await reply_.Send(std::move(whole));
+  const bool sent = co_await reply_.Send(whole);
+  caller_gone_ = !sent;
   co_return Success();
 }
 
@@ -270,13 +276,19 @@
     co_return false;
   if (!answer_begun_) {
     answer_begun_ = true;
-    caller_gone_ =
-        !co_await reply_.BeginStream("text/event-stream", ReplyHeaders());
+    const std::string content_type = "text/event-stream";
+    const std::vector<ReplyHeader> headers = ReplyHeaders();
+    const bool begun = co_await reply_.BeginStream(content_type, headers);
+    caller_gone_ = !begun;
+  }
+  if (!caller_gone_) {
+    const bool passed = co_await reply_.SendChunk(batch);
+    caller_gone_ = !passed;
+  }
+  if (!caller_gone_ && done) {
+    const bool ended = co_await reply_.EndStream();
+    caller_gone_ = !ended;
   }
-  if (!caller_gone_)
-    caller_gone_ = !co_await reply_.SendChunk(batch);
-  if (!caller_gone_ && done)
-    caller_gone_ = !co_await reply_.EndStream();
   if (caller_gone_)
     co_return Error{ErrorCode::kCallerGone,
                     RunVerdict::kMayHaveRun,
@@ -294,7 +306,8 @@
   co_return done;
 }
 
-asio::awaitable<void> ChatExchange::Fail(Error error) {
+asio::awaitable<void> ChatExchange::Fail(const Error& cause) {
+  Error error = cause;
   if (may_have_run_)
     error.verdict = RunVerdict::kMayHaveRun;
   RecordUsage();
@@ -303,7 +316,8 @@
     co_return;
   }
   if (!answer_begun_) {
-    co_await reply_.Send(ErrorReply(error));
+    const WholeReply refusal = ErrorReply(error);
+    co_await reply_.Send(refusal);
     co_return;
   }
   if (error.code == ErrorCode::kBackendFailed ||
@@ -316,7 +330,8 @@
   context_.dependencies.metrics.Increment(
       "bamboomount_streams_interrupted_total",
       {{"class", plan_.class_rule.class_id.value()}});
-  co_await reply_.SendChunk("event: error\ndata: " + ErrorJson(error) + "\n\n");
+  const std::string event = "event: error\ndata: " + ErrorJson(error) + "\n\n";
+  co_await reply_.SendChunk(event);
   reply_.AbortStream();
 }
 
--- a/src/router/internal/chat_exchange.h
+++ b/src/router/internal/chat_exchange.h
@@ -41,7 +41,7 @@
   // Passes the whole events in `pending` on; returns true after the end mark.
   asio::awaitable<Result<bool>> PassEvents(class EventStreamSplitter& pending,
                                            SlotOutcome& outcome);
-  asio::awaitable<void> Fail(Error error);
+  asio::awaitable<void> Fail(const Error& cause);
   void RecordFirstToken(SlotOutcome& outcome);
   void RecordUsage();
   std::vector<ReplyHeader> ReplyHeaders() const;
--- a/src/router/internal/request_handler.cc
+++ b/src/router/internal/request_handler.cc
@@ -77,9 +77,9 @@
       authenticator_(context.dependencies.state,
                      context.dependencies.is_fresh) {}
 
-asio::awaitable<void> RequestHandler::Handle(HttpRequest http,
+asio::awaitable<void> RequestHandler::Handle(HttpRequest& http,
                                              CallerReply& reply) {
-  CallerRequest request = MakeCallerRequest(std::move(http));
+  CallerRequest request = MakeCallerRequest(http);
   const std::string parent = request.Header("traceparent");
   const auto caller_trace = TraceContext::Parse(parent);
   SpanRecorder span(context_.dependencies.spans, request.trace,
@@ -93,7 +93,7 @@
   span.Finish();
 }
 
-CallerRequest RequestHandler::MakeCallerRequest(HttpRequest http) const {
+CallerRequest RequestHandler::MakeCallerRequest(HttpRequest& http) const {
   CallerRequest request;
   request.arrival = std::chrono::steady_clock::now();
   request.id = RequestId(context_.options.instance.value() + "-" +
@@ -121,31 +121,37 @@
 
 asio::awaitable<void> RequestHandler::ReplyHealth(CallerRequest& /*request*/,
                                                   CallerReply& reply) {
-  co_await reply.Send(HealthReply(context_.options.instance));
+  const WholeReply health = HealthReply(context_.options.instance);
+  co_await reply.Send(health);
 }
 
 asio::awaitable<void> RequestHandler::ReplyInstances(CallerRequest& /*request*/,
                                                      CallerReply& reply) {
-  co_await reply.Send(InstancesReply(context_.dependencies.addresses(),
-                                     context_.options.address_time_to_live));
+  const WholeReply instances = InstancesReply(
+      context_.dependencies.addresses(), context_.options.address_time_to_live);
+  co_await reply.Send(instances);
 }
 
 asio::awaitable<void> RequestHandler::ReplyModels(CallerRequest& request,
                                                   CallerReply& reply) {
-  if (!co_await Authenticate(request, reply))
+  const bool authenticated = co_await Authenticate(request, reply);
+  if (!authenticated)
     co_return;
-  co_await reply.Send(
-      ModelsReply(*context_.dependencies.state.current()->config));
+  const WholeReply models =
+      ModelsReply(*context_.dependencies.state.current()->config);
+  co_await reply.Send(models);
 }
 
 asio::awaitable<void> RequestHandler::HandleChat(CallerRequest& request,
                                                  CallerReply& reply) {
-  if (!co_await Authenticate(request, reply))
+  const bool authenticated = co_await Authenticate(request, reply);
+  if (!authenticated)
     co_return;
   auto plan =
       MakeChatPlan(request, context_.dependencies.state.current()->config);
   if (!plan) {
-    co_await reply.Send(ErrorReply(plan.error()));
+    const WholeReply refusal = ErrorReply(plan.error());
+    co_await reply.Send(refusal);
     co_return;
   }
   const auto running = co_await Register(request);
@@ -163,15 +169,18 @@
   const PoolRule* pool =
       route == nullptr ? nullptr : config->FindPool(route->pool);
   if (pool == nullptr || pool->kind != PoolKind::kService) {
-    const Error unknown{ErrorCode::kUnknownRoute,
-                        RunVerdict::kNotRun,
-                        "no service at this path",
-                        {}};
-    co_await reply.Send(ErrorReply(unknown));
+    const WholeReply unknown = ErrorReply({ErrorCode::kUnknownRoute,
+                                           RunVerdict::kNotRun,
+                                           "no service at this path",
+                                           {}});
+    co_await reply.Send(unknown);
     co_return;
   }
-  if (!route->open && !co_await Authenticate(request, reply))
-    co_return;
+  if (!route->open) {
+    const bool authenticated = co_await Authenticate(request, reply);
+    if (!authenticated)
+      co_return;
+  }
   const auto running = co_await Register(request);
   const RunningScope scope(context_.running, running);
   // A call that must not be repeated goes on without its caller, so that its
@@ -189,7 +198,8 @@
     request.identity = std::move(identity).value();
     co_return true;
   }
-  co_await reply.Send(ErrorReply(identity.error()));
+  const WholeReply refusal = ErrorReply(identity.error());
+  co_await reply.Send(refusal);
   co_return false;
 }
 
--- a/src/router/internal/request_handler.h
+++ b/src/router/internal/request_handler.h
@@ -16,8 +16,8 @@
  public:
   explicit RequestHandler(HandlerContext& context);
 
-  // Runs until `reply` has been used.
-  asio::awaitable<void> Handle(HttpRequest http, CallerReply& reply);
+  // Takes the content of `http`; runs until `reply` has been used.
+  asio::awaitable<void> Handle(HttpRequest& http, CallerReply& reply);
 
  private:
   using Handler = asio::awaitable<void> (RequestHandler::*)(CallerRequest&,
@@ -29,7 +29,7 @@
   };
   static const FixedRoute kFixedRoutes[];
 
-  CallerRequest MakeCallerRequest(HttpRequest http) const;
+  CallerRequest MakeCallerRequest(HttpRequest& http) const;
   Handler FindHandler(const CallerRequest& request) const;
 
   asio::awaitable<void> ReplyHealth(CallerRequest& request, CallerReply& reply);
--- a/src/router/internal/service_exchange.cc
+++ b/src/router/internal/service_exchange.cc
@@ -22,6 +22,21 @@
 constexpr Millis kClaimPollInterval{100};
 constexpr int kClaimPolls = 50;
 
+Error KeyReused() {
+  return {ErrorCode::kIdempotencyKeyReused,
+          RunVerdict::kNotRun,
+          "the Idempotency-Key was used with another body",
+          {}};
+}
+
+Error OutcomeUnknown() {
+  return {ErrorCode::kMayHaveRun,
+          RunVerdict::kMayHaveRun,
+          "a call with this Idempotency-Key was started and its answer is not "
+          "known",
+          {}};
+}
+
 }  // namespace
 
 ServiceExchange::ServiceExchange(HandlerContext& context,
@@ -53,10 +68,11 @@
   const std::string idempotency_key = request_.Header("Idempotency-Key");
   if (idempotency_key.empty() ||
       idempotency_key.size() > kMaxIdempotencyKeyLength) {
-    co_await Refuse({ErrorCode::kMissingIdempotencyKey,
-                     RunVerdict::kNotRun,
-                     "this route needs an Idempotency-Key of 1 to 256 bytes",
-                     {}});
+    const Error refusal{ErrorCode::kMissingIdempotencyKey,
+                        RunVerdict::kNotRun,
+                        "this route needs an Idempotency-Key of 1 to 256 bytes",
+                        {}};
+    co_await Refuse(refusal);
     co_return;
   }
   auto outcome = co_await AcquireClaim();
@@ -64,21 +80,19 @@
     co_await Refuse(outcome.error());
     co_return;
   }
-  if (const auto* claim = std::get_if<Claim>(&outcome.value()))
+  if (const auto* claim = std::get_if<Claim>(&outcome.value())) {
     co_await FinishClaimed(*claim);
-  else if (const auto* kept = std::get_if<KeptAnswer>(&outcome.value()))
+    co_return;
+  }
+  if (const auto* kept = std::get_if<KeptAnswer>(&outcome.value())) {
     co_await Answer(*kept, true);
-  else if (std::holds_alternative<ClaimBodyMismatch>(outcome.value()))
-    co_await Refuse({ErrorCode::kIdempotencyKeyReused,
-                     RunVerdict::kNotRun,
-                     "the Idempotency-Key was used with another body",
-                     {}});
-  else
-    co_await Refuse({ErrorCode::kMayHaveRun,
-                     RunVerdict::kMayHaveRun,
-                     "a call with this Idempotency-Key was started and its "
-                     "answer is not known",
-                     {}});
+    co_return;
+  }
+  const Error refusal =
+      std::holds_alternative<ClaimBodyMismatch>(outcome.value())
+          ? KeyReused()
+          : OutcomeUnknown();
+  co_await Refuse(refusal);
 }
 
 asio::awaitable<Result<ClaimOutcome>> ServiceExchange::AcquireClaim() {
@@ -89,12 +103,13 @@
   const std::string body_digest =
       Sha256Hex(std::string(request_.http.method_string()) + '\n' +
                 request_.query + '\n' + request_.http.body());
+  const std::function<Result<ClaimOutcome>()> acquire =
+      [&claims = context_.claims, row_key, body_digest] {
+        return claims.Acquire(row_key, body_digest);
+      };
   asio::steady_timer poll(running_.executor());
   for (int i = 0;; ++i) {
-    auto outcome = co_await context_.blocking.Run<ClaimOutcome>(
-        [&claims = context_.claims, row_key, body_digest] {
-          return claims.Acquire(row_key, body_digest);
-        });
+    auto outcome = co_await context_.blocking.Run(acquire);
     if (!outcome || i == kClaimPolls || running_.cancel_reason() ||
         !std::holds_alternative<ClaimInProgress>(outcome.value()))
       co_return outcome;
@@ -107,21 +122,24 @@
 asio::awaitable<void> ServiceExchange::FinishClaimed(const Claim& claim) {
   const auto answer = co_await Call();
   if (answer) {
-    co_await UpdateClaim({claim, answer.value()});
+    const ClaimUpdate kept{claim, answer.value()};
+    co_await UpdateClaim(kept);
     co_await Answer(answer.value(), false);
     co_return;
   }
+  const ClaimUpdate given_back{claim, std::nullopt};
   if (!may_have_run_)
-    co_await UpdateClaim({claim, std::nullopt});
+    co_await UpdateClaim(given_back);
   co_await Refuse(answer.error());
 }
 
-asio::awaitable<void> ServiceExchange::UpdateClaim(ClaimUpdate update) {
-  const auto updated = co_await context_.blocking.Run<void>(
-      [&claims = context_.claims, update]() -> Result<void> {
-        claims.Update(update);
-        return Success();
-      });
+asio::awaitable<void> ServiceExchange::UpdateClaim(const ClaimUpdate& update) {
+  const std::function<Result<void>()> change = [&claims = context_.claims,
+                                                update]() -> Result<void> {
+    claims.Update(update);
+    return Success();
+  };
+  const auto updated = co_await context_.blocking.Run(change);
   if (!updated)
     context_.claims.UpdateLater(update);
 }
@@ -238,14 +256,15 @@
   else if (request_.identity)
     context_.dependencies.record_usage(request_.identity->customer, Tokens(0),
                                        Tokens(0));
-  co_await reply_.Send(std::move(whole));
+  co_await reply_.Send(whole);
 }
 
 asio::awaitable<void> ServiceExchange::Refuse(const Error& error) {
   Error refusal = error;
   if (may_have_run_)
     refusal.verdict = RunVerdict::kMayHaveRun;
-  co_await reply_.Send(ErrorReply(refusal));
+  const WholeReply reply = ErrorReply(refusal);
+  co_await reply_.Send(reply);
 }
 
 }  // namespace bamboomount
--- a/src/router/internal/service_exchange.h
+++ b/src/router/internal/service_exchange.h
@@ -32,7 +32,7 @@
   asio::awaitable<void> RunClaimed();
   asio::awaitable<Result<ClaimOutcome>> AcquireClaim();
   asio::awaitable<void> FinishClaimed(const Claim& claim);
-  asio::awaitable<void> UpdateClaim(ClaimUpdate update);
+  asio::awaitable<void> UpdateClaim(const ClaimUpdate& update);
   // Sends the call, on several backend servers if that is allowed.
   asio::awaitable<Result<KeptAnswer>> Call();
   asio::awaitable<Result<KeptAnswer>> Attempt(const Slot& slot);
