Add the operators' interface of an instance and its client

Cause: operators had no way to reach the change log of a running instance.

Ruled out: JSON types in public headers (nlohmann would enter every file that includes the library); a path for each handler in the HTTP server (one table of methods and paths is easier to check). istream::ignore for bodies that are not wanted blocks for the character after the body: the test with a wrong token hung until its time limit, so the body is taken with readsome.

Change: AdminServer on cxxtools, AdminClient with typed replies, the interface FleetOperations for the daemon, and ChangeOperations, which implements its part on the change log: apply, grant, withdraw, drain, and the emergency withdrawal while the store does not answer, written to the log later. The token is compared as a digest in constant time. Bodies over 8 MiB or without the token are read past.

--- /dev/null
+++ b/src/admin/admin.h
@@ -0,0 +1,13 @@
+// Public header of the admin library: the operators' interface of an instance,
+// its client, and what it asks of the rest of the process.
+#ifndef ADMIN_ADMIN_H_
+#define ADMIN_ADMIN_H_
+
+#include "admin/admin_client.h"
+#include "admin/admin_server.h"
+#include "admin/change_operations.h"
+#include "admin/events.h"
+#include "admin/fleet_operations.h"
+#include "admin/operator_messages.h"
+
+#endif  // ADMIN_ADMIN_H_
--- /dev/null
+++ b/src/admin/admin_client.cc
@@ -0,0 +1,163 @@
+#include "admin/admin_client.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/replyheader.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/query_params.h>
+
+#include <utility>
+
+#include "admin/internal/host_port.h"
+#include "admin/internal/operator_json.h"
+
+namespace bamboomount {
+namespace {
+
+using Json = nlohmann::json;
+
+Error Unreachable(const std::string& address,
+                  const std::string& reason,
+                  RunVerdict verdict) {
+  return {ErrorCode::kNoBackend, verdict, address + ": " + reason, {}};
+}
+
+ErrorCode CodeNamed(const std::string& name) {
+  for (int i = 0; i <= static_cast<int>(ErrorCode::kInternal); ++i) {
+    const auto code = static_cast<ErrorCode>(i);
+    if (ToString(code) == name)
+      return code;
+  }
+  return ErrorCode::kInternal;
+}
+
+Error DecodeError(const std::string& body) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("error"))
+    return {ErrorCode::kInternal, RunVerdict::kMayHaveRun, body, {}};
+  const Json& error = json.at("error");
+  return {CodeNamed(error.value("code", "")),
+          error.value("ran", "unknown") == "no" ? RunVerdict::kNotRun
+                                                : RunVerdict::kMayHaveRun,
+          error.value("message", ""),
+          {}};
+}
+
+template <typename T>
+Result<T> Decode(const Result<std::string>& body) {
+  if (!body)
+    return body.error();
+  try {
+    return Json::parse(body.value()).get<T>();
+  } catch (const Json::exception& error) {
+    return Error{ErrorCode::kInternal,
+                 RunVerdict::kMayHaveRun,
+                 std::string("the answer cannot be read: ") + error.what(),
+                 {}};
+  }
+}
+
+template <typename T>
+std::string Encode(const T& request) {
+  return Json(request).dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace
+
+AdminClient::AdminClient(std::string address,
+                         std::string admin_token,
+                         Millis timeout)
+    : address_(std::move(address)),
+      token_(std::move(admin_token)),
+      timeout_(timeout) {}
+
+Result<FleetStatus> AdminClient::Status() const {
+  return Decode<FleetStatus>(Get("/admin/status", {}));
+}
+
+Result<ConfigReply> AdminClient::Config(
+    std::optional<ConfigVersion> version) const {
+  return Decode<ConfigReply>(Get(
+      "/admin/config",
+      version ? "version=" + std::to_string(version->value()) : std::string()));
+}
+
+Result<std::vector<ConfigVersionEntry>> AdminClient::ConfigHistory() const {
+  return Decode<std::vector<ConfigVersionEntry>>(
+      Get("/admin/config/history", {}));
+}
+
+Result<ChangeReply> AdminClient::ApplyConfig(
+    const ApplyConfigRequest& request) const {
+  return Decode<ChangeReply>(Post("/admin/config", Encode(request)));
+}
+
+Result<KeyListing> AdminClient::Keys() const {
+  return Decode<KeyListing>(Get("/admin/keys", {}));
+}
+
+Result<ChangeReply> AdminClient::GrantKey(
+    const GrantKeyRequest& request) const {
+  return Decode<ChangeReply>(Post("/admin/keys/grant", Encode(request)));
+}
+
+Result<WithdrawKeyReply> AdminClient::WithdrawKey(
+    const WithdrawKeyRequest& request) const {
+  return Decode<WithdrawKeyReply>(
+      Post("/admin/keys/withdraw", Encode(request)));
+}
+
+Result<ChangeReply> AdminClient::DrainInstance(
+    const DrainRequest& request) const {
+  return Decode<ChangeReply>(Post("/admin/drain", Encode(request)));
+}
+
+Result<std::vector<Span>> AdminClient::Trace(
+    const std::string& trace_id) const {
+  return Decode<std::vector<Span>>(
+      Get("/admin/trace",
+          cxxtools::QueryParams().add("trace_id", trace_id).getUrl()));
+}
+
+Result<std::vector<UsageLine>> AdminClient::Usage(int windows) const {
+  return Decode<std::vector<UsageLine>>(
+      Get("/admin/usage", "windows=" + std::to_string(windows)));
+}
+
+Result<std::string> AdminClient::Get(const std::string& path,
+                                     const std::string& query) const {
+  return Call("GET", path, query, {});
+}
+
+Result<std::string> AdminClient::Post(const std::string& path,
+                                      const std::string& body) const {
+  return Call("POST", path, {}, body);
+}
+
+Result<std::string> AdminClient::Call(const std::string& method,
+                                      const std::string& path,
+                                      const std::string& query,
+                                      const std::string& body) const {
+  const auto target = internal::ParseHostPort(address_);
+  if (!target)
+    return Unreachable(address_, "no address", RunVerdict::kNotRun);
+  const cxxtools::Milliseconds timeout(static_cast<double>(timeout_.count()));
+  cxxtools::http::Client client(target->host, target->port);
+  try {
+    cxxtools::http::Request request(path);
+    request.method(method);
+    request.qparams(query);
+    request.setHeader("Authorization", ("Bearer " + token_).c_str());
+    request.setHeader("Content-Type", "application/json");
+    request.body() << body;
+    // Connects with the time limit too, which connect() alone has not.
+    client.execute(request, timeout, timeout);
+    const std::string answer = client.readBody().body();
+    if (client.header().httpReturnCode() == 200)
+      return answer;
+    return DecodeError(answer);
+  } catch (const std::exception& error) {
+    return Unreachable(address_, error.what(), RunVerdict::kMayHaveRun);
+  }
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/admin/admin_server.cc
@@ -0,0 +1,177 @@
+#include "admin/admin_server.h"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/query_params.h>
+#include <cxxtools/regex.h>
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+#include <thread>
+
+#include "admin/events.h"
+#include "admin/internal/admin_handlers.h"
+#include "admin/internal/host_port.h"
+
+namespace bamboomount {
+namespace {
+
+using internal::AdminHandlers;
+using internal::AdminReply;
+using internal::AdminRequest;
+
+// A configuration at the target size takes some 200 kB.
+constexpr std::size_t kMaxBodyBytes = 8u << 20;
+// One operator's request may wait for the store while others are answered.
+constexpr unsigned kMinThreads = 2;
+constexpr unsigned kMaxThreads = 8;
+
+std::string HeaderOf(const cxxtools::http::Request& request, const char* name) {
+  const char* value = request.getHeader(name);
+  return value == nullptr ? std::string() : value;
+}
+
+AdminRequest WithoutBody(const cxxtools::http::Request& request) {
+  AdminRequest plain;
+  plain.method = request.method();
+  plain.path = request.url();
+  plain.authorization = HeaderOf(request, "Authorization");
+  const cxxtools::QueryParams params(request.qparams());
+  if (params.has("trace_id"))
+    plain.query["trace_id"] = params["trace_id"];
+  for (const char* name : {"version", "windows"}) {
+    if (params.has(name))
+      plain.query[name] = params[name];
+  }
+  return plain;
+}
+
+class AdminResponder : public cxxtools::http::Responder {
+ public:
+  AdminResponder(cxxtools::http::Service& service,
+                 const AdminHandlers& handlers)
+      : Responder(service), handlers_(handlers) {}
+
+  // Bodies that are too long or come without the token are read past, so that
+  // nobody else can fill the memory.
+  void beginRequest(cxxtools::net::TcpSocket& socket,
+                    std::istream& in,
+                    cxxtools::http::Request& request) override {
+    Responder::beginRequest(socket, in, request);
+    unread_ = request.header().contentLength();
+    too_large_ = unread_ > kMaxBodyBytes;
+    keep_body_ = !too_large_ && handlers_.IsAllowed(WithoutBody(request));
+  }
+
+  std::size_t readBody(std::istream& in) override {
+    if (keep_body_)
+      return Responder::readBody(in);
+    // istream::ignore would block for the character after the body.
+    // The server calls again only for new input, so all there is must be taken.
+    std::array<char, 4096> skipped{};
+    std::size_t taken = 0;
+    while (unread_ > 0 && in.rdbuf()->in_avail() > 0) {
+      const auto wanted = std::min(unread_, skipped.size());
+      const auto count = static_cast<std::size_t>(
+          in.readsome(skipped.data(), static_cast<std::streamsize>(wanted)));
+      unread_ -= count;
+      taken += count;
+    }
+    return taken;
+  }
+
+  void reply(std::ostream& out,
+             cxxtools::http::Request& request,
+             cxxtools::http::Reply& reply) override {
+    AdminRequest plain = WithoutBody(request);
+    plain.body = request.bodyStr();
+    const AdminReply answer =
+        too_large_ ? handlers_.RefuseBody(plain) : handlers_.Handle(plain);
+    reply.httpReturn(static_cast<unsigned>(answer.status),
+                     answer.status < 400 ? "OK" : "Refused");
+    reply.setHeader("Content-Type", answer.content_type.c_str());
+    out << answer.body;
+  }
+
+  void replyError(std::ostream& out,
+                  cxxtools::http::Request& request,
+                  cxxtools::http::Reply& reply,
+                  const std::exception& error) override {
+    Log(kAdminFailed, {{"path", request.url()}, {"reason", error.what()}});
+    reply.httpReturn(500, "Refused");
+    out << "internal error\n";
+  }
+
+ private:
+  const AdminHandlers& handlers_;
+  std::size_t unread_ = 0;
+  bool too_large_ = false;
+  bool keep_body_ = false;
+};
+
+class AdminService : public cxxtools::http::Service {
+ public:
+  explicit AdminService(const AdminHandlers& handlers) : handlers_(handlers) {}
+
+ protected:
+  cxxtools::http::Responder* createResponder(
+      const cxxtools::http::Request& /*request*/) override {
+    return new AdminResponder(*this, handlers_);
+  }
+  void releaseResponder(cxxtools::http::Responder* responder) override {
+    delete responder;
+  }
+
+ private:
+  const AdminHandlers& handlers_;
+};
+
+}  // namespace
+
+class AdminServer::Impl {
+ public:
+  Impl(const internal::HostPort& address,
+       const std::string& admin_token,
+       FleetOperations& operations)
+      : handlers_(operations, admin_token),
+        service_(handlers_),
+        server_(loop_) {
+    server_.minThreads(kMinThreads);
+    server_.maxThreads(kMaxThreads);
+    server_.addService(cxxtools::Regex("^/"), service_);
+    server_.listen(address.host, address.port);
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+  ~Impl() {
+    loop_.exit();
+    thread_.join();
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+ private:
+  AdminHandlers handlers_;
+  AdminService service_;
+  cxxtools::EventLoop loop_;
+  cxxtools::http::Server server_;
+  std::thread thread_;
+};
+
+AdminServer::AdminServer(const std::string& address,
+                         const std::string& admin_token,
+                         FleetOperations& operations) {
+  const auto host_port = internal::ParseHostPort(address);
+  if (!host_port)
+    throw std::runtime_error("no address: " + address);
+  impl_ = std::make_unique<Impl>(*host_port, admin_token, operations);
+  Log(kAdminListening, {{"address", address}});
+}
+
+AdminServer::~AdminServer() = default;
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/admin/internal/admin_token.cc
@@ -0,0 +1,25 @@
+#include "admin/internal/admin_token.h"
+
+#include <openssl/crypto.h>
+
+#include "base/base.h"
+
+namespace bamboomount::internal {
+namespace {
+
+constexpr std::string_view kScheme = "Bearer ";
+
+}  // namespace
+
+AdminToken::AdminToken(std::string_view token) : digest_(Sha256Hex(token)) {}
+
+bool AdminToken::Matches(std::string_view authorization) const {
+  if (!authorization.starts_with(kScheme))
+    return false;
+  // Digests have one length, so that the comparison tells nothing of the
+  // token's length.
+  const std::string digest = Sha256Hex(authorization.substr(kScheme.size()));
+  return CRYPTO_memcmp(digest.data(), digest_.data(), digest_.size()) == 0;
+}
+
+}  // namespace bamboomount::internal
