Add the operators' command

Cause: operators had no command to check and apply configurations, withdraw keys and see the fleet.

Change: bamboomount with config check|apply|show|diff|history, key grant|withdraw|list, status, instance drain, usage and trace.

Conclusion: an operator learns from the exit code whether a change is in force everywhere.

--- /dev/null
+++ b/apps/bamboomount/command/config_commands.cc
@@ -0,0 +1,219 @@
+#include "command/config_commands.h"
+
+#include <fmt/chrono.h>
+
+#include "command/command_line.h"
+#include "command/fleet_options.h"
+#include "command/fleet_session.h"
+#include "command/rule_diff.h"
+#include "config/config.h"
+
+namespace bamboomount {
+namespace {
+
+using FileArg = TCLAP::UnlabeledValueArg<std::string>;
+using NumberArg = TCLAP::ValueArg<std::uint64_t>;
+
+FileArg ConfigFileArg() {
+  return {"file", "The service configuration", true, "", "service.jsonc"};
+}
+
+std::optional<ConfigVersion> VersionOf(const NumberArg& arg) {
+  if (!arg.isSet())
+    return std::nullopt;
+  return ConfigVersion(arg.getValue());
+}
+
+std::string UtcText(std::int64_t unix_seconds) {
+  return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}",
+                     fmt::gmtime(static_cast<std::time_t>(unix_seconds)));
+}
+
+Cell Number(std::uint64_t number) {
+  return static_cast<std::int64_t>(number);
+}
+
+Report FaultReport(const std::string& file,
+                   const std::vector<ConfigError>& errors) {
+  Report report;
+  report.facts = {{"file", file},
+                  {"faults", static_cast<std::int64_t>(errors.size())}};
+  if (errors.empty())
+    return report;
+  ReportTable table{"errors", {"line", "column", "message"}, {}};
+  for (const ConfigError& error : errors)
+    table.rows.push_back(
+        {{static_cast<std::int64_t>(error.line),
+          static_cast<std::int64_t>(error.column), error.message}});
+  report.tables.push_back(std::move(table));
+  return report;
+}
+
+class ConfigCheck : public Command {
+ public:
+  std::string name() const override { return "config check"; }
+  std::string summary() const override {
+    return "Check a configuration and report every fault; needs no server";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FileArg file = ConfigFileArg();
+    line.Add(file);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(text, ReadFile(file.getValue()));
+    const auto errors = ReadServiceConfig(text).errors;
+    console.Write(FaultReport(file.getValue(), errors));
+    return errors.empty() ? ExitCode::kSuccess : ExitCode::kInvalidConfig;
+  }
+};
+
+class ConfigApply : public Command {
+ public:
+  std::string name() const override { return "config apply"; }
+  std::string summary() const override {
+    return "Put a configuration in force and wait until every instance has it";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    NumberArg base("b", "base", "The version that the file was edited from",
+                   true, 0, "version");
+    FileArg file = ConfigFileArg();
+    line.Add(base);
+    line.Add(file);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    BOOST_OUTCOME_TRY(text, ReadFile(file.getValue()));
+    const auto errors = ReadServiceConfig(text).errors;
+    if (!errors.empty()) {
+      console.Write(FaultReport(file.getValue(), errors));
+      return ExitCode::kInvalidConfig;
+    }
+    const FleetSession session(access);
+    BOOST_OUTCOME_TRY(entry, session.Entry());
+    // Before the change: a failure here then means that nothing was changed.
+    BOOST_OUTCOME_TRY(status, entry.Status());
+    BOOST_OUTCOME_TRY(
+        reply, entry.ApplyConfig(
+                   {access.author, ConfigVersion(base.getValue()), text}));
+    const auto lines = session.WaitInForce(status.instances, reply.sequence);
+    console.Write({{{"version", Number(reply.config_version.value())},
+                    {"sequence", Number(reply.sequence.value())}},
+                   {InForceTable(lines)},
+                   {}});
+    return InForceExit(lines);
+  }
+};
+
+class ConfigShow : public Command {
+ public:
+  std::string name() const override { return "config show"; }
+  std::string summary() const override {
+    return "Show the configuration in force or an earlier version";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    NumberArg version("", "config-version", "Show this version", false, 0,
+                      "version");
+    TCLAP::SwitchArg text_only("", "text-only",
+                               "Write the text alone, to be saved and edited");
+    line.Add(version);
+    line.Add(text_only);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    BOOST_OUTCOME_TRY(entry, FleetSession(access).Entry());
+    BOOST_OUTCOME_TRY(config, entry.Config(VersionOf(version)));
+    Report report;
+    if (!text_only.getValue())
+      report.facts = {{"version", Number(config.version.value())},
+                      {"author", config.author},
+                      {"applied", UtcText(config.unix_seconds)}};
+    report.text = config.text;
+    console.Write(report);
+    return ExitCode::kSuccess;
+  }
+};
+
+class ConfigDiff : public Command {
+ public:
+  std::string name() const override { return "config diff"; }
+  std::string summary() const override {
+    return "Show the rules that differ between a file or version and the "
+           "configuration in force";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    NumberArg from("", "from", "Compare from this version (default: in force)",
+                   false, 0, "version");
+    NumberArg to("", "to", "Compare to this version instead of a file", false,
+                 0, "version");
+    // No optional word without a name: TCLAP then refuses required ones in
+    // every later command of the process.
+    TCLAP::ValueArg<std::string> file("f", "file", "Compare to this file",
+                                      false, "", "service.jsonc");
+    line.Add(from);
+    line.Add(to);
+    line.Add(file);
+    line.Parse(args);
+    if (file.isSet() == to.isSet())
+      throw TCLAP::CmdLineParseException("give either --file or --to");
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    BOOST_OUTCOME_TRY(entry, FleetSession(access).Entry());
+    BOOST_OUTCOME_TRY(before, entry.Config(VersionOf(from)));
+    BOOST_OUTCOME_TRY(after, file.isSet() ? ReadFile(file.getValue())
+                                          : TextOf(entry, VersionOf(to)));
+    console.Write({{}, {}, DiffRules(before.text, after)});
+    return ExitCode::kSuccess;
+  }
+
+ private:
+  static Result<std::string> TextOf(const AdminClient& entry,
+                                    std::optional<ConfigVersion> version) {
+    BOOST_OUTCOME_TRY(config, entry.Config(version));
+    return config.text;
+  }
+};
+
+class ConfigHistory : public Command {
+ public:
+  std::string name() const override { return "config history"; }
+  std::string summary() const override {
+    return "List all versions, who applied them and when";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    BOOST_OUTCOME_TRY(entry, FleetSession(access).Entry());
+    BOOST_OUTCOME_TRY(versions, entry.ConfigHistory());
+    ReportTable table{
+        "versions", {"version", "base", "sequence", "applied", "author"}, {}};
+    for (const ConfigVersionEntry& version : versions)
+      table.rows.push_back(
+          {{Number(version.version.value()), Number(version.base.value()),
+            Number(version.sequence.value()), UtcText(version.unix_seconds),
+            version.author}});
+    console.Write({{}, {table}, {}});
+    return ExitCode::kSuccess;
+  }
+};
+
+}  // namespace
+
+void AddConfigCommands(CommandList& commands) {
+  commands.push_back(std::make_unique<ConfigCheck>());
+  commands.push_back(std::make_unique<ConfigApply>());
+  commands.push_back(std::make_unique<ConfigShow>());
+  commands.push_back(std::make_unique<ConfigDiff>());
+  commands.push_back(std::make_unique<ConfigHistory>());
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/apps/bamboomount/command/exit_code.cc
@@ -0,0 +1,31 @@
+#include "command/exit_code.h"
+
+namespace bamboomount {
+namespace {
+
+struct Entry {
+  ErrorCode error;
+  ExitCode exit;
+};
+
+constexpr Entry kEntries[] = {
+    {ErrorCode::kBadRequest, ExitCode::kUsage},
+    {ErrorCode::kInvalidConfig, ExitCode::kInvalidConfig},
+    {ErrorCode::kStaleBase, ExitCode::kStaleBase},
+    {ErrorCode::kNoBackend, ExitCode::kUnreachable},
+    {ErrorCode::kUnknownKey, ExitCode::kTokenRefused},
+    {ErrorCode::kNotFound, ExitCode::kNotFound},
+    {ErrorCode::kConflict, ExitCode::kConflict},
+    {ErrorCode::kStoreUnavailable, ExitCode::kStoreUnavailable}};
+
+}  // namespace
+
+ExitCode ExitCodeOf(ErrorCode code) {
+  for (const Entry& entry : kEntries) {
+    if (entry.error == code)
+      return entry.exit;
+  }
+  return ExitCode::kFailed;
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/apps/bamboomount/command/fleet_commands.cc
@@ -0,0 +1,271 @@
+#include "command/fleet_commands.h"
+
+#include "command/command_line.h"
+#include "command/fleet_options.h"
+#include "command/fleet_session.h"
+#include "command/span_tree.h"
+
+namespace bamboomount {
+namespace {
+
+using NameArg = TCLAP::UnlabeledValueArg<std::string>;
+
+constexpr int kDefaultWindows = 5;
+
+Cell Number(std::uint64_t number) {
+  return static_cast<std::int64_t>(number);
+}
+
+Cell MillisCell(const std::optional<Millis>& millis) {
+  if (!millis)
+    return std::monostate();
+  return static_cast<std::int64_t>(millis->count());
+}
+
+Cell VersionCell(const std::optional<ConfigVersion>& version) {
+  if (!version)
+    return std::monostate();
+  return Number(version->value());
+}
+
+const char* Name(InstanceCondition condition) {
+  switch (condition) {
+    case InstanceCondition::kLive:
+      return "live";
+    case InstanceCondition::kSuspected:
+      return "suspected";
+    case InstanceCondition::kLeaving:
+      return "leaving";
+  }
+  return "";
+}
+
+const char* Name(BackendCondition condition) {
+  switch (condition) {
+    case BackendCondition::kUp:
+      return "up";
+    case BackendCondition::kStraggler:
+      return "straggler";
+    case BackendCondition::kDown:
+      return "down";
+    case BackendCondition::kLeaving:
+      return "leaving";
+  }
+  return "";
+}
+
+const char* Name(UsageWindowState state) {
+  switch (state) {
+    case UsageWindowState::kOpen:
+      return "open";
+    case UsageWindowState::kClosed:
+      return "closed";
+    case UsageWindowState::kSealed:
+      return "sealed";
+    case UsageWindowState::kReported:
+      return "reported";
+  }
+  return "";
+}
+
+ReportTable BackendTable(const std::vector<BackendStatus>& backends) {
+  ReportTable table{"backends",
+                    {"backend", "pool", "zone", "kind", "condition", "running",
+                     "waiting", "slots"},
+                    {}};
+  for (const BackendStatus& backend : backends)
+    table.rows.push_back(
+        {{backend.backend.value(), backend.pool.value(), backend.zone.value(),
+          std::string(backend.kind == BackendKind::kFirm ? "firm" : "cheap"),
+          std::string(Name(backend.condition)),
+          static_cast<std::int64_t>(backend.running),
+          static_cast<std::int64_t>(backend.waiting),
+          static_cast<std::int64_t>(backend.slots)}});
+  return table;
+}
+
+class StatusCommand : public Command {
+ public:
+  std::string name() const override { return "status"; }
+  std::string summary() const override {
+    return "Show instances, backend servers, the lease holder and the "
+           "version in force on each instance";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    const FleetSession session(access);
+    BOOST_OUTCOME_TRY(entry, session.Entry());
+    BOOST_OUTCOME_TRY(status, entry.Status());
+    Report report;
+    report.facts = {{"answered_by", status.self.instance.value()},
+                    {"store_answers", status.store_answers}};
+    Cell holder;
+    Cell token;
+    if (status.lease) {
+      holder = status.lease->holder.value();
+      token = Number(status.lease->token.value());
+    }
+    report.facts.push_back({"lease_holder", holder});
+    report.facts.push_back({"fencing_token", token});
+    report.facts.push_back(
+        {"emergency_withdrawals", Number(status.emergency_withdrawals.size())});
+    report.tables = {InstanceTable(session, status.instances),
+                     BackendTable(status.backends)};
+    console.Write(report);
+    return ExitCode::kSuccess;
+  }
+
+ private:
+  // Each instance speaks for itself; for one that does not answer, the table
+  // shows what the others last heard of it.
+  static ReportTable InstanceTable(
+      const FleetSession& session,
+      const std::vector<InstanceStatus>& instances) {
+    ReportTable table{
+        "instances",
+        {"instance", "zone", "address", "admin_address", "condition", "answers",
+         "version", "sequence", "freshness", "confirmed_ms_ago"},
+        {}};
+    table.rows.resize(instances.size());
+    session.ForEach(instances, [&](std::size_t index,
+                                   const InstanceStatus& listed) {
+      const auto position = session.ClientFor(listed.admin_address).Position();
+      table.rows[index] = MakeRow(listed, position ? position.value() : listed,
+                                  position.has_value());
+    });
+    return table;
+  }
+
+  static ReportRow MakeRow(const InstanceStatus& listed,
+                           const InstanceStatus& own,
+                           bool answers) {
+    return {{listed.instance.value(), listed.zone.value(), listed.address,
+             listed.admin_address, std::string(Name(listed.condition)), answers,
+             VersionCell(own.config_version), Number(own.sequence.value()),
+             std::string(ToString(own.freshness)),
+             MillisCell(own.confirmation_age)}};
+  }
+};
+
+class InstanceDrain : public Command {
+ public:
+  std::string name() const override { return "instance drain"; }
+  std::string summary() const override {
+    return "Ask an instance to finish its requests and stop";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    NameArg instance("instance", "Name of the instance", true, "", "name");
+    line.Add(instance);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    const FleetSession session(access);
+    BOOST_OUTCOME_TRY(entry, session.Entry());
+    BOOST_OUTCOME_TRY(status, entry.Status());
+    const InstanceId id(instance.getValue());
+    std::vector<InstanceStatus> drained;
+    for (const InstanceStatus& listed : status.instances) {
+      if (listed.instance == id)
+        drained.push_back(listed);
+    }
+    // The log keeps a drain forever, so a slip must not get into it.
+    if (drained.empty())
+      return Error{ErrorCode::kNotFound,
+                   RunVerdict::kNotRun,
+                   "no instance \"" + id.value() + "\" is listed",
+                   {}};
+    BOOST_OUTCOME_TRY(reply, entry.DrainInstance({access.author, id}));
+    const auto lines = session.WaitInForce(drained, reply.sequence);
+    console.Write({{{"sequence", Number(reply.sequence.value())}},
+                   {InForceTable(lines)},
+                   {}});
+    return InForceExit(lines);
+  }
+};
+
+class UsageCommand : public Command {
+ public:
+  std::string name() const override { return "usage"; }
+  std::string summary() const override {
+    return "Show the usage of the last windows by customer";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    TCLAP::ValueArg<int> windows("w", "windows", "Number of windows", false,
+                                 kDefaultWindows, "count");
+    line.Add(windows);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    BOOST_OUTCOME_TRY(entry, FleetSession(access).Entry());
+    BOOST_OUTCOME_TRY(usage, entry.Usage(windows.getValue()));
+    ReportTable table{"usage",
+                      {"window", "state", "customer", "requests",
+                       "prompt_tokens", "output_tokens"},
+                      {}};
+    for (const UsageLine& usage_line : usage)
+      table.rows.push_back(
+          {{usage_line.window.value(), std::string(Name(usage_line.state)),
+            usage_line.customer.value(), usage_line.requests,
+            usage_line.prompt_tokens.value(),
+            usage_line.output_tokens.value()}});
+    console.Write({{}, {table}, {}});
+    return ExitCode::kSuccess;
+  }
+};
+
+class TraceCommand : public Command {
+ public:
+  std::string name() const override { return "trace"; }
+  std::string summary() const override {
+    return "Show the spans of one trace, from all instances, as a tree";
+  }
+  Result<ExitCode> Run(const std::vector<std::string>& args,
+                       Console& console) const override {
+    CommandLine line(*this, console);
+    FleetOptions options(line);
+    NameArg trace("trace", "Trace id (32 hexadecimal digits)", true, "", "id");
+    line.Add(trace);
+    line.Parse(args);
+    BOOST_OUTCOME_TRY(access, options.Access(console));
+    const FleetSession session(access);
+    BOOST_OUTCOME_TRY(entry, session.Entry());
+    BOOST_OUTCOME_TRY(status, entry.Status());
+    std::vector<std::vector<Span>> found(status.instances.size());
+    session.ForEach(status.instances, [&](std::size_t index,
+                                          const InstanceStatus& instance) {
+      auto spans =
+          session.ClientFor(instance.admin_address).Trace(trace.getValue());
+      if (spans)
+        found[index] = std::move(spans).value();
+    });
+    std::vector<Span> spans;
+    for (const auto& part : found)
+      spans.insert(spans.end(), part.begin(), part.end());
+    if (spans.empty())
+      return Error{ErrorCode::kNotFound,
+                   RunVerdict::kNotRun,
+                   "no instance keeps spans of this trace",
+                   {}};
+    console.Write({{{"trace", trace.getValue()}}, {SpanTree(spans)}, {}});
+    return ExitCode::kSuccess;
+  }
+};
+
+}  // namespace
+
+void AddFleetCommands(CommandList& commands) {
+  commands.push_back(std::make_unique<StatusCommand>());
+  commands.push_back(std::make_unique<InstanceDrain>());
+  commands.push_back(std::make_unique<UsageCommand>());
+  commands.push_back(std::make_unique<TraceCommand>());
+}
+
+}  // namespace bamboomount
--- a/src/admin/admin_client.cc
+++ b/src/admin/admin_client.cc
@@ -74,6 +74,10 @@
   return Decode<FleetStatus>(Get("/admin/status", {}));
 }
 
+Result<InstanceStatus> AdminClient::Position() const {
+  return Decode<InstanceStatus>(Get("/admin/position", {}));
+}
+
 Result<ConfigReply> AdminClient::Config(
     std::optional<ConfigVersion> version) const {
   return Decode<ConfigReply>(Get(
--- a/src/admin/admin_client.h
+++ b/src/admin/admin_client.h
@@ -20,6 +20,7 @@
   AdminClient(std::string address, std::string admin_token, Millis timeout);
 
   Result<FleetStatus> Status() const;
+  Result<InstanceStatus> Position() const;
   Result<ConfigReply> Config(std::optional<ConfigVersion> version) const;
   Result<std::vector<ConfigVersionEntry>> ConfigHistory() const;
   Result<ChangeReply> ApplyConfig(const ApplyConfigRequest& request) const;
--- a/src/admin/fleet_operations.h
+++ b/src/admin/fleet_operations.h
@@ -19,6 +19,8 @@
   virtual ~FleetOperations() = default;
 
   virtual FleetStatus Status() = 0;
+  // This instance alone; operators ask it often while they wait for a change.
+  virtual InstanceStatus Position() = 0;
   virtual HealthStatus Health() = 0;
   // Prometheus text exposition format.
   virtual std::string MetricsText() = 0;
--- a/src/admin/internal/admin_handlers.cc
+++ b/src/admin/internal/admin_handlers.cc
@@ -132,6 +132,7 @@
       {"GET", "/healthz", &H::Health},
       {"GET", "/metrics", &H::Metrics},
       {"GET", "/admin/status", &H::Status},
+      {"GET", "/admin/position", &H::Position},
       {"GET", "/admin/config", &H::Config},
       {"GET", "/admin/config/history", &H::ConfigHistory},
       {"POST", "/admin/config", &H::ApplyConfig},
@@ -201,6 +202,10 @@
   return JsonReply(operations_.Status());
 }
 
+AdminReply AdminHandlers::Position(const AdminRequest& /*request*/) const {
+  return JsonReply(operations_.Position());
+}
+
 AdminReply AdminHandlers::Config(const AdminRequest& request) const {
   const auto version = QueryNumber(request, "version");
   if (!version)
--- a/src/admin/internal/admin_handlers.h
+++ b/src/admin/internal/admin_handlers.h
@@ -50,6 +50,7 @@
   AdminReply Health(const AdminRequest& request) const;
   AdminReply Metrics(const AdminRequest& request) const;
   AdminReply Status(const AdminRequest& request) const;
+  AdminReply Position(const AdminRequest& request) const;
   AdminReply Config(const AdminRequest& request) const;
   AdminReply ConfigHistory(const AdminRequest& request) const;
   AdminReply ApplyConfig(const AdminRequest& request) const;
--- a/tests/admin/fake_fleet_operations.cc
+++ b/tests/admin/fake_fleet_operations.cc
@@ -12,11 +12,14 @@
 }  // namespace
 
 FakeFleetOperations::FakeFleetOperations(std::string name_in,
-                                         LogFixture& stores)
+                                         LogFixture& stores,
+                                         Millis poll_interval)
     : name(std::move(name_in)),
       spread{{InstanceId(name)}, 3},
       log(stores.table, stores.objects),
-      follower(log, holder, {.self = InstanceId(name)}),
+      follower(log,
+               holder,
+               {.self = InstanceId(name), .poll_interval = poll_interval}),
       changes(
           log,
           holder,
--- a/tests/admin/fake_fleet_operations.h
+++ b/tests/admin/fake_fleet_operations.h
@@ -13,9 +13,12 @@
 // between instances.
 class FakeFleetOperations : public FleetOperations {
  public:
-  FakeFleetOperations(std::string name, LogFixture& stores);
+  FakeFleetOperations(std::string name,
+                      LogFixture& stores,
+                      Millis poll_interval = Millis(1000));
 
   FleetStatus Status() override;
+  InstanceStatus Position() override { return Self(); }
   HealthStatus Health() override { return {healthy, "test"}; }
   std::string MetricsText() override { return "up 1\n"; }
   Result<ConfigReply> Config(std::optional<ConfigVersion> version,
