Add the roster, spread of changes and of emergency withdrawals

Ruled out: - Counting elapsed time since the last heartbeat: a process that was stopped would suspect everybody when it goes on. Own intervals are counted instead. - Under gossip, counting intervals without news of each router's heartbeat: 3 heartbeats of 8 entries renew at most 24 of 349 entries a second, so that nearly every router would be removed after 5 s. An interval counts as missed once a heartbeat to that router is unanswered; suspicion then spreads as news, and a newer heartbeat ends it. - Ages by arrival time: a router that was stopped would take heartbeats from its receive queue for fresh ones and go on serving withdrawn keys. Each heartbeat echoes the receiver's last one, so the receiver bounds its age by its own clock.

Change: Roster (no clock, socket or random source), PeerNode (ties it to transport, ChangeExchange and ControlStateHolder; no thread), PeerRunner (one thread for heartbeats, one for the platform's list). It reports HeardWithin, AcknowledgedBy and Statuses.

Conclusion: roster ready for cell owners. PeerRunner has no test yet.

--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -32,7 +32,8 @@
 }
 template <typename Visit>
 void Fields(Visit&& visit, HeartbeatMessage& v) {
-  visit(v.self, v.echo, v.reply_wanted, v.confirmation_age, v.sample);
+  visit(v.self, v.echo, v.echo_incarnation, v.reply_wanted, v.confirmation_age,
+        v.sample);
 }
 template <typename Visit>
 void Fields(Visit&& visit, EncodedChange& v) {
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -40,9 +40,11 @@
 struct HeartbeatMessage {
   // The sender itself. `heard_age` stays empty.
   RosterEntry self;
-  // The highest heartbeat of the receiver that the sender got, 0 for none. It
-  // bounds the age of this message by the receiver's own clock.
+  // The highest heartbeat that the sender got from the receiver itself, 0 for
+  // none. It bounds the age of this message by the receiver's own clock, also
+  // if the message waited in a queue while the receiver was stopped.
   HeartbeatNumber echo;
+  Incarnation echo_incarnation;
   // Whether the receiver should answer with a heartbeat at once.
   bool reply_wanted = false;
   // Time since the store confirmed the sender's change sequence; empty if it
--- a/src/peer/nng_peer_transport.cc
+++ b/src/peer/nng_peer_transport.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstring>
+#include <memory>
 #include <mutex>
 #include <stdexcept>
 #include <thread>
@@ -36,6 +37,28 @@
     throw std::runtime_error(std::string(what) + ": " + nng_strerror(code));
 }
 
+// Closes `socket` without waiting for it, then destroys `kept`. nng_close of
+// libnng 1.5.2 now and then never returns when a peer connects or disconnects
+// at the same moment (2 of 200 runs of nng_peer_transport_test). That must
+// neither stop heartbeats nor a planned exit.
+void CloseInBackground(nng_socket socket, std::shared_ptr<void> kept) {
+  std::thread([socket, kept = std::move(kept)] { nng_close(socket); }).detach();
+}
+
+// Connections of one socket. Callbacks of nng may use it until nng_close has
+// returned.
+struct PipeState {
+  static std::int64_t NowNanos() {
+    return std::chrono::steady_clock::now().time_since_epoch().count();
+  }
+
+  // Counted, since the end of an old pipe may be reported after the start of
+  // its successor.
+  std::atomic<int> pipes{0};
+  // steady_clock nanoseconds; the start counts as a loss.
+  std::atomic<std::int64_t> lost_at{NowNanos()};
+};
+
 // A push socket with its dialer.
 class Connection {
  public:
@@ -44,8 +67,10 @@
     nng_socket_set_int(socket_, NNG_OPT_SENDBUF, kSendQueueLength);
     nng_socket_set_ms(socket_, NNG_OPT_RECONNMINT, kReconnectMinMs);
     nng_socket_set_ms(socket_, NNG_OPT_RECONNMAXT, kReconnectMaxMs);
-    nng_pipe_notify(socket_, NNG_PIPE_EV_ADD_POST, &Connection::OnPipe, this);
-    nng_pipe_notify(socket_, NNG_PIPE_EV_REM_POST, &Connection::OnPipe, this);
+    nng_pipe_notify(socket_, NNG_PIPE_EV_ADD_POST, &Connection::OnPipe,
+                    pipe_state_.get());
+    nng_pipe_notify(socket_, NNG_PIPE_EV_REM_POST, &Connection::OnPipe,
+                    pipe_state_.get());
     const std::string url = "tcp://" + address_;
     const int code = nng_dial(socket_, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
     if (code != 0) {
@@ -53,7 +78,7 @@
           {{"address", address_}, {"error", nng_strerror(code)}});
     }
   }
-  ~Connection() { nng_close(socket_); }
+  ~Connection() { CloseInBackground(socket_, pipe_state_); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -71,26 +96,25 @@
   }
 
  private:
-  static std::int64_t NowNanos() {
-    return std::chrono::steady_clock::now().time_since_epoch().count();
-  }
-
   static void OnPipe(nng_pipe /*pipe*/, nng_pipe_ev event, void* argument) {
-    auto* connection = static_cast<Connection*>(argument);
-    const bool added = event == NNG_PIPE_EV_ADD_POST;
-    connection->unconnected_since_.store(added ? 0 : NowNanos());
+    auto* state = static_cast<PipeState*>(argument);
+    if (event == NNG_PIPE_EV_ADD_POST) {
+      ++state->pipes;
+      return;
+    }
+    state->lost_at.store(PipeState::NowNanos());
+    --state->pipes;
   }
 
   bool MayQueue() const {
-    const std::int64_t since = unconnected_since_.load();
-    return since == 0 || std::chrono::nanoseconds(NowNanos() - since) <
-                             std::chrono::nanoseconds(kUnconnectedKeep);
+    const std::chrono::nanoseconds unconnected(PipeState::NowNanos() -
+                                               pipe_state_->lost_at);
+    return pipe_state_->pipes > 0 || unconnected < kUnconnectedKeep;
   }
 
   const std::string address_;
   nng_socket socket_ = NNG_SOCKET_INITIALIZER;
-  // steady_clock nanoseconds; 0 while connected.
-  std::atomic<std::int64_t> unconnected_since_{NowNanos()};
+  const std::shared_ptr<PipeState> pipe_state_ = std::make_shared<PipeState>();
 };
 
 }  // namespace
@@ -121,17 +145,21 @@
 
   void Start(Handler handler) {
     handler_ = std::move(handler);
-    receiver_ = std::thread([this] { Receive(); });
+    Check(nng_aio_alloc(&receive_, &Implementation::OnReceived, this),
+          "cannot start receiving");
+    nng_recv_aio(pull_, receive_);
     Log(peer_events::kListening, {{"address", address_}});
   }
 
   void Stop() {
     if (stopped_.exchange(true))
       return;
-    // Closing the socket ends the blocking receive.
-    nng_close(pull_);
-    if (receiver_.joinable())
-      receiver_.join();
+    if (receive_ != nullptr) {
+      // Waits for a running handler.
+      nng_aio_stop(receive_);
+      nng_aio_free(receive_);
+    }
+    CloseInBackground(pull_, nullptr);
     const std::lock_guard lock(mutex_);
     connections_.clear();
   }
@@ -183,33 +211,36 @@
         .first->second;
   }
 
-  void Receive() {
-    for (;;) {
-      nng_msg* message = nullptr;
-      const int code = nng_recvmsg(pull_, &message, 0);
-      if (code == NNG_ECLOSED)
-        return;
-      if (code != 0)
-        continue;
-      auto decoded =
-          DecodeMessage({static_cast<const char*>(nng_msg_body(message)),
-                         nng_msg_len(message)});
-      nng_msg_free(message);
-      if (stopped_)
-        return;
-      if (!decoded) {
-        Log(peer_events::kMessageRefused, {{"error", decoded.error().message}});
-        continue;
-      }
-      handler_(decoded.value().sender, decoded.value().message);
+  // Runs on a thread of nng. The next receive starts after the handler, so
+  // that messages are handled one after another.
+  static void OnReceived(void* argument) {
+    auto* self = static_cast<Implementation*>(argument);
+    const int code = nng_aio_result(self->receive_);
+    if (code == 0)
+      self->HandleReceived(nng_aio_get_msg(self->receive_));
+    if (code != NNG_ECLOSED && code != NNG_ECANCELED && !self->stopped_)
+      nng_recv_aio(self->pull_, self->receive_);
+  }
+
+  void HandleReceived(nng_msg* message) {
+    const auto decoded =
+        DecodeMessage({static_cast<const char*>(nng_msg_body(message)),
+                       nng_msg_len(message)});
+    nng_msg_free(message);
+    if (stopped_)
+      return;
+    if (!decoded) {
+      Log(peer_events::kMessageRefused, {{"error", decoded.error().message}});
+      return;
     }
+    handler_(decoded.value().sender, decoded.value().message);
   }
 
   const InstanceId self_;
   std::string address_;
   nng_socket pull_ = NNG_SOCKET_INITIALIZER;
   Handler handler_;
-  std::thread receiver_;
+  nng_aio* receive_ = nullptr;
   std::atomic<bool> stopped_{false};
   std::mutex mutex_;
   std::unordered_map<InstanceId, std::string> addresses_;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -3,12 +3,16 @@
 #ifndef PEER_PEER_H_
 #define PEER_PEER_H_
 
+#include "peer/change_exchange.h"
 #include "peer/in_memory_network.h"
 #include "peer/local_slot_broker.h"
 #include "peer/message_codec.h"
 #include "peer/messages.h"
 #include "peer/nng_peer_transport.h"
+#include "peer/peer_node.h"
+#include "peer/peer_runner.h"
 #include "peer/peer_transport.h"
+#include "peer/roster.h"
 #include "peer/slot_broker.h"
 
 #endif  // PEER_PEER_H_
--- /dev/null
+++ b/src/peer/peer_node.cc
@@ -0,0 +1,359 @@
+#include "peer/peer_node.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+#include "peer/events.h"
+#include "telemetry/telemetry.h"
+
+namespace bamboomount {
+namespace {
+
+// A heartbeat of each peer shows the same gap; one fetch in this time is
+// enough, and a lost one is repeated after it.
+constexpr Millis kFetchInterval{300};
+// One answer to a fetch; the rest is fetched again at once.
+constexpr std::size_t kMaxPushBytes = std::size_t{1} << 20;
+
+const LogEvent& EventOf(RosterEventKind kind) {
+  switch (kind) {
+    case RosterEventKind::kJoined:
+      return peer_events::kPeerJoined;
+    case RosterEventKind::kSuspected:
+      return peer_events::kPeerSuspected;
+    case RosterEventKind::kRemoved:
+      return peer_events::kPeerRemoved;
+    case RosterEventKind::kLeaving:
+      return peer_events::kPeerLeaving;
+  }
+  return peer_events::kPeerJoined;
+}
+
+}  // namespace
+
+std::uint64_t WithdrawalsDigest(const std::set<KeyId>& keys) {
+  if (keys.empty())
+    return 0;
+  std::string joined;
+  for (const KeyId& key : keys)
+    joined.append(key.value()).push_back('\0');
+  return XXH3_64bits(joined.data(), joined.size());
+}
+
+PeerNode::PeerNode(const PeerNodeOptions& options,
+                   PeerTransport& transport,
+                   ControlStateHolder& holder,
+                   ChangeExchange& exchange,
+                   SteadyClock clock)
+    : transport_(transport),
+      holder_(holder),
+      exchange_(exchange),
+      clock_(std::move(clock)),
+      roster_(options.self,
+              options.peer_address,
+              options.incarnation,
+              options.roster),
+      random_(options.random_seed) {
+  roster_.SetSeedAddresses(options.seed_peers);
+}
+
+void PeerNode::AddRosterListener(RosterListener listener) {
+  listeners_.push_back(std::move(listener));
+}
+
+void PeerNode::SetSlotHandler(PeerTransport::Handler handler) {
+  slot_handler_ = std::move(handler);
+}
+
+void PeerNode::Start() {
+  transport_.Start(
+      [this](const InstanceId& sender, const PeerMessage& message) {
+        HandleMessage(sender, message);
+      });
+  const std::lock_guard publishing(publish_mutex_);
+  for (const RosterListener& listener : listeners_)
+    listener(Members());
+}
+
+void PeerNode::Stop() {
+  transport_.Stop();
+}
+
+void PeerNode::Tick() {
+  const SelfStatus status = Status();
+  std::vector<OutgoingHeartbeat> heartbeats;
+  std::set<InstanceId> forgotten;
+  {
+    const std::lock_guard lock(mutex_);
+    heartbeats = roster_.Tick(clock_(), status, random_);
+    forgotten = std::exchange(targets_, roster_.Targets());
+    for (const InstanceId& target : targets_)
+      forgotten.erase(target);
+  }
+  PublishRoster();
+  // Otherwise the connections of replaced instances would add up, each one
+  // dialing for ever.
+  for (const InstanceId& instance : forgotten)
+    transport_.Forget(instance);
+  for (const OutgoingHeartbeat& heartbeat : heartbeats)
+    Send(heartbeat);
+}
+
+void PeerNode::ApplyListing(const std::vector<ListedInstance>& instances) {
+  std::map<InstanceId, std::string> addresses;
+  for (const ListedInstance& instance : instances)
+    addresses.emplace(instance.instance, instance.peer_address);
+  const std::lock_guard lock(mutex_);
+  roster_.SetListed(std::move(addresses));
+}
+
+void PeerNode::Leave() {
+  std::vector<RosterMember> members;
+  Incarnation incarnation;
+  {
+    const std::lock_guard lock(mutex_);
+    roster_.SetLeaving();
+    members = roster_.Members();
+    incarnation = roster_.incarnation();
+  }
+  PublishRoster();
+  for (const RosterMember& member : members)
+    transport_.Send(member.instance, LeavingMessage{incarnation});
+}
+
+void PeerNode::PushChange(const EncodedChange& change) {
+  SendToTargets(ChangePushMessage{{change}});
+}
+
+void PeerNode::PushWithdrawals() {
+  SendToTargets(EmergencyWithdrawalMessage{holder_.emergency_withdrawals()});
+}
+
+std::vector<RosterMember> PeerNode::Members() const {
+  const SelfStatus status = Status();
+  const std::lock_guard lock(mutex_);
+  auto members = roster_.Members();
+  for (RosterMember& member : members) {
+    if (member.instance != roster_.self())
+      continue;
+    member.sequence = status.sequence;
+    member.withdrawals_digest = status.withdrawals_digest;
+  }
+  return members;
+}
+
+HeardCount PeerNode::HeardWithin(Millis window) const {
+  const std::lock_guard lock(mutex_);
+  return roster_.HeardWithin(window, clock_());
+}
+
+std::set<InstanceId> PeerNode::AcknowledgedBy(const KeyId& key) {
+  RecordAcknowledgments();
+  std::set<InstanceId> instances;
+  const bool own = holder_.emergency_withdrawals().contains(key);
+  const std::lock_guard lock(mutex_);
+  if (own)
+    instances.insert(roster_.self());
+  for (const auto& [instance, acknowledged] : acknowledged_) {
+    if (acknowledged.keys.contains(key))
+      instances.insert(instance);
+  }
+  return instances;
+}
+
+std::vector<InstanceStatus> PeerNode::Statuses() const {
+  std::vector<InstanceStatus> statuses;
+  for (const RosterMember& member : Members())
+    statuses.push_back({member.instance, member.state, member.sequence});
+  return statuses;
+}
+
+void PeerNode::HandleMessage(const InstanceId& sender,
+                             const PeerMessage& message) {
+  std::visit(
+      [&](const auto& body) {
+        if constexpr (requires { Handle(sender, body); }) {
+          Handle(sender, body);
+        } else if (slot_handler_) {
+          slot_handler_(sender, message);
+        }
+      },
+      message);
+}
+
+void PeerNode::Handle(const InstanceId& sender,
+                      const HeartbeatMessage& message) {
+  const SelfStatus status = Status();
+  HeartbeatEffects effects;
+  {
+    const std::lock_guard lock(mutex_);
+    effects =
+        roster_.HandleHeartbeat(sender, message, clock_(), status, random_);
+  }
+  // Slot messages may go to the sender before the next heartbeat does.
+  transport_.SetAddress(sender, message.self.peer_address);
+  PublishRoster();
+  if (effects.reply)
+    Send(*effects.reply);
+  if (effects.confirmed_at)
+    exchange_.OnPeerConfirmation(message.self.sequence, *effects.confirmed_at);
+  if (message.self.sequence > status.sequence)
+    FetchChanges(sender, false);
+  const std::uint64_t digest = message.self.withdrawals_digest;
+  if (digest != 0 && digest != status.withdrawals_digest)
+    transport_.Send(sender, EmergencyFetchMessage{});
+  RecordAcknowledgments();
+}
+
+void PeerNode::Handle(const InstanceId& sender,
+                      const ChangePushMessage& message) {
+  if (message.changes.empty())
+    return;
+  const ChangeSequence before = exchange_.sequence();
+  exchange_.OnChanges(message.changes);
+  const ChangeSequence after = exchange_.sequence();
+  bool gossip = false;
+  ChangeSequence offered = message.changes.back().sequence;
+  {
+    const std::lock_guard lock(mutex_);
+    gossip = !roster_.IsFullMesh();
+    const auto member = roster_.Find(sender);
+    if (member)
+      offered = std::max(offered, member->sequence);
+  }
+  if (gossip && after > before)
+    SendToTargets(message);
+  // Fetching again without progress would loop between two routers when the
+  // sender does not hold the next change any more.
+  if (offered > after)
+    FetchChanges(sender, after > before);
+}
+
+void PeerNode::Handle(const InstanceId& sender,
+                      const ChangeFetchMessage& message) {
+  ChangePushMessage answer{
+      exchange_.ChangesAfter(message.after, kMaxPushBytes)};
+  if (!answer.changes.empty())
+    transport_.Send(sender, answer);
+}
+
+void PeerNode::Handle(const InstanceId& sender,
+                      const EmergencyWithdrawalMessage& message) {
+  const auto added = holder_.AddEmergencyWithdrawals(message.keys);
+  if (added.empty())
+    return;
+  Log(peer_events::kWithdrawalReceived,
+      {{"from", sender.value()}, {"keys", std::to_string(added.size())}});
+  bool gossip = false;
+  {
+    const std::lock_guard lock(mutex_);
+    gossip = !roster_.IsFullMesh();
+  }
+  if (gossip)
+    PushWithdrawals();
+}
+
+void PeerNode::Handle(const InstanceId& sender,
+                      const EmergencyFetchMessage& /*message*/) {
+  transport_.Send(sender,
+                  EmergencyWithdrawalMessage{holder_.emergency_withdrawals()});
+}
+
+void PeerNode::Handle(const InstanceId& sender, const LeavingMessage& message) {
+  {
+    const std::lock_guard lock(mutex_);
+    roster_.HandleLeaving(sender, message);
+  }
+  PublishRoster();
+}
+
+SelfStatus PeerNode::Status() const {
+  SelfStatus status;
+  // Read before the sequence: a confirmation of an older sequence must not be
+  // passed on for a newer one.
+  const auto confirmed_at = exchange_.confirmed_at();
+  status.sequence = exchange_.sequence();
+  status.withdrawals_digest =
+      WithdrawalsDigest(holder_.emergency_withdrawals());
+  if (confirmed_at) {
+    status.confirmation_age =
+        std::chrono::ceil<Millis>(clock_() - *confirmed_at);
+  }
+  return status;
+}
+
+void PeerNode::Send(const OutgoingHeartbeat& heartbeat) {
+  transport_.SetAddress(heartbeat.to, heartbeat.peer_address);
+  transport_.Send(heartbeat.to, heartbeat.message);
+}
+
+void PeerNode::SendToTargets(const PeerMessage& message) {
+  std::vector<std::pair<InstanceId, std::string>> targets;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const InstanceId& target : roster_.SpreadTargets(random_))
+      targets.emplace_back(target, roster_.Find(target)->peer_address);
+  }
+  for (const auto& [target, address] : targets) {
+    transport_.SetAddress(target, address);
+    transport_.Send(target, message);
+  }
+}
+
+void PeerNode::FetchChanges(const InstanceId& peer, bool at_once) {
+  const SteadyTime now = clock_();
+  {
+    const std::lock_guard lock(mutex_);
+    if (!at_once && now < last_fetch_ + kFetchInterval)
+      return;
+    last_fetch_ = now;
+  }
+  const ChangeSequence sequence = exchange_.sequence();
+  Log(peer_events::kChangesMissing,
+      {{"peer", peer.value()}, {"after", std::to_string(sequence.value())}});
+  transport_.Send(peer, ChangeFetchMessage{sequence});
+}
+
+void PeerNode::RecordAcknowledgments() {
+  const auto keys = holder_.emergency_withdrawals();
+  if (keys.empty())
+    return;
+  const std::uint64_t digest = WithdrawalsDigest(keys);
+  const std::lock_guard lock(mutex_);
+  for (const RosterMember& member : roster_.Members()) {
+    if (member.instance == roster_.self())
+      continue;
+    Acknowledged& acknowledged = acknowledged_[member.instance];
+    if (acknowledged.incarnation != member.incarnation)
+      acknowledged = {member.incarnation, {}};
+    // Sets only grow: what an instance held once, it still holds.
+    if (member.withdrawals_digest == digest)
+      acknowledged.keys = keys;
+  }
+}
+
+void PeerNode::PublishRoster() {
+  const std::lock_guard publishing(publish_mutex_);
+  std::vector<RosterMember> members;
+  std::vector<RosterEvent> events;
+  bool changed = false;
+  {
+    const std::lock_guard lock(mutex_);
+    events = roster_.TakeEvents();
+    changed = roster_.version() != published_version_;
+    published_version_ = roster_.version();
+    if (changed)
+      members = roster_.Members();
+  }
+  for (const RosterEvent& event : events)
+    Log(EventOf(event.kind), {{"instance", event.instance.value()}});
+  if (!changed)
+    return;
+  for (const RosterMember& member : members)
+    transport_.SetAddress(member.instance, member.peer_address);
+  for (const RosterListener& listener : listeners_)
+    listener(members);
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/peer/roster.cc
@@ -0,0 +1,468 @@
+#include "peer/roster.h"
+
+#include <algorithm>
+#include <bit>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+// Own heartbeats whose times are kept. Older echoes are of no use for a
+// freshness limit of a few seconds.
+constexpr std::size_t kSentTimesKept = 64;
+// An event is mentioned this many times the binary logarithm of the roster's
+// size, the usual bound for gossip to reach every member with high
+// probability.
+constexpr int kMentionsFactor = 3;
+// Contacts and unanswered peers that get an additional heartbeat in an
+// interval above the full mesh.
+constexpr std::size_t kExtraContacts = 1;
+constexpr std::size_t kExtraUnanswered = 3;
+// Prefix of the provisional id of a seed peer that has not been heard.
+constexpr char kSeedPrefix[] = "seed/";
+
+template <typename T>
+void ShuffleAndCut(std::vector<T>& items,
+                   std::size_t count,
+                   Roster::Random& random) {
+  count = std::min(count, items.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::uniform_int_distribution<std::size_t> pick(i, items.size() - 1);
+    std::swap(items[i], items[pick(random)]);
+  }
+  items.resize(count);
+}
+
+}  // namespace
+
+Roster::Roster(InstanceId self,
+               std::string peer_address,
+               Incarnation incarnation,
+               RosterOptions options)
+    : self_(std::move(self)),
+      peer_address_(std::move(peer_address)),
+      incarnation_(incarnation),
+      options_(options) {}
+
+void Roster::SetListed(std::map<InstanceId, std::string> peer_addresses) {
+  listed_ = std::move(peer_addresses);
+}
+
+void Roster::SetSeedAddresses(std::vector<std::string> addresses) {
+  seed_addresses_ = std::move(addresses);
+}
+
+void Roster::SetLeaving() {
+  leaving_ = true;
+  ++version_;
+}
+
+std::vector<OutgoingHeartbeat> Roster::Tick(SteadyTime now,
+                                            const SelfStatus& status,
+                                            Random& random) {
+  heartbeat_ += HeartbeatNumber(1);
+  sent_at_.push_back(now);
+  if (sent_at_.size() > kSentTimesKept)
+    sent_at_.pop_front();
+  CountMissedIntervals();
+  DropOldRemoved();
+
+  const auto contacts = Contacts();
+  const bool gossip = !IsFullMesh();
+  std::vector<OutgoingHeartbeat> heartbeats;
+  for (const InstanceId& target : ChooseTargets(random)) {
+    const auto contact = contacts.find(target);
+    const bool unheard = contact != contacts.end();
+    const auto member = members_.find(target);
+    if (member != members_.end())
+      member->second.awaiting = !member->second.removed;
+    const std::string& address =
+        unheard ? contact->second : member->second.peer_address;
+    heartbeats.push_back(
+        {target, address,
+         MakeHeartbeat(target, gossip || unheard, status, now, random)});
+  }
+  return heartbeats;
+}
+
+void Roster::CountMissedIntervals() {
+  for (auto& [instance, member] : members_) {
+    if (member.removed || !member.awaiting)
+      continue;
+    ++member.missed_intervals;
+    if (member.missed_intervals == options_.suspect_after) {
+      Spread(member);
+      Record(RosterEventKind::kSuspected, instance);
+    }
+    if (member.missed_intervals < options_.remove_after)
+      continue;
+    member.removed = true;
+    member.intervals_since_removal = 0;
+    ++version_;
+    Spread(member);
+    Record(RosterEventKind::kRemoved, instance);
+  }
+}
+
+void Roster::DropOldRemoved() {
+  for (auto& [instance, member] : members_) {
+    if (member.removed)
+      ++member.intervals_since_removal;
+  }
+  std::erase_if(members_, [this](const auto& entry) {
+    return entry.second.removed &&
+           entry.second.intervals_since_removal > options_.contact_removed_for;
+  });
+}
+
+bool Roster::IsSuspected(const Member& member) const {
+  return member.missed_intervals >= options_.suspect_after;
+}
+
+bool Roster::IsFullMesh() const {
+  std::set<InstanceId> known;
+  for (const auto& [instance, member] : members_) {
+    if (!member.removed)
+      known.insert(instance);
+  }
+  for (const auto& [instance, address] : listed_)
+    known.insert(instance);
+  known.insert(self_);
+  return known.size() <= options_.full_mesh_limit;
+}
+
+// Routers that are listed, seeds or removed, and not in the roster.
+std::map<InstanceId, std::string> Roster::Contacts() const {
+  std::map<InstanceId, std::string> contacts;
+  std::set<std::string> known_addresses{peer_address_};
+  for (const auto& [instance, member] : members_) {
+    if (member.removed) {
+      contacts[instance] = member.peer_address;
+      continue;
+    }
+    known_addresses.insert(member.peer_address);
+  }
+  for (const auto& [instance, address] : listed_) {
+    const auto member = members_.find(instance);
+    const bool heard = member != members_.end() && !member->second.removed;
+    if (instance != self_ && !heard)
+      contacts[instance] = address;
+  }
+  for (const std::string& address : seed_addresses_) {
+    if (!known_addresses.contains(address))
+      contacts[InstanceId(kSeedPrefix + address)] = address;
+  }
+  return contacts;
+}
+
+std::vector<InstanceId> Roster::ChooseTargets(Random& random) const {
+  std::vector<InstanceId> members;
+  std::vector<InstanceId> unanswered;
+  for (const auto& [instance, member] : members_) {
+    if (member.removed)
+      continue;
+    (member.awaiting ? unanswered : members).push_back(instance);
+  }
+  std::vector<InstanceId> contacts;
+  for (const auto& [instance, address] : Contacts())
+    contacts.push_back(instance);
+  if (!IsFullMesh()) {
+    // A new router has no members yet and learns of them by its contacts.
+    const std::size_t contact_count = members.size() < options_.gossip_peers
+                                          ? options_.gossip_peers
+                                          : kExtraContacts;
+    ShuffleAndCut(members, options_.gossip_peers, random);
+    ShuffleAndCut(unanswered, kExtraUnanswered, random);
+    ShuffleAndCut(contacts, contact_count, random);
+  }
+  members.insert(members.end(), unanswered.begin(), unanswered.end());
+  members.insert(members.end(), contacts.begin(), contacts.end());
+  return members;
+}
+
+HeartbeatMessage Roster::MakeHeartbeat(const InstanceId& to,
+                                       bool reply_wanted,
+                                       const SelfStatus& status,
+                                       SteadyTime now,
+                                       Random& random) {
+  HeartbeatMessage message;
+  message.self = {self_,
+                  peer_address_,
+                  incarnation_,
+                  heartbeat_,
+                  leaving_ ? PeerState::kLeaving : PeerState::kLive,
+                  status.sequence,
+                  status.withdrawals_digest,
+                  {}};
+  const auto receiver = members_.find(to);
+  if (receiver != members_.end()) {
+    message.echo = receiver->second.direct_heartbeat;
+    message.echo_incarnation = receiver->second.incarnation;
+  }
+  message.reply_wanted = reply_wanted;
+  message.confirmation_age = status.confirmation_age;
+  message.sample = TakeSample(to, now, random);
+  return message;
+}
+
+std::vector<RosterEntry> Roster::TakeSample(const InstanceId& to,
+                                            SteadyTime now,
+                                            Random& random) {
+  std::vector<std::map<InstanceId, Member>::iterator> pending;
+  std::vector<std::map<InstanceId, Member>::iterator> others;
+  for (auto it = members_.begin(); it != members_.end(); ++it) {
+    if (it->second.pending_mentions > 0) {
+      pending.push_back(it);
+    } else if (!it->second.removed && it->first != to) {
+      others.push_back(it);
+    }
+  }
+  ShuffleAndCut(pending, options_.sample_size, random);
+  for (const auto& it : pending)
+    --it->second.pending_mentions;
+  ShuffleAndCut(others, options_.sample_size - pending.size(), random);
+  pending.insert(pending.end(), others.begin(), others.end());
+  std::vector<RosterEntry> sample;
+  sample.reserve(pending.size());
+  for (const auto& it : pending)
+    sample.push_back(ToEntry(it->first, it->second, now));
+  return sample;
+}
+
+RosterEntry Roster::ToEntry(const InstanceId& instance,
+                            const Member& member,
+                            SteadyTime now) const {
+  RosterEntry entry{instance,
+                    member.peer_address,
+                    member.incarnation,
+                    member.heartbeat,
+                    PeerState::kLive,
+                    member.sequence,
+                    member.withdrawals_digest,
+                    {}};
+  if (member.leaving)
+    entry.state = PeerState::kLeaving;
+  if (IsSuspected(member))
+    entry.state = PeerState::kSuspected;
+  if (member.removed)
+    entry.state = PeerState::kRemoved;
+  // Rounded up, since the age is an upper bound.
+  if (member.heard_at && *member.heard_at <= now)
+    entry.heard_age = std::chrono::ceil<Millis>(now - *member.heard_at);
+  return entry;
+}
+
+std::optional<SteadyTime> Roster::SentAt(Incarnation incarnation,
+                                         HeartbeatNumber heartbeat) const {
+  if (incarnation != incarnation_ || heartbeat > heartbeat_)
+    return {};
+  const auto back = heartbeat_.value() - heartbeat.value();
+  if (back >= sent_at_.size())
+    return {};
+  return sent_at_[sent_at_.size() - 1 - back];
+}
+
+HeartbeatEffects Roster::HandleHeartbeat(const InstanceId& sender,
+                                         const HeartbeatMessage& message,
+                                         SteadyTime now,
+                                         const SelfStatus& status,
+                                         Random& random) {
+  HeartbeatEffects effects;
+  if (message.self.instance != sender || sender == self_)
+    return effects;
+  Member* member = AdoptNews(message.self, true);
+  if (member == nullptr)
+    return effects;
+  const auto made_at = SentAt(message.echo_incarnation, message.echo);
+  if (made_at)
+    member->heard_at = std::max(member->heard_at.value_or(*made_at), *made_at);
+  if (made_at && message.confirmation_age)
+    effects.confirmed_at = *made_at - *message.confirmation_age;
+  for (const RosterEntry& entry : message.sample)
+    AdoptGossip(entry, made_at);
+  if (message.reply_wanted) {
+    effects.reply = {sender, message.self.peer_address,
+                     MakeHeartbeat(sender, false, status, now, random)};
+  }
+  return effects;
+}
+
+Roster::Member* Roster::AdoptNews(const RosterEntry& entry, bool direct) {
+  auto found = members_.find(entry.instance);
+  const bool known = found != members_.end();
+  if (known) {
+    const Member& member = found->second;
+    const auto had = std::tie(member.incarnation, member.heartbeat);
+    const auto got = std::tie(entry.incarnation, entry.heartbeat);
+    // A second direct message of the same interval is still a sign of life.
+    if (got < had || (got == had && (!direct || member.removed)))
+      return nullptr;
+  } else {
+    found = members_.emplace(entry.instance, Member{}).first;
+  }
+  Member& member = found->second;
+  const bool joined =
+      !known || member.removed || member.incarnation != entry.incarnation;
+  const bool cleared = IsSuspected(member);
+  if (member.incarnation != entry.incarnation)
+    member = Member{};
+  member.peer_address = entry.peer_address;
+  member.incarnation = entry.incarnation;
+  member.heartbeat = entry.heartbeat;
+  member.sequence = entry.sequence;
+  member.withdrawals_digest = entry.withdrawals_digest;
+  member.removed = false;
+  member.awaiting = false;
+  member.missed_intervals = 0;
+  if (direct)
+    member.direct_heartbeat = entry.heartbeat;
+  if (joined || cleared)
+    Spread(member);
+  if (joined) {
+    ++version_;
+    Record(RosterEventKind::kJoined, entry.instance);
+  }
+  if (entry.state == PeerState::kLeaving && !member.leaving) {
+    member.leaving = true;
+    ++version_;
+    Spread(member);
+    Record(RosterEventKind::kLeaving, entry.instance);
+  }
+  return &member;
+}
+
+void Roster::AdoptGossip(const RosterEntry& entry,
+                         std::optional<SteadyTime> message_made_at) {
+  if (entry.instance == self_ || entry.instance.empty())
+    return;
+  const bool doubted = entry.state == PeerState::kSuspected ||
+                       entry.state == PeerState::kRemoved;
+  if (!doubted) {
+    AdoptNews(entry, false);
+    const auto found = members_.find(entry.instance);
+    if (found == members_.end() || !message_made_at || !entry.heard_age ||
+        found->second.incarnation != entry.incarnation) {
+      return;
+    }
+    const SteadyTime heard_at = *message_made_at - *entry.heard_age;
+    found->second.heard_at =
+        std::max(found->second.heard_at.value_or(heard_at), heard_at);
+    return;
+  }
+  const auto found = members_.find(entry.instance);
+  if (found == members_.end() || found->second.removed)
+    return;
+  Member& member = found->second;
+  if (std::tie(member.incarnation, member.heartbeat) >
+      std::tie(entry.incarnation, entry.heartbeat)) {
+    // This router knows better; its newer heartbeat ends the suspicion.
+    Spread(member);
+    return;
+  }
+  if (IsSuspected(member))
+    return;
+  member.awaiting = true;
+  member.missed_intervals = options_.suspect_after;
+  Spread(member);
+  Record(RosterEventKind::kSuspected, entry.instance);
+}
+
+void Roster::HandleLeaving(const InstanceId& sender,
+                           const LeavingMessage& message) {
+  const auto found = members_.find(sender);
+  if (found == members_.end() || found->second.removed ||
+      found->second.incarnation != message.incarnation ||
+      found->second.leaving) {
+    return;
+  }
+  found->second.leaving = true;
+  ++version_;
+  Spread(found->second);
+  Record(RosterEventKind::kLeaving, sender);
+}
+
+std::vector<RosterMember> Roster::Members() const {
+  std::vector<RosterMember> members{
+      {self_,
+       peer_address_,
+       incarnation_,
+       leaving_ ? PeerState::kLeaving : PeerState::kLive,
+       leaving_,
+       {},
+       0}};
+  for (const auto& [instance, member] : members_) {
+    if (!member.removed)
+      members.push_back(*Find(instance));
+  }
+  std::sort(members.begin(), members.end(), [](const auto& a, const auto& b) {
+    return a.instance < b.instance;
+  });
+  return members;
+}
+
+std::optional<RosterMember> Roster::Find(const InstanceId& instance) const {
+  const auto found = members_.find(instance);
+  if (found == members_.end() || found->second.removed)
+    return {};
+  const Member& member = found->second;
+  const PeerState state = IsSuspected(member) ? PeerState::kSuspected
+                          : member.leaving    ? PeerState::kLeaving
+                                              : PeerState::kLive;
+  return RosterMember{
+      instance,       member.peer_address, member.incarnation,       state,
+      member.leaving, member.sequence,     member.withdrawals_digest};
+}
+
+std::vector<InstanceId> Roster::SpreadTargets(Random& random) const {
+  std::vector<InstanceId> targets;
+  for (const auto& [instance, member] : members_) {
+    if (!member.removed)
+      targets.push_back(instance);
+  }
+  if (!IsFullMesh())
+    ShuffleAndCut(targets, options_.gossip_peers, random);
+  return targets;
+}
+
+std::set<InstanceId> Roster::Targets() const {
+  std::set<InstanceId> targets;
+  for (const auto& [instance, member] : members_)
+    targets.insert(instance);
+  for (const auto& [instance, address] : Contacts())
+    targets.insert(instance);
+  return targets;
+}
+
+HeardCount Roster::HeardWithin(Millis window, SteadyTime now) const {
+  HeardCount count;
+  for (const auto& [instance, address] : listed_) {
+    ++count.known;
+    if (instance == self_) {
+      ++count.heard;
+      continue;
+    }
+    const auto found = members_.find(instance);
+    if (found == members_.end() || !found->second.heard_at)
+      continue;
+    if (*found->second.heard_at + window >= now)
+      ++count.heard;
+  }
+  return count;
+}
+
+std::vector<RosterEvent> Roster::TakeEvents() {
+  return std::exchange(events_, {});
+}
+
+void Roster::Spread(Member& member) {
+  member.pending_mentions =
+      kMentionsFactor * static_cast<int>(std::bit_width(members_.size() + 1));
+}
+
+void Roster::Record(RosterEventKind kind, const InstanceId& instance) {
+  events_.push_back({kind, instance});
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/tests/peer/roster_test.cc
@@ -0,0 +1,143 @@
+#include "peer/roster.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "peer/peer_cluster.h"
+
+namespace bamboomount {
+namespace {
+
+using std::chrono::seconds;
+
+// Runs `cluster` until all rosters agree; false after a minute.
+bool Converges(PeerCluster& cluster) {
+  return cluster.RunUntil([&] { return cluster.RostersAgree(); }, seconds(60))
+      .has_value();
+}
+
+BOOST_AUTO_TEST_SUITE(roster)
+
+// A router that nobody lists must still be found through one seed peer, as
+// when the platform's list is out of service.
+BOOST_AUTO_TEST_CASE(routers_find_each_other_through_one_seed) {
+  for (const int size : {2, 9, 40}) {
+    PeerCluster cluster(size, 1, false);
+    BOOST_TEST(Converges(cluster), "size " << size);
+  }
+}
+
+// Cells must move from a dead owner in the full mesh and under gossip alike.
+BOOST_AUTO_TEST_CASE(a_killed_router_leaves_every_roster) {
+  for (const int size : {9, 40}) {
+    PeerCluster cluster(size, 2);
+    BOOST_REQUIRE(Converges(cluster));
+    cluster.Run(seconds(5));
+    cluster.Kill(PeerCluster::IdOf(3));
+    BOOST_TEST(Converges(cluster), "size " << size);
+  }
+}
+
+// A removal without cause moves cells and frees slots that are in use.
+BOOST_AUTO_TEST_CASE(lost_and_late_heartbeats_do_not_remove_a_live_router) {
+  BOOST_TEST(rc::check("no false removal", [] {
+    const int size = *rc::gen::element(9, 32);
+    PeerCluster cluster(size, *rc::gen::arbitrary<std::uint64_t>());
+    RC_ASSERT(Converges(cluster));
+    cluster.network.set_faults({0.05, 0.05, Millis(0), Millis(200)});
+    for (int i = 0; i < 30; ++i) {
+      cluster.Run(seconds(1));
+      RC_ASSERT(cluster.RostersAgree());
+    }
+  }));
+}
+
+// Sides of a partition that forget each other would split the queues of each
+// cell for good.
+BOOST_AUTO_TEST_CASE(the_roster_converges_after_a_partition_heals) {
+  BOOST_TEST(rc::check("converges after partition", [] {
+    const int size = *rc::gen::element(3, 9, 24);
+    PeerCluster cluster(size, *rc::gen::arbitrary<std::uint64_t>(), false);
+    RC_ASSERT(Converges(cluster));
+    // The seed of all others is gone, so that they must remember each other.
+    cluster.Kill(PeerCluster::IdOf(0));
+    std::vector<std::set<InstanceId>> groups(2);
+    for (int i = 0; i < size; ++i)
+      groups[*rc::gen::inRange(0, 2)].insert(PeerCluster::IdOf(i));
+    cluster.network.Partition(groups);
+    cluster.Run(seconds(*rc::gen::inRange(1, 40)));
+    cluster.network.Partition({});
+    RC_ASSERT(Converges(cluster));
+  }));
+}
+
+// The owner of a cell must not be a router that is about to exit.
+BOOST_AUTO_TEST_CASE(a_leaving_router_is_known_as_leaving_everywhere) {
+  for (const int size : {9, 40}) {
+    PeerCluster cluster(size, 3);
+    BOOST_REQUIRE(Converges(cluster));
+    cluster.at(1).node->Leave();
+    const auto known = cluster.RunUntil(
+        [&] {
+          return std::all_of(cluster.routers.begin(), cluster.routers.end(),
+                             [](auto& entry) {
+                               return entry.second->node->Members()[1].leaving;
+                             });
+        },
+        seconds(60));
+    BOOST_TEST(known.has_value(), "size " << size);
+  }
+}
+
+// A restarted router does not know the slots that it held or granted; others
+// see the new incarnation at once.
+BOOST_AUTO_TEST_CASE(a_restarted_router_replaces_its_former_incarnation) {
+  PeerCluster cluster(9, 4);
+  BOOST_REQUIRE(Converges(cluster));
+  cluster.Kill(PeerCluster::IdOf(3));
+  cluster.Add(PeerCluster::IdOf(3), Incarnation(2));
+  cluster.ApplyListing();
+  const auto known = cluster.RunUntil(
+      [&] {
+        return cluster.at(0).node->Members()[3].incarnation == Incarnation(2);
+      },
+      seconds(10));
+  BOOST_TEST(known.has_value());
+}
+
+// A router that was cut off or stopped must not believe that it hears a
+// majority, or it would go on serving withdrawn keys.
+BOOST_AUTO_TEST_CASE(heartbeats_that_waited_in_a_queue_are_not_fresh) {
+  PeerCluster cluster(9, 5);
+  BOOST_REQUIRE(Converges(cluster));
+  cluster.Run(seconds(3));
+  BOOST_TEST(cluster.at(0).node->HeardWithin(seconds(4)).heard == 9);
+  // The router stops for a minute; messages to it wait meanwhile.
+  cluster.at(0).alive = false;
+  cluster.network.set_faults({0, 0, seconds(60), seconds(60)});
+  cluster.Run(seconds(62));
+  const HeardCount count = cluster.at(0).node->HeardWithin(seconds(4));
+  BOOST_TEST(count.known == 9);
+  BOOST_TEST(!count.strict_majority());
+}
+
+// A confirmation that looks younger than it is would extend the time in which
+// a withdrawn key is served.
+BOOST_AUTO_TEST_CASE(a_confirmation_is_never_passed_on_too_young) {
+  BOOST_TEST(rc::check("age of confirmation", [] {
+    PeerCluster cluster(4, *rc::gen::arbitrary<std::uint64_t>());
+    cluster.network.set_faults({0.1, 0.2, Millis(0), seconds(3)});
+    cluster.Run(seconds(10));
+    const SteadyTime confirmed_at = cluster.network.now();
+    cluster.at(1).exchange.set_confirmed_at(confirmed_at);
+    cluster.Run(seconds(10));
+    for (const auto& [id, router] : cluster.routers)
+      RC_ASSERT(router->exchange.peer_confirmed_at() <= confirmed_at);
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
