Resolve type names that two libraries shared

Cause: the state and peer libraries both declared PeerState, admin and peer both declared InstanceStatus, so no file could include both. Ruled out: a namespace for each library, since the types are passed between them. Change: PeerReport in state, InstanceSequence in peer. Before: the daemon did not compile. Conclusion: the parts can be wired.

--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -162,8 +162,8 @@
   return instances;
 }
 
-std::vector<InstanceStatus> PeerNode::Statuses() const {
-  std::vector<InstanceStatus> statuses;
+std::vector<InstanceSequence> PeerNode::Statuses() const {
+  std::vector<InstanceSequence> statuses;
   for (const RosterMember& member : Members())
     statuses.push_back({member.instance, member.state, member.sequence});
   return statuses;
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -30,7 +30,7 @@
 };
 
 // Change sequence in force on an instance, as far as this router knows.
-struct InstanceStatus {
+struct InstanceSequence {
   InstanceId instance;
   PeerState state = PeerState::kLive;
   ChangeSequence sequence;
@@ -75,7 +75,7 @@
   HeardCount HeardWithin(Millis window) const;
   // Instances that hold the emergency withdrawal, this one included.
   std::set<InstanceId> AcknowledgedBy(const KeyId& key);
-  std::vector<InstanceStatus> Statuses() const;
+  std::vector<InstanceSequence> Statuses() const;
 
  private:
   struct Acknowledged {
--- a/src/state/freshness_rule.cc
+++ b/src/state/freshness_rule.cc
@@ -34,7 +34,7 @@
 }
 
 void FreshnessRule::OnPeerHeard(const InstanceId& peer,
-                                const PeerState& state,
+                                const PeerReport& state,
                                 BootTime not_sent_before) {
   highest_ = std::max(highest_, state.sequence);
   if (state.confirmation_age)
--- a/src/state/freshness_rule.h
+++ b/src/state/freshness_rule.h
@@ -29,7 +29,7 @@
 std::string_view ToString(Freshness freshness);
 
 // What a peer says about its own state.
-struct PeerState {
+struct PeerReport {
   ChangeSequence sequence;
   // Age of the peer's own confirmation when it sent the message.
   std::optional<BootTime> confirmation_age;
@@ -55,7 +55,7 @@
   // cannot have been sent, for example when this router sent the message that
   // it answers; a message may wait long at a receiver that was paused.
   void OnPeerHeard(const InstanceId& peer,
-                   const PeerState& state,
+                   const PeerReport& state,
                    BootTime not_sent_before);
 
   // For a router whose state is at `sequence`.
--- a/src/state/state_follower.cc
+++ b/src/state/state_follower.cc
@@ -112,7 +112,7 @@
 }
 
 void StateFollower::OnPeerHeard(const InstanceId& peer,
-                                const PeerState& state,
+                                const PeerReport& state,
                                 BootTime not_sent_before) {
   const std::lock_guard lock(rule_mutex_);
   rule_.OnPeerHeard(peer, state, not_sent_before);
--- a/src/state/state_follower.h
+++ b/src/state/state_follower.h
@@ -71,7 +71,7 @@
   // See FreshnessRule.
   void OnInstanceList(std::set<InstanceId> instances);
   void OnPeerHeard(const InstanceId& peer,
-                   const PeerState& state,
+                   const PeerReport& state,
                    BootTime not_sent_before);
   Freshness freshness() const;
   std::optional<BootTime> confirmation_age() const;
