Wire peers and the operators' interface into the router daemon

Cause: a router followed the store alone and could not be operated. Ruled out: a second reading of the platform's list by the peer runner; it shares the poller's, which halves the reads (350 a second at 350 nodes). Change: peer transport, roster and change exchange, the freshness rule fed from the roster on CLOCK_BOOTTIME, the admin server with RouterOperations. Before: no admin port.

--- a/apps/bamboomountd/directory_poller.cc
+++ b/apps/bamboomountd/directory_poller.cc
@@ -32,6 +32,21 @@
     thread_.join();
 }
 
+Result<DirectoryListing> DirectoryPoller::List(Millis /*timeout*/) {
+  const std::lock_guard lock(mutex_);
+  if (!read_once_)
+    return Error{ErrorCode::kStoreUnavailable,
+                 RunVerdict::kNotRun,
+                 "the list of instances has not been read yet",
+                 {}};
+  return last_;
+}
+
+Result<void> DirectoryPoller::Register(const ListedInstance& instance,
+                                       Millis timeout) {
+  return directory_.Register(instance, timeout);
+}
+
 DirectoryListing DirectoryPoller::last() const {
   const std::lock_guard lock(mutex_);
   return last_;
@@ -57,6 +72,7 @@
   {
     const std::lock_guard lock(mutex_);
     last_ = listing.value();
+    read_once_ = true;
   }
   listener_(listing.value());
 }
--- a/apps/bamboomountd/directory_poller.h
+++ b/apps/bamboomountd/directory_poller.h
@@ -11,13 +11,13 @@
 namespace bamboomount {
 
 // Reads the platform's list of instances at an interval and keeps the last
-// one. Thread-safe.
-class DirectoryPoller {
+// one, so that all parts of the process share one reading. Thread-safe.
+class DirectoryPoller : public InstanceDirectory {
  public:
   using Listener = std::function<void(const DirectoryListing&)>;
 
   DirectoryPoller(InstanceDirectory& directory, Millis interval);
-  ~DirectoryPoller();
+  ~DirectoryPoller() override;
   DirectoryPoller(const DirectoryPoller&) = delete;
   DirectoryPoller& operator=(const DirectoryPoller&) = delete;
 
@@ -26,7 +26,12 @@
   void Start();
   void Stop();
 
-  // The last list that was read; empty before the first.
+  // The last list that was read; fails with kStoreUnavailable before the
+  // first. Does not block.
+  Result<DirectoryListing> List(Millis timeout) override;
+  Result<void> Register(const ListedInstance& instance,
+                        Millis timeout) override;
+  // As List, but empty before the first reading.
   DirectoryListing last() const;
 
  private:
@@ -40,6 +45,7 @@
   std::condition_variable wake_;
   bool stopping_ = false;
   bool available_ = true;
+  bool read_once_ = false;
   DirectoryListing last_;
   std::thread thread_;
 };
--- a/apps/bamboomountd/events.h
+++ b/apps/bamboomountd/events.h
@@ -23,9 +23,14 @@
     1004, Severity::kInfo, "backend_leaving",
     "A backend server is leaving and gets no new requests. No action."};
 
+inline constexpr LogEvent kPeerChangeUnreadable{
+    1005, Severity::kError, "peer_change_unreadable",
+    "A peer sent a change that cannot be read; it is fetched from the store "
+    "instead. Check that all instances run compatible versions."};
+
 inline constexpr std::array kDaemonEvents{
-    kProcessStarted, kStopRequested, kProcessStopped, kDirectoryUnavailable,
-    kBackendLeaving};
+    kProcessStarted,       kStopRequested,  kProcessStopped,
+    kDirectoryUnavailable, kBackendLeaving, kPeerChangeUnreadable};
 
 }  // namespace bamboomount
 
--- /dev/null
+++ b/apps/bamboomountd/router_operations.cc
@@ -0,0 +1,200 @@
+#include "router_operations.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+constexpr Millis kAcknowledgmentPoll{20};
+constexpr Millis kEmergencyLogTimeout{2000};
+
+Millis ToMillis(BootTime time) {
+  return std::chrono::duration_cast<Millis>(time);
+}
+
+InstanceCondition ToCondition(const RosterMember& member) {
+  if (member.leaving)
+    return InstanceCondition::kLeaving;
+  return member.state == PeerState::kSuspected ? InstanceCondition::kSuspected
+                                               : InstanceCondition::kLive;
+}
+
+}  // namespace
+
+RouterOperations::RouterOperations(const RouterOperationsParts& parts)
+    : parts_(parts),
+      changes_(
+          parts.log,
+          parts.holder,
+          parts.follower,
+          [this](const Change& change) {
+            parts_.peers.PushChange({change.sequence, EncodeChange(change)});
+          },
+          [this](const KeyId& key, Millis timeout) {
+            return SpreadWithdrawal(key, timeout);
+          }) {}
+
+FleetStatus RouterOperations::Status() {
+  FleetStatus status;
+  status.self = Position();
+  status.instances = InstanceStatuses();
+  status.backends = BackendStatuses();
+  status.store_answers = parts_.follower.freshness() == Freshness::kConfirmed;
+  status.emergency_withdrawals = changes_.UnloggedWithdrawals();
+  return status;
+}
+
+HealthStatus RouterOperations::Health() {
+  if (parts_.is_leaving())
+    return {false, "leaving"};
+  if (parts_.follower.freshness() == Freshness::kStale)
+    return {false, "the state cannot be confirmed"};
+  return {true, "serving"};
+}
+
+std::string RouterOperations::MetricsText() {
+  return parts_.metrics.ToPrometheusText();
+}
+
+Result<ConfigReply> RouterOperations::Config(
+    std::optional<ConfigVersion> version,
+    Millis timeout) {
+  return changes_.Config(version, timeout);
+}
+
+Result<std::vector<ConfigVersionEntry>> RouterOperations::ConfigHistory(
+    Millis timeout) {
+  return changes_.ConfigHistory(timeout);
+}
+
+Result<ChangeReply> RouterOperations::ApplyConfig(
+    const ApplyConfigRequest& request,
+    Millis timeout) {
+  return changes_.ApplyConfig(request, timeout);
+}
+
+KeyListing RouterOperations::Keys() {
+  return changes_.Keys();
+}
+
+Result<ChangeReply> RouterOperations::GrantKey(const GrantKeyRequest& request,
+                                               Millis timeout) {
+  return changes_.GrantKey(request, timeout);
+}
+
+Result<WithdrawKeyReply> RouterOperations::WithdrawKey(
+    const WithdrawKeyRequest& request,
+    Millis timeout) {
+  return changes_.WithdrawKey(request, timeout);
+}
+
+Result<ChangeReply> RouterOperations::DrainInstance(const DrainRequest& request,
+                                                    Millis timeout) {
+  return changes_.DrainInstance(request, timeout);
+}
+
+std::vector<Span> RouterOperations::Trace(const std::string& trace_id) {
+  return parts_.spans.FindTrace(trace_id);
+}
+
+Result<std::vector<UsageLine>> RouterOperations::Usage(int /*windows*/,
+                                                       Millis /*timeout*/) {
+  return Error{ErrorCode::kNotFound,
+               RunVerdict::kNotRun,
+               "usage is not recorded yet",
+               {}};
+}
+
+void RouterOperations::LogEmergencyWithdrawals() {
+  if (parts_.follower.freshness() != Freshness::kConfirmed ||
+      changes_.UnloggedWithdrawals().empty())
+    return;
+  // A failure is repeated with the next call.
+  static_cast<void>(changes_.LogEmergencyWithdrawals(kEmergencyLogTimeout));
+}
+
+InstanceStatus RouterOperations::Position() {
+  const auto state = parts_.holder.current();
+  InstanceStatus self;
+  self.instance = parts_.settings.instance;
+  self.zone = parts_.settings.zone;
+  self.address = parts_.settings.listen_address;
+  self.admin_address = parts_.settings.admin_address;
+  self.condition = parts_.is_leaving() ? InstanceCondition::kLeaving
+                                       : InstanceCondition::kLive;
+  self.sequence = state->sequence;
+  self.config_version = state->config_version;
+  self.freshness = parts_.follower.freshness();
+  if (const auto age = parts_.follower.confirmation_age())
+    self.confirmation_age = ToMillis(*age);
+  return self;
+}
+
+std::vector<InstanceStatus> RouterOperations::InstanceStatuses() {
+  const DirectoryListing listing = parts_.directory.last();
+  std::vector<InstanceStatus> statuses;
+  for (const RosterMember& member : parts_.peers.Members()) {
+    if (member.instance == parts_.settings.instance) {
+      statuses.push_back(Position());
+      continue;
+    }
+    InstanceStatus status;
+    status.instance = member.instance;
+    status.condition = ToCondition(member);
+    status.sequence = member.sequence;
+    const auto listed = std::find_if(
+        listing.instances.begin(), listing.instances.end(),
+        [&](const auto& entry) { return entry.instance == member.instance; });
+    if (listed != listing.instances.end()) {
+      status.zone = listed->zone;
+      status.address = listed->address;
+      status.admin_address = listed->admin_address;
+    }
+    statuses.push_back(std::move(status));
+  }
+  return statuses;
+}
+
+std::vector<BackendStatus> RouterOperations::BackendStatuses() const {
+  const auto config = parts_.holder.current()->config;
+  const DirectoryListing listing = parts_.directory.last();
+  std::vector<BackendStatus> statuses;
+  for (const BackendRule& rule : config->backends) {
+    BackendStatus status;
+    status.backend = rule.backend;
+    status.zone = rule.zone;
+    status.pool = rule.pool;
+    status.kind = rule.kind;
+    status.slots = rule.slots;
+    const bool leaving =
+        std::any_of(listing.backends.begin(), listing.backends.end(),
+                    [&](const auto& entry) {
+                      return entry.backend == rule.backend &&
+                             entry.state == ListedState::kLeaving;
+                    });
+    if (leaving)
+      status.condition = BackendCondition::kLeaving;
+    statuses.push_back(std::move(status));
+  }
+  return statuses;
+}
+
+EmergencySpread RouterOperations::SpreadWithdrawal(const KeyId& key,
+                                                   Millis timeout) {
+  parts_.peers.PushWithdrawals();
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  EmergencySpread spread;
+  spread.listed = parts_.peers.HeardWithin(timeout).known;
+  while (true) {
+    const auto reached = parts_.peers.AcknowledgedBy(key);
+    spread.reached.assign(reached.begin(), reached.end());
+    const bool majority = static_cast<int>(reached.size()) * 2 > spread.listed;
+    if (majority || std::chrono::steady_clock::now() >= deadline)
+      return spread;
+    std::this_thread::sleep_for(kAcknowledgmentPoll);
+  }
+}
+
+}  // namespace bamboomount
--- a/apps/bamboomountd/router_process.cc
+++ b/apps/bamboomountd/router_process.cc
@@ -1,20 +1,29 @@
 #include "router_process.h"
 
+#include <atomic>
 #include <iostream>
+#include <random>
+#include <thread>
 #include <utility>
 
 #include "directory_poller.h"
 #include "events.h"
+#include "follower_change_exchange.h"
+#include "peer/nng_peer_transport.h"
+#include "peer/peer_runner.h"
 #include "platform/http_instance_directory.h"
 #include "platform/http_object_store.h"
 #include "platform/http_table_store.h"
 #include "router/router.h"
+#include "router_operations.h"
 
 namespace bamboomount {
 namespace {
 
 constexpr Millis kDirectoryInterval{1000};
 constexpr Millis kRegisterTimeout{1000};
+// How often what the roster heard is passed on to the freshness rule.
+constexpr Millis kHeardInterval{250};
 constexpr std::size_t kKeptSpans = 20'000;
 
 }  // namespace
@@ -30,6 +39,16 @@
         follower_(log_, state_, MakeFollowerOptions(settings)),
         slots_(*state_.current()->config, 1),
         poller_(directory_, kDirectoryInterval),
+        transport_(settings.instance, settings.peer_address),
+        exchange_(follower_, state_),
+        peers_(MakePeerOptions(settings),
+               transport_,
+               state_,
+               exchange_,
+               BootSteadyNow),
+        operations_({settings_, table_, log_, state_, follower_, peers_,
+                     poller_, metrics_, spans_,
+                     [this] { return leaving_.load(); }}),
         router_(MakeRouterOptions(settings), MakeDependencies()) {
     state_.AddListener(
         [this](const auto& state) { slots_.Configure(*state->config, 1); });
@@ -41,12 +60,20 @@
     follower_.Start();
     poller_.Start();
     Register(ListedState::kLive);
+    peers_.Start();
+    PeerRunner peer_runner(peers_, poller_, {});
+    std::thread maintenance([this] { Maintain(); });
+    AdminServer admin(settings_.admin_address, settings_.admin_token,
+                      operations_);
     std::cout << R"({"listening":")" << router_.listen_address() << "\"}"
               << std::endl;
     Log(kStopRequested, {{"signal", std::to_string(stop.Wait())}});
     leaving_ = true;
+    peers_.Leave();
     Register(ListedState::kLeaving);
     router_.Drain();
+    stopping_ = true;
+    maintenance.join();
     poller_.Stop();
     follower_.Stop();
   }
@@ -70,6 +97,32 @@
     return options;
   }
 
+  PeerNodeOptions MakePeerOptions(const ProcessSettings& settings) const {
+    PeerNodeOptions options;
+    options.self = settings.instance;
+    options.peer_address = transport_.address();
+    // Later starts of the same instance need a higher number.
+    options.incarnation =
+        Incarnation(std::chrono::duration_cast<Millis>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count());
+    options.seed_peers = settings.seed_peers;
+    options.random_seed = std::random_device()();
+    return options;
+  }
+
+  // Feeds the freshness rule and repairs what an outage left behind.
+  void Maintain() {
+    while (!stopping_) {
+      std::this_thread::sleep_for(kHeardInterval);
+      for (const HeardInstance& heard : peers_.Heard())
+        follower_.OnPeerHeard(heard.instance, {heard.sequence, std::nullopt},
+                              std::chrono::duration_cast<BootTime>(
+                                  heard.heard_at.time_since_epoch()));
+      operations_.LogEmergencyWithdrawals();
+    }
+  }
+
   RouterDependencies MakeDependencies() {
     return {state_,
             slots_,
@@ -107,7 +160,7 @@
   void Register(ListedState state) {
     const auto registered = directory_.Register(
         {settings_.instance, settings_.zone, router_.listen_address(),
-         settings_.peer_address, settings_.admin_address, state},
+         transport_.address(), settings_.admin_address, state},
         kRegisterTimeout);
     if (!registered)
       Log(kDirectoryUnavailable, {{"error", registered.error().message}});
@@ -124,7 +177,12 @@
   StateFollower follower_;
   LocalSlotBroker slots_;
   DirectoryPoller poller_;
+  NngPeerTransport transport_;
+  FollowerChangeExchange exchange_;
+  PeerNode peers_;
   std::atomic<bool> leaving_ = false;
+  std::atomic<bool> stopping_ = false;
+  RouterOperations operations_;
   RouterServer router_;
 };
 
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -148,6 +148,11 @@
   return roster_.HeardWithin(window, clock_());
 }
 
+std::vector<HeardInstance> PeerNode::Heard() const {
+  const std::lock_guard lock(mutex_);
+  return roster_.Heard();
+}
+
 std::set<InstanceId> PeerNode::AcknowledgedBy(const KeyId& key) {
   RecordAcknowledgments();
   std::set<InstanceId> instances;
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -73,6 +73,7 @@
   std::vector<RosterMember> Members() const;
   // Of the last known instance list.
   HeardCount HeardWithin(Millis window) const;
+  std::vector<HeardInstance> Heard() const;
   // Instances that hold the emergency withdrawal, this one included.
   std::set<InstanceId> AcknowledgedBy(const KeyId& key);
   std::vector<InstanceSequence> Statuses() const;
--- a/src/peer/roster.cc
+++ b/src/peer/roster.cc
@@ -452,6 +452,16 @@
   return count;
 }
 
+std::vector<HeardInstance> Roster::Heard() const {
+  std::vector<HeardInstance> heard;
+  for (const auto& [instance, member] : members_) {
+    if (!member.heard_at || !listed_.contains(instance))
+      continue;
+    heard.push_back({instance, member.sequence, *member.heard_at});
+  }
+  return heard;
+}
+
 std::vector<RosterEvent> Roster::TakeEvents() {
   return std::exchange(events_, {});
 }
--- a/src/peer/roster.h
+++ b/src/peer/roster.h
@@ -69,6 +69,13 @@
   std::optional<SteadyTime> confirmed_at;
 };
 
+// An instance of the last known list and when it was last known alive.
+struct HeardInstance {
+  InstanceId instance;
+  ChangeSequence sequence;
+  SteadyTime heard_at;
+};
+
 struct HeardCount {
   int heard = 0;
   // Size of the last known instance list, this instance included.
@@ -127,6 +134,7 @@
   // Instances of the last known list that were alive at `now - window` or
   // later by this router's own clock.
   HeardCount HeardWithin(Millis window, SteadyTime now) const;
+  std::vector<HeardInstance> Heard() const;
 
   // Grows with each change of members, incarnations or leaving marks.
   std::uint64_t version() const { return version_; }
