--- /dev/null
+++ b/src/controller/events.h
@@ -0,0 +1,53 @@
+#ifndef CONTROLLER_EVENTS_H_
+#define CONTROLLER_EVENTS_H_
+
+#include "telemetry/log_event.h"
+
+// Log events 4000 to 4999. Usage recording (4100 to 4199) runs on routers.
+namespace bamboomount::events {
+
+inline constexpr LogEvent kLeaseTaken{
+    4000, Severity::kInfo, "lease_taken",
+    "This instance is the one that orders backend servers and reports usage."};
+inline constexpr LogEvent kLeaseLost{
+    4001, Severity::kWarning, "lease_lost",
+    "Another instance holds the lease. Expected after an outage of the table "
+    "service or a stop of this process."};
+inline constexpr LogEvent kLeaseSteppedDown{
+    4002, Severity::kWarning, "lease_stepped_down",
+    "The lease could not be renewed in time, so this instance stopped acting. "
+    "Check the table service."};
+inline constexpr LogEvent kLeaseReleased{
+    4003, Severity::kInfo, "lease_released",
+    "Planned stop; the next instance takes the lease without waiting."};
+inline constexpr LogEvent kOrderAccepted{
+    4010, Severity::kInfo, "order_accepted",
+    "The platform has received an order for backend servers."};
+inline constexpr LogEvent kOrderRefused{
+    4011, Severity::kWarning, "order_refused",
+    "The platform refused an order or could not be reached; it has not run."};
+inline constexpr LogEvent kOrderUnresolved{
+    4012, Severity::kWarning, "order_unresolved",
+    "An order may have reached the platform. No order is sent until the "
+    "platform has said whether it knows this one."};
+inline constexpr LogEvent kOrderAbandoned{
+    4013, Severity::kWarning, "order_abandoned",
+    "The platform does not know a recorded order. If it arrives later, the "
+    "platform has more backend servers than planned; compare its order list."};
+inline constexpr LogEvent kWindowSealed{
+    4020, Severity::kInfo, "usage_window_sealed",
+    "The figures of a usage window are final."};
+inline constexpr LogEvent kWindowReported{
+    4021, Severity::kInfo, "usage_window_reported",
+    "The platform has received every customer's figures of a usage window."};
+inline constexpr LogEvent kReportFailed{
+    4022, Severity::kWarning, "usage_report_failed",
+    "A usage report was not confirmed; the same figures are sent again."};
+inline constexpr LogEvent kMalformedRow{
+    4030, Severity::kError, "malformed_row",
+    "A row of the table service could not be read. Check which version of the "
+    "program wrote it."};
+
+}  // namespace bamboomount::events
+
+#endif  // CONTROLLER_EVENTS_H_
--- /dev/null
+++ b/src/controller/usage_sealer.cc
@@ -0,0 +1,223 @@
+#include "controller/usage_sealer.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "controller/events.h"
+#include "telemetry/telemetry.h"
+
+namespace bamboomount {
+namespace {
+
+// Holds the number of the oldest window that is not reported.
+constexpr char kProgressKey[] = "usage-progress";
+constexpr char kRowsPrefix[] = "usage/";
+
+std::optional<UsageWindow> ParseWindow(const std::string& text) {
+  std::int64_t number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (parsed.ec != std::errc())
+    return std::nullopt;
+  return UsageWindow(number);
+}
+
+bool Committed(const Result<CommitOutcome>& outcome) {
+  return outcome && outcome.value() == CommitOutcome::kCommitted;
+}
+
+}  // namespace
+
+UsageSealer::UsageSealer(TableStore& store,
+                         UsageReports& reports,
+                         LeaseManager& lease,
+                         const UsageSealerSettings& settings,
+                         WallClock clock)
+    : store_(store),
+      reports_(reports),
+      lease_(lease),
+      settings_(settings),
+      clock_(std::move(clock)) {}
+
+bool UsageSealer::Step() {
+  if (!lease_.holds())
+    return false;
+  if ((!progress_ || progress_->token != lease_.token()) && !Load())
+    return false;
+  const auto& windows = settings_.windows;
+  if (clock_() < windows.EndOf(progress_->window) + windows.close_delay)
+    return false;
+  if (!progress_->sealed && (!Close() || !Seal()))
+    return false;
+  return Report() && Finish();
+}
+
+std::optional<UsageWindow> UsageSealer::next_window() const {
+  if (!progress_)
+    return std::nullopt;
+  return progress_->window;
+}
+
+bool UsageSealer::Load() {
+  const FencingToken token = lease_.token();
+  const auto row = store_.Read(kProgressKey, settings_.store_timeout);
+  if (!row)
+    return false;
+  const auto window =
+      row.value() ? ParseWindow(row.value()->value) : FirstWindow();
+  if (!window)
+    return false;
+  progress_ = Progress{token, *window, std::nullopt, 0};
+  return true;
+}
+
+// Without a progress row nothing was reported yet. Routers may still write to
+// any window within the retention, so all of these are included.
+std::optional<UsageWindow> UsageSealer::FirstWindow() {
+  const auto rows = store_.Scan(kRowsPrefix, settings_.store_timeout);
+  if (!rows)
+    return std::nullopt;
+  const auto& windows = settings_.windows;
+  const UsageWindow first = std::max(
+      UsageWindow(0), windows.WindowAt(clock_()) -
+                          UsageWindow(windows.row_retention_windows + 1));
+  if (rows.value().empty())
+    return first;
+  const std::string& key = rows.value().front().key;
+  const auto oldest = ParseWindow(key.substr(std::size(kRowsPrefix) - 1));
+  return std::min(first, oldest.value_or(first));
+}
+
+bool UsageSealer::Close() {
+  const std::string key = UsageClosedKey(progress_->window);
+  const auto outcome =
+      lease_.CommitAsHolder(Transaction().ExpectAbsent(key).Put(
+                                key, std::to_string(progress_->token.value())),
+                            settings_.store_timeout);
+  if (Committed(outcome))
+    return true;
+  // The window may be closed already, by this holder or an earlier one.
+  const auto row = store_.Read(key, settings_.store_timeout);
+  return row && row.value();
+}
+
+bool UsageSealer::Seal() {
+  auto sum = AddUp();
+  if (!sum)
+    return false;
+  const std::string key = UsageSealedKey(progress_->window);
+  const auto outcome = lease_.CommitAsHolder(
+      Transaction().ExpectAbsent(key).Put(key, sum->ToText()),
+      settings_.store_timeout);
+  // Whatever the row holds is what counts, whoever wrote it.
+  progress_->sealed = Committed(outcome) ? std::move(sum) : ReadSealed();
+  if (!progress_->sealed)
+    return false;
+  progress_->reported = 0;
+  const SealedUsage& sealed = *progress_->sealed;
+  Log(events::kWindowSealed,
+      {{"window", std::to_string(progress_->window.value())},
+       {"customers", std::to_string(sealed.customers.size())},
+       {"writers", std::to_string(sealed.writers)},
+       {"unfinished_writers", std::to_string(sealed.unfinished_writers)},
+       {"late_requests", std::to_string(sealed.late.requests)}});
+  return true;
+}
+
+std::optional<SealedUsage> UsageSealer::AddUp() {
+  const auto rows =
+      store_.Scan(UsageRowPrefix(progress_->window), settings_.store_timeout);
+  if (!rows)
+    return std::nullopt;
+  SealedUsage sum;
+  for (const Row& row : rows.value()) {
+    const auto parsed = UsageRow::Parse(row.value);
+    if (!parsed) {
+      Log(events::kMalformedRow, {{"key", row.key}});
+      continue;
+    }
+    sum.Add(*parsed);
+  }
+  return sum;
+}
+
+std::optional<SealedUsage> UsageSealer::ReadSealed() {
+  const auto row =
+      store_.Read(UsageSealedKey(progress_->window), settings_.store_timeout);
+  if (!row || !row.value())
+    return std::nullopt;
+  auto sealed = SealedUsage::Parse(row.value()->value);
+  if (!sealed)
+    Log(events::kMalformedRow, {{"key", row.value()->key}});
+  return sealed;
+}
+
+bool UsageSealer::Report() {
+  const auto& customers = progress_->sealed->customers;
+  auto it = std::next(customers.begin(),
+                      static_cast<std::ptrdiff_t>(progress_->reported));
+  for (int sent = 0; it != customers.end(); ++it, ++sent) {
+    if (sent == settings_.max_reports_per_step)
+      return false;
+    lease_.Step();
+    if (lease_.token() != progress_->token ||
+        !lease_.HoldsFor(settings_.report_timeout)) {
+      return false;
+    }
+    const auto& [customer, figures] = *it;
+    const auto outcome = reports_.Submit(
+        {progress_->window, customer, figures.requests, figures.prompt_tokens,
+         figures.output_tokens, progress_->token},
+        settings_.report_timeout);
+    if (!outcome) {
+      Log(events::kReportFailed,
+          {{"window", std::to_string(progress_->window.value())},
+           {"customer", customer.value()},
+           {"reason", outcome.error().message}});
+      if (outcome.error().code == ErrorCode::kConflict)
+        lease_.StepDown();
+      return false;
+    }
+    ++progress_->reported;
+  }
+  return true;
+}
+
+bool UsageSealer::Finish() {
+  const UsageWindow window = progress_->window;
+  const auto& windows = settings_.windows;
+  Transaction transaction;
+  transaction.Put(kProgressKey, std::to_string(window.value() + 1));
+  const UsageWindow old_rows =
+      window - UsageWindow(windows.row_retention_windows);
+  const UsageWindow old_seal =
+      window - UsageWindow(windows.seal_retention_windows);
+  if (!AddDeletes(UsageRowPrefix(old_rows), transaction))
+    return false;
+  transaction.Delete(UsageClosedKey(old_seal)).Delete(UsageSealedKey(old_seal));
+  const auto outcome =
+      lease_.CommitAsHolder(std::move(transaction), settings_.store_timeout);
+  if (!Committed(outcome)) {
+    // Loading again shows whether the write took effect. If it did not, the
+    // sealed figures are read and sent again.
+    progress_.reset();
+    return false;
+  }
+  Log(events::kWindowReported, {{"window", std::to_string(window.value())}});
+  progress_ =
+      Progress{progress_->token, window + UsageWindow(1), std::nullopt, 0};
+  return true;
+}
+
+bool UsageSealer::AddDeletes(const std::string& prefix,
+                             Transaction& transaction) {
+  const auto rows = store_.Scan(prefix, settings_.store_timeout);
+  if (!rows)
+    return false;
+  for (const Row& row : rows.value())
+    transaction.Delete(row.key);
+  return true;
+}
+
+}  // namespace bamboomount
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -14,7 +14,11 @@
 #include "platform/object_store.h"
 #include "platform/table_store.h"
 #include "platform/transaction.h"
+#include "platform/usage_figures.h"
+#include "platform/usage_recorder.h"
 #include "platform/usage_reports.h"
+#include "platform/usage_rows.h"
+#include "platform/usage_window_settings.h"
 #include "platform/wire.h"
 
 #endif  // PLATFORM_PLATFORM_H_
--- /dev/null
+++ b/src/platform/usage_recorder.h
@@ -0,0 +1,89 @@
+#ifndef PLATFORM_USAGE_RECORDER_H_
+#define PLATFORM_USAGE_RECORDER_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "base/base.h"
+#include "platform/table_store.h"
+#include "platform/usage_rows.h"
+#include "platform/usage_window_settings.h"
+
+namespace bamboomount {
+
+// Counts requests and tokens for each customer on a router and writes them to
+// the table, one cumulative row for each window. Usage of a window that was
+// closed before it was written goes to the current window and is counted as
+// late. Thread-safe; counting takes one of several locks and never waits for
+// the store.
+class UsageRecorder {
+ public:
+  // A row belongs to one process: the id gets a random suffix, so that a
+  // restarted instance does not overwrite what it wrote before.
+  UsageRecorder(TableStore& store,
+                const InstanceId& instance,
+                const UsageWindowSettings& settings,
+                WallClock clock = std::chrono::system_clock::now);
+
+  void Record(const CustomerId& customer, const UsageFigures& used);
+
+  // Writes what changed since the last call; call it every 5 s and before the
+  // process ends. Each store call takes at most `timeout`. After an error the
+  // figures are kept for the next call.
+  Result<void> Flush(Millis timeout);
+
+  // Usage that went to a later window so far.
+  UsageFigures late_total() const;
+  // Name of this process in row keys.
+  const std::string& writer() const { return writer_; }
+
+ private:
+  static constexpr std::size_t kShardCount = 16;
+
+  struct Shard {
+    std::mutex mutex;
+    std::map<UsageWindow, CustomerUsage> counted;
+  };
+  // One window that is not completely written.
+  struct Book {
+    UsageRow row;
+    RowVersion version;
+    // What the table is known to hold.
+    CustomerUsage written;
+    // The last write sent, if its outcome is unknown.
+    CustomerUsage in_flight;
+    bool outcome_unknown = false;
+    bool dirty = false;
+  };
+  enum class WriteState { kWritten, kRetry, kMoved };
+
+  void Collect();
+  Result<void> FlushWindow(UsageWindow window, Millis timeout);
+  Result<WriteState> Write(UsageWindow window, Book& book, Millis timeout);
+  // After a conflict or an unknown outcome: learns what the table holds.
+  Result<WriteState> Resolve(UsageWindow window, Book& book, Millis timeout);
+  void AdoptRow(UsageWindow window, Book& book, const std::optional<Row>& row);
+  void MoveUnwritten(UsageWindow window, const Book& book);
+  // Such a window counts as closed, and its row may be gone.
+  bool IsTooOld(UsageWindow window) const;
+
+  TableStore& store_;
+  const UsageWindowSettings settings_;
+  const WallClock clock_;
+  const std::string writer_;
+  std::array<Shard, kShardCount> shards_;
+
+  // Guards the members below; held while the store is called.
+  std::mutex flush_mutex_;
+  std::map<UsageWindow, Book> books_;
+
+  mutable std::mutex late_mutex_;
+  UsageFigures late_total_;
+};
+
+}  // namespace bamboomount
+
+#endif  // PLATFORM_USAGE_RECORDER_H_
--- /dev/null
+++ b/src/platform/usage_window_settings.h
@@ -0,0 +1,41 @@
+#ifndef PLATFORM_USAGE_WINDOW_SETTINGS_H_
+#define PLATFORM_USAGE_WINDOW_SETTINGS_H_
+
+#include <chrono>
+#include <functional>
+
+#include "base/base.h"
+#include "platform/usage_reports.h"
+
+namespace bamboomount {
+
+// The system clock in production; tests pass their own.
+using WallClock = std::function<std::chrono::system_clock::time_point()>;
+
+// All routers and controllers must use the same values. Clocks of instances
+// may differ by less than `close_delay` minus the interval of the routers'
+// writes; a larger difference makes usage late, not lost.
+struct UsageWindowSettings {
+  Millis length{60000};
+  // Time from the end of a window to its close.
+  Millis close_delay{10000};
+  // Windows whose router rows are kept after sealing, so that a router that
+  // was cut off can see what was counted: 10 minutes. Routers write to no older
+  // window. A write that reaches the store still later is not accounted for.
+  int row_retention_windows = 10;
+  // Windows whose closed and sealed rows are kept: 6 hours, about 29 MB at
+  // 1,000 customers and 80 bytes each.
+  int seal_retention_windows = 360;
+
+  UsageWindow WindowAt(std::chrono::system_clock::time_point time) const {
+    return UsageWindow(std::chrono::floor<Millis>(time.time_since_epoch()) /
+                       length);
+  }
+  std::chrono::system_clock::time_point EndOf(UsageWindow window) const {
+    return std::chrono::system_clock::time_point(length * (window.value() + 1));
+  }
+};
+
+}  // namespace bamboomount
+
+#endif  // PLATFORM_USAGE_WINDOW_SETTINGS_H_
