Schedule a cell by tier, customer share and predicted first token

Cause: the first-come scheduler had no customer shares, no queue limits, no shedding, no health of backend servers, and its slot count went below zero when a backend server was removed and added again while requests ran on it. A class may use the room that lower tiers leave. Change: weighted tiers with the starvation stride, deficit round robin in estimated tokens, queue limits, early shedding, output estimates, placement strategies and queue disciplines in registries, straggler detection, probes after a crash, RetryBudget. How well they serve the targets is not measured yet.

--- a/src/policy/cell_scheduler.cc
+++ b/src/policy/cell_scheduler.cc
@@ -1,113 +1,316 @@
 #include "policy/cell_scheduler.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "policy/internal/backend_table.h"
+#include "policy/internal/service_times.h"
+#include "policy/internal/straggler_detector.h"
+#include "policy/internal/waiting_queue.h"
+#include "policy/placement_registry.h"
 
 namespace bamboomount {
+namespace {
+
+// A refused caller that repeats sooner only adds load.
+constexpr Millis kMinRetryAfter{100};
+// No figure is known for a cell without backend servers.
+constexpr Millis kNoBackendRetryAfter{1000};
+
+// Speeds over shorter times are mostly noise.
+constexpr Millis kMinProgressInterval{50};
+
+double PromptTokens(const SlotRequest& request) {
+  return static_cast<double>(request.prompt_tokens.value());
+}
+
+bool HasMissedTarget(const QueuedRequest& queued, SteadyTime now) {
+  const Millis target = queued.request.first_token_target;
+  return target.count() > 0 && now - queued.arrival > target;
+}
+
+}  // namespace
+
+CellScheduler::CellScheduler(const CellOptions& options)
+    : discipline_(FindQueueDiscipline(options.discipline)),
+      placement_(MakePlacementStrategy(options.placement, options.seed)),
+      backends_(std::make_unique<BackendTable>()),
+      waiting_(std::make_unique<WaitingQueue>(discipline_,
+                                              options.starvation_stride)),
+      service_times_(std::make_unique<ServiceTimes>()),
+      stragglers_(std::make_unique<StragglerDetector>()) {}
+
+CellScheduler::~CellScheduler() = default;
 
 void CellScheduler::SetBackends(const std::vector<CellBackend>& backends,
-                                SteadyTime /*now*/) {
-  std::map<BackendId, BackendState> replaced;
-  for (const CellBackend& backend : backends) {
-    BackendState state = backends_.contains(backend.backend)
-                             ? backends_.at(backend.backend)
-                             : BackendState{};
-    state.backend = backend;
-    replaced.emplace(backend.backend, state);
-  }
-  backends_ = std::move(replaced);
+                                SteadyTime now) {
+  backends_->SetBackends(backends, now);
 }
 
 void CellScheduler::Enqueue(const SlotRequest& request, SteadyTime now) {
-  const bool known =
-      running_.contains(request.request) ||
-      std::any_of(waiting_.begin(), waiting_.end(), [&](const Waiting& entry) {
-        return entry.request.request == request.request;
-      });
-  if (!known)
-    waiting_.push_back({request, now});
+  if (running_.contains(request.request) || waiting_->Contains(request.request))
+    return;
+  const OutputEstimate estimate = outputs_.Estimate(
+      request.customer, request.class_id, request.max_output_tokens);
+  const double cost =
+      std::max(1.0, PromptTokens(request) + estimate.expected_tokens);
+  waiting_->Push({request, now, cost});
+  arrivals_.push_back(request);
 }
 
 void CellScheduler::Adopt(const SlotRequest& request,
                           const BackendId& backend,
-                          SteadyTime /*now*/) {
-  if (!running_.emplace(request.request, Running{request, backend}).second)
+                          SteadyTime now) {
+  if (running_.contains(request.request))
     return;
-  const auto found = backends_.find(backend);
-  if (found != backends_.end())
-    ++found->second.running;
+  waiting_->Remove(request.request);
+  backends_->Acquire(backend);
+  service_times_->Start(request.class_id);
+  Running run{request, backend, std::nullopt, {}, 0, Tokens(0), now};
+  run.estimate = outputs_.Estimate(request.customer, request.class_id,
+                                   request.max_output_tokens);
+  running_.emplace(request.request, std::move(run));
 }
 
 void CellScheduler::Cancel(const RequestId& request, SteadyTime /*now*/) {
-  waiting_.remove_if(
-      [&](const Waiting& entry) { return entry.request.request == request; });
+  waiting_->Remove(request);
 }
 
 void CellScheduler::Finish(const RequestId& request,
-                           const SlotOutcome& /*outcome*/,
-                           SteadyTime /*now*/) {
-  const auto running = running_.find(request);
-  if (running == running_.end())
+                           const SlotOutcome& outcome,
+                           SteadyTime now) {
+  const auto found = running_.find(request);
+  if (found == running_.end())
     return;
-  const auto backend = backends_.find(running->second.backend);
-  if (backend != backends_.end())
-    --backend->second.running;
-  running_.erase(running);
+  const Running run = std::move(found->second);
+  running_.erase(found);
+  ObserveEnd(run, outcome, now);
+  backends_->Release(run.backend);
+}
+
+void CellScheduler::ObserveEnd(const Running& run,
+                               const SlotOutcome& outcome,
+                               SteadyTime now) {
+  std::optional<Millis> held;
+  if (run.granted && outcome.end != SlotEnd::kConnectFailed)
+    held = std::chrono::duration_cast<Millis>(now - *run.granted);
+  service_times_->End(run.request.class_id, held);
+  const auto produced = static_cast<double>(outcome.output_tokens.value());
+  ChargeDifference(run, produced);
+  if (outcome.end == SlotEnd::kCompleted) {
+    outputs_.Observe(run.request.customer, run.request.class_id,
+                     outcome.output_tokens);
+  }
+  BackendState& state = *backends_->Find(run.backend);
+  if (outcome.time_to_first_token && run.granted) {
+    const Millis time = *outcome.time_to_first_token;
+    service_times_->ObserveFirstToken(run.request.class_id, time);
+    placement_->ObserveFirstToken(run.request, state, run.load, time);
+  }
+  const bool failed = outcome.end == SlotEnd::kConnectFailed ||
+                      outcome.end == SlotEnd::kBackendFailed;
+  const bool was_probe = state.probe == run.request.request;
+  if (was_probe)
+    BackendTable::EndProbe(state, now);
+  const bool recent = run.granted && *run.granted >= state.healthy_since;
+  if (failed && recent)
+    backends_->MarkUnhealthy(state, BackendHealth::kFailed, now);
+  else if (was_probe && outcome.end == SlotEnd::kCompleted &&
+           state.health == BackendHealth::kFailed)
+    backends_->MarkHealthy(state, now);
 }
 
 void CellScheduler::ObserveLoad(const BackendId& backend,
                                 const LoadReport& report,
                                 SteadyTime now) {
-  if (report.leaving)
-    MarkLeaving(backend, now);
-}
-
-void CellScheduler::ObserveProgress(const RequestId& /*request*/,
-                                    Tokens /*generated*/,
-                                    SteadyTime /*now*/) {}
-
-void CellScheduler::MarkLeaving(const BackendId& backend, SteadyTime /*now*/) {
-  const auto found = backends_.find(backend);
-  if (found != backends_.end())
-    found->second.leaving = true;
-}
-
-std::vector<SlotDecision> CellScheduler::Decide(SteadyTime /*now*/) {
-  std::vector<SlotDecision> decisions;
-  while (!waiting_.empty()) {
-    const auto next = HighestTierOldest();
-    BackendState* backend = ChooseBackend(next->request);
-    if (backend == nullptr)
-      break;
-    ++backend->running;
-    decisions.push_back(
-        {next->request.request, backend->backend.backend, {}, Millis(0)});
-    running_.emplace(next->request.request,
-                     Running{next->request, backend->backend.backend});
-    waiting_.erase(next);
+  backends_->ObserveLoad(backend, report, now);
+}
+
+void CellScheduler::ObserveProgress(const RequestId& request,
+                                    Tokens generated,
+                                    SteadyTime now) {
+  const auto found = running_.find(request);
+  if (found == running_.end())
+    return;
+  Running& run = found->second;
+  BackendState& state = *backends_->Find(run.backend);
+  const std::chrono::duration<double> elapsed = now - run.progress_time;
+  if (run.generated.value() > 0 && elapsed < kMinProgressInterval)
+    return;
+  // The first report includes the time to the first token.
+  if (run.generated.value() > 0) {
+    const auto produced =
+        static_cast<double>((generated - run.generated).value());
+    StragglerDetector::ObserveRate(state,
+                                   std::max(0.0, produced) / elapsed.count());
   }
-  return decisions;
+  if (state.probe == request && state.health == BackendHealth::kFailed)
+    backends_->MarkHealthy(state, now);
+  const OutputEstimate corrected = run.estimate.Corrected(generated);
+  ChargeDifference(run, corrected.expected_tokens);
+  run.estimate = corrected;
+  run.generated = generated;
+  run.progress_time = now;
+}
+
+void CellScheduler::ChargeDifference(const Running& run, double actual_tokens) {
+  // Another owner has charged the estimate of an adopted request.
+  if (run.granted)
+    waiting_->Charge(run.request, actual_tokens - run.estimate.expected_tokens);
 }
 
-CellScheduler::BackendState* CellScheduler::ChooseBackend(
-    const SlotRequest& request) {
-  BackendState* best = nullptr;
-  for (auto& [id, state] : backends_) {
-    const bool excluded =
-        std::find(request.excluded.begin(), request.excluded.end(), id) !=
-        request.excluded.end();
-    if (excluded || state.leaving || state.running >= state.backend.slots)
+void CellScheduler::MarkLeaving(const BackendId& backend, SteadyTime now) {
+  backends_->MarkLeaving(backend, now);
+}
+
+std::vector<SlotDecision> CellScheduler::Decide(SteadyTime now) {
+  stragglers_->Update(*backends_, now);
+  GrantProbes(now);
+  GrantWaiting(now);
+  RefuseWithoutBackend(now);
+  ShedOverLimit();
+  if (discipline_.sheds_early)
+    ShedPredictedMisses();
+  return std::exchange(decisions_, {});
+}
+
+void CellScheduler::GrantProbes(SteadyTime now) {
+  for (BackendState* state : backends_->DueProbes(now)) {
+    if (waiting_->empty())
+      return;
+    // The lowest tier bears the risk of a probe.
+    QueuedRequest queued = waiting_->PopLowestTier();
+    const auto& excluded = queued.request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), state->backend.backend) !=
+        excluded.end()) {
+      waiting_->Restore(std::move(queued));
       continue;
-    if (best == nullptr || state.running < best->running)
-      best = &state;
+    }
+    state->probe = queued.request.request;
+    Grant(queued, *state, now);
+  }
+}
+
+void CellScheduler::GrantWaiting(SteadyTime now) {
+  // Requests that exclude all available backend servers do not block others.
+  std::vector<QueuedRequest> unplaced;
+  while (!waiting_->empty() && !backends_->available().empty()) {
+    QueuedRequest queued = waiting_->Pop();
+    BackendState* state = placement_->Choose(queued.request, *backends_);
+    if (state != nullptr) {
+      waiting_->CommitGrant(queued.request);
+      Grant(queued, *state, now);
+    } else if (backends_->AllExcluded(queued.request.excluded) ||
+               HasMissedTarget(queued, now)) {
+      Refuse(queued.request.request, ErrorCode::kNoBackend,
+             kNoBackendRetryAfter);
+    } else {
+      unplaced.push_back(std::move(queued));
+    }
   }
-  return best;
+  for (; !unplaced.empty(); unplaced.pop_back())
+    waiting_->Restore(std::move(unplaced.back()));
+}
+
+void CellScheduler::Grant(const QueuedRequest& queued,
+                          BackendState& state,
+                          SteadyTime now) {
+  const SlotRequest& request = queued.request;
+  Running run{request, state.backend.backend, now, {}, 0, Tokens(0), now};
+  run.estimate.expected_tokens = queued.cost - PromptTokens(request);
+  run.load = state.running;
+  placement_->Granted(request, state);
+  backends_->Acquire(state.backend.backend);
+  service_times_->Start(request.class_id);
+  decisions_.push_back(
+      {request.request, state.backend.backend, ErrorCode::kOverloaded, {}});
+  running_.emplace(request.request, std::move(run));
+}
+
+void CellScheduler::RefuseWithoutBackend(SteadyTime now) {
+  const int in_service = backends_->in_service();
+  if (waiting_->empty() || in_service > backends_->unhealthy())
+    return;
+  // Failed ones may answer a probe in time; none at all leaves no hope.
+  std::vector<RequestId> refused;
+  waiting_->ForEach([&](const QueuedRequest& queued) {
+    if (HasMissedTarget(queued, now) ||
+        backends_->AllExcluded(queued.request.excluded))
+      refused.push_back(queued.request.request);
+  });
+  for (const RequestId& request : refused) {
+    waiting_->Remove(request);
+    Refuse(request, ErrorCode::kNoBackend, kNoBackendRetryAfter);
+  }
+}
+
+void CellScheduler::ShedOverLimit() {
+  for (const SlotRequest& arrival : std::exchange(arrivals_, {})) {
+    if (!waiting_->Contains(arrival.request) || !IsOverLimit(arrival.tier))
+      continue;
+    const QueuedRequest shed =
+        waiting_->RemoveForShedding({arrival.tier, arrival.class_id});
+    const auto& count =
+        waiting_->counts().at({shed.request.tier, shed.request.class_id});
+    const Millis wait = service_times_->PredictLast(count, waiting_->counts())
+                            .value_or(kMinRetryAfter);
+    Refuse(shed.request.request, ErrorCode::kOverloaded,
+           std::max(kMinRetryAfter, wait));
+  }
+}
+
+bool CellScheduler::IsOverLimit(Tier tier) const {
+  const auto& counts = waiting_->counts();
+  int room = 0;
+  for (auto entry = counts.rbegin(); entry != counts.rend();) {
+    const Tier current = entry->first.first;
+    int excess = 0;
+    int unused = 0;
+    for (; entry != counts.rend() && entry->first.first == current; ++entry) {
+      const auto& count = entry->second;
+      if (count.queue_limit <= 0)
+        continue;
+      excess += std::max(0, count.waiting - count.queue_limit);
+      unused += std::max(0, count.queue_limit - count.waiting);
+    }
+    if (current <= tier && excess > room)
+      return true;
+    room = std::max(0, room - excess) + unused;
+  }
+  return false;
+}
+
+void CellScheduler::ShedPredictedMisses() {
+  for (const auto& [key, count] : waiting_->counts()) {
+    if (count.first_token_target.count() <= 0)
+      continue;
+    while (count.waiting > 0) {
+      const auto predicted =
+          service_times_->PredictLast(count, waiting_->counts());
+      if (!predicted || *predicted <= count.first_token_target)
+        break;
+      const QueuedRequest shed = waiting_->RemoveForShedding(key);
+      Refuse(shed.request.request, ErrorCode::kDeadlineUnreachable,
+             std::max(kMinRetryAfter, *predicted - count.first_token_target));
+    }
+  }
+}
+
+void CellScheduler::Refuse(const RequestId& request,
+                           ErrorCode reason,
+                           Millis retry_after) {
+  decisions_.push_back({request, std::nullopt, reason, retry_after});
+}
+
+int CellScheduler::waiting() const {
+  return waiting_->size();
 }
 
-std::list<CellScheduler::Waiting>::iterator CellScheduler::HighestTierOldest() {
-  return std::min_element(waiting_.begin(), waiting_.end(),
-                          [](const Waiting& a, const Waiting& b) {
-                            return a.request.tier < b.request.tier;
-                          });
+std::vector<BackendState> CellScheduler::BackendStates() const {
+  std::vector<BackendState> states;
+  for (const auto& [id, state] : backends_->states())
+    states.push_back(*state);
+  return states;
 }
 
 }  // namespace bamboomount
--- a/src/policy/cell_scheduler.h
+++ b/src/policy/cell_scheduler.h
@@ -1,32 +1,34 @@
 #ifndef POLICY_CELL_SCHEDULER_H_
 #define POLICY_CELL_SCHEDULER_H_
 
-#include <list>
-#include <map>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
-#include "base/base.h"
+#include "policy/cell_backend.h"
+#include "policy/cell_options.h"
 #include "policy/load_report.h"
+#include "policy/output_estimator.h"
+#include "policy/placement_strategy.h"
 #include "policy/slot_request.h"
 
 namespace bamboomount {
 
-// A backend server of the cell as the configuration describes it.
-struct CellBackend {
-  BackendId backend;
-  ZoneId zone;
-  bool cheap = false;
-  int slots = 1;
-};
+class BackendTable;
+class ServiceTimes;
+class StragglerDetector;
+class WaitingQueue;
+struct QueueDiscipline;
+struct QueuedRequest;
 
 // The scheduler's answer to a slot request.
 struct SlotDecision {
   RequestId request;
   // The granted backend server; empty if the request is shed.
   std::optional<BackendId> backend;
-  // Why the request is shed: kOverloaded, kDeadlineUnreachable or kNoBackend.
+  // Why the request is shed: kOverloaded (queue full), kDeadlineUnreachable
+  // (predicted to miss its first-token target) or kNoBackend.
   ErrorCode reason = ErrorCode::kOverloaded;
   // Estimated time until a repeat would be served.
   Millis retry_after{0};
@@ -36,13 +38,19 @@
 // lock.
 class CellScheduler {
  public:
+  // Throws std::invalid_argument if `options` names an unknown strategy.
+  explicit CellScheduler(const CellOptions& options = {});
+  ~CellScheduler();
+  CellScheduler(const CellScheduler&) = delete;
+  CellScheduler& operator=(const CellScheduler&) = delete;
+
   // Replaces the set of backend servers. Running requests on removed ones keep
   // their slots until Finish.
   void SetBackends(const std::vector<CellBackend>& backends, SteadyTime now);
 
   // Adds a waiting request. A request id that is known already is ignored.
   void Enqueue(const SlotRequest& request, SteadyTime now);
-  // Enters a request that another owner granted before.
+  // Enters a request that another owner granted before. It no longer waits.
   void Adopt(const SlotRequest& request,
              const BackendId& backend,
              SteadyTime now);
@@ -66,30 +74,50 @@
   // Grants and sheds that are due at `now`.
   std::vector<SlotDecision> Decide(SteadyTime now);
 
-  int waiting() const { return static_cast<int>(waiting_.size()); }
+  int waiting() const;
   int running() const { return static_cast<int>(running_.size()); }
+  // The cell's view of its backend servers, for status and tests.
+  std::vector<BackendState> BackendStates() const;
 
  private:
-  struct BackendState {
-    CellBackend backend;
-    int running = 0;
-    bool leaving = false;
-  };
-  struct Waiting {
-    SlotRequest request;
-    SteadyTime arrival;
-  };
   struct Running {
     SlotRequest request;
     BackendId backend;
+    // Empty if another owner granted it.
+    std::optional<SteadyTime> granted;
+    OutputEstimate estimate;
+    // Requests on the backend server at the time of the grant.
+    int load = 0;
+    Tokens generated;
+    SteadyTime progress_time;
   };
 
-  BackendState* ChooseBackend(const SlotRequest& request);
-  std::list<Waiting>::iterator HighestTierOldest();
+  void GrantProbes(SteadyTime now);
+  void GrantWaiting(SteadyTime now);
+  void Grant(const QueuedRequest& queued, BackendState& state, SteadyTime now);
+  void RefuseWithoutBackend(SteadyTime now);
+  void ShedOverLimit();
+  void ShedPredictedMisses();
+  void Refuse(const RequestId& request, ErrorCode reason, Millis retry_after);
+  // Whether this tier or a higher one has more requests waiting than its own
+  // limits and the room that the tiers below leave.
+  bool IsOverLimit(Tier tier) const;
+  void ObserveEnd(const Running& run,
+                  const SlotOutcome& outcome,
+                  SteadyTime now);
+  void ChargeDifference(const Running& run, double actual_tokens);
 
-  std::map<BackendId, BackendState> backends_;
-  std::list<Waiting> waiting_;
+  const QueueDiscipline& discipline_;
+  std::unique_ptr<PlacementStrategy> placement_;
+  std::unique_ptr<BackendTable> backends_;
+  std::unique_ptr<WaitingQueue> waiting_;
+  std::unique_ptr<ServiceTimes> service_times_;
+  std::unique_ptr<StragglerDetector> stragglers_;
+  OutputEstimator outputs_;
   std::unordered_map<RequestId, Running> running_;
+  // Requests that arrived since the last Decide.
+  std::vector<SlotRequest> arrivals_;
+  std::vector<SlotDecision> decisions_;
 };
 
 }  // namespace bamboomount
--- /dev/null
+++ b/src/policy/internal/class_queue.cc
@@ -0,0 +1,135 @@
+#include "policy/internal/class_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace bamboomount {
+namespace {
+
+// Keeps the number of rounds finite for customers without a share.
+constexpr double kMinShare = 1e-3;
+
+}  // namespace
+
+void ClassQueue::Push(QueuedRequest queued,
+                      const CustomerId& customer,
+                      double share) {
+  const auto flow = FlowOf(customer, share);
+  quantum_ = std::max(quantum_, queued.cost);
+  AddWork(*flow, queued.cost);
+  const RequestId id = queued.request.request;
+  flow->requests.push_back(std::move(queued));
+  location_.emplace(id, Location{flow, std::prev(flow->requests.end())});
+}
+
+QueuedRequest ClassQueue::Pop() {
+  std::size_t fruitless_turns = 0;
+  while (true) {
+    Flow& flow = flows_.front();
+    if (!turn_started_) {
+      flow.deficit += QuantumOf(flow);
+      turn_started_ = true;
+    }
+    if (flow.deficit >= flow.requests.front().cost)
+      break;
+    StartNextTurn();
+    if (++fruitless_turns < flows_.size())
+      continue;
+    SkipFruitlessRounds();
+    fruitless_turns = 0;
+  }
+  Flow& flow = flows_.front();
+  flow.deficit -= flow.requests.front().cost;
+  return Take({flows_.begin(), flow.requests.begin()});
+}
+
+void ClassQueue::Restore(QueuedRequest queued,
+                         const CustomerId& customer,
+                         double share) {
+  const auto flow = FlowOf(customer, share);
+  flow->deficit += queued.cost;
+  AddWork(*flow, queued.cost);
+  const RequestId id = queued.request.request;
+  flow->requests.push_front(std::move(queued));
+  location_.emplace(id, Location{flow, flow->requests.begin()});
+}
+
+std::optional<QueuedRequest> ClassQueue::Remove(const RequestId& request) {
+  const auto found = location_.find(request);
+  if (found == location_.end())
+    return std::nullopt;
+  return Take(found->second);
+}
+
+QueuedRequest ClassQueue::RemoveNewestOfHeaviest() {
+  const auto flow = flow_of_.at(by_work_.rbegin()->second);
+  return Take({flow, std::prev(flow->requests.end())});
+}
+
+void ClassQueue::Charge(const CustomerId& customer, double tokens) {
+  const auto found = flow_of_.find(customer);
+  if (found != flow_of_.end())
+    found->second->deficit -= tokens;
+}
+
+void ClassQueue::ForEach(
+    const std::function<void(const QueuedRequest&)>& visit) const {
+  for (const Flow& flow : flows_) {
+    for (const QueuedRequest& queued : flow.requests)
+      visit(queued);
+  }
+}
+
+ClassQueue::FlowList::iterator ClassQueue::FlowOf(const CustomerId& customer,
+                                                  double share) {
+  const auto found = flow_of_.find(customer);
+  if (found != flow_of_.end()) {
+    found->second->share = std::max(share, kMinShare);
+    return found->second;
+  }
+  flows_.push_back({customer, std::max(share, kMinShare), 0, 0, {}});
+  const auto flow = std::prev(flows_.end());
+  flow_of_.emplace(customer, flow);
+  by_work_.emplace(0, customer);
+  return flow;
+}
+
+void ClassQueue::AddWork(Flow& flow, double cost) {
+  by_work_.erase({flow.work, flow.customer});
+  flow.work += cost;
+  by_work_.emplace(flow.work, flow.customer);
+}
+
+QueuedRequest ClassQueue::Take(const Location& location) {
+  const auto flow = location.flow;
+  QueuedRequest taken = std::move(*location.request);
+  flow->requests.erase(location.request);
+  location_.erase(taken.request.request);
+  AddWork(*flow, -taken.cost);
+  if (!flow->requests.empty())
+    return taken;
+  if (flow == flows_.begin())
+    turn_started_ = false;
+  by_work_.erase({flow->work, flow->customer});
+  flow_of_.erase(flow->customer);
+  flows_.erase(flow);
+  return taken;
+}
+
+void ClassQueue::StartNextTurn() {
+  flows_.splice(flows_.end(), flows_, flows_.begin());
+  turn_started_ = false;
+}
+
+void ClassQueue::SkipFruitlessRounds() {
+  double rounds = std::numeric_limits<double>::max();
+  for (const Flow& flow : flows_) {
+    const double missing = flow.requests.front().cost - flow.deficit;
+    rounds = std::min(rounds, std::ceil(missing / QuantumOf(flow)));
+  }
+  for (Flow& flow : flows_)
+    flow.deficit += std::max(0.0, rounds - 1) * QuantumOf(flow);
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/policy/internal/class_queue.h
@@ -0,0 +1,76 @@
+#ifndef POLICY_INTERNAL_CLASS_QUEUE_H_
+#define POLICY_INTERNAL_CLASS_QUEUE_H_
+
+#include <functional>
+#include <list>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "policy/internal/queued_request.h"
+
+namespace bamboomount {
+
+// Waiting requests of one class: deficit round robin over customers, weighted
+// by share, with cost in tokens.
+class ClassQueue {
+ public:
+  void Push(QueuedRequest queued, const CustomerId& customer, double share);
+  // The request whose turn it is. Requires !empty().
+  QueuedRequest Pop();
+  // Returns a request taken with Pop to the front of its customer.
+  void Restore(QueuedRequest queued, const CustomerId& customer, double share);
+  std::optional<QueuedRequest> Remove(const RequestId& request);
+  // Removes the newest request of the customer with the most queued work.
+  QueuedRequest RemoveNewestOfHeaviest();
+  // Charges a customer for work that its estimate did not cover; negative
+  // amounts are credited. Has no effect on customers that do not wait.
+  void Charge(const CustomerId& customer, double tokens);
+
+  bool empty() const { return location_.empty(); }
+  int size() const { return static_cast<int>(location_.size()); }
+  bool Contains(const RequestId& request) const {
+    return location_.contains(request);
+  }
+  // Queued work of the heaviest customer, in tokens.
+  double heaviest_work() const {
+    return by_work_.empty() ? 0 : by_work_.rbegin()->first;
+  }
+  void ForEach(const std::function<void(const QueuedRequest&)>& visit) const;
+
+ private:
+  struct Flow {
+    CustomerId customer;
+    double share = 1;
+    double deficit = 0;
+    double work = 0;
+    std::list<QueuedRequest> requests;
+  };
+  using FlowList = std::list<Flow>;
+  struct Location {
+    FlowList::iterator flow;
+    std::list<QueuedRequest>::iterator request;
+  };
+
+  FlowList::iterator FlowOf(const CustomerId& customer, double share);
+  void AddWork(Flow& flow, double cost);
+  QueuedRequest Take(const Location& location);
+  void StartNextTurn();
+  // Credits every customer with as many rounds as the nearest one needs.
+  void SkipFruitlessRounds();
+  double QuantumOf(const Flow& flow) const { return quantum_ * flow.share; }
+
+  // The customer at the front has the turn.
+  FlowList flows_;
+  std::unordered_map<CustomerId, FlowList::iterator> flow_of_;
+  std::unordered_map<RequestId, Location> location_;
+  std::set<std::pair<double, CustomerId>> by_work_;
+  // The largest cost seen; smaller quanta need more rounds for each grant.
+  double quantum_ = 1;
+  bool turn_started_ = false;
+};
+
+}  // namespace bamboomount
+
+#endif  // POLICY_INTERNAL_CLASS_QUEUE_H_
--- /dev/null
+++ b/src/policy/internal/waiting_queue.cc
@@ -0,0 +1,149 @@
+#include "policy/internal/waiting_queue.h"
+
+namespace bamboomount {
+
+WaitingQueue::WaitingQueue(const QueueDiscipline& discipline,
+                           int starvation_stride)
+    : discipline_(discipline),
+      starvation_stride_(discipline.prevents_starvation ? starvation_stride
+                                                        : 0) {}
+
+void WaitingQueue::Push(QueuedRequest queued) {
+  ClassState& state = StateOf(queued.request);
+  if (state.queue.empty())
+    state.turn = next_turn_++;
+  Count(queued.request);
+  class_of_.emplace(queued.request.request, KeyOf(queued.request));
+  const CustomerId customer = CustomerOf(queued.request);
+  const double share = ShareOf(queued.request);
+  state.queue.Push(std::move(queued), customer, share);
+}
+
+QueuedRequest WaitingQueue::Pop() {
+  const bool stride_due =
+      starvation_stride_ > 0 && grants_since_stride_ + 1 >= starvation_stride_;
+  return PopFrom(stride_due ? LongestWaiting() : HighestWaiting());
+}
+
+QueuedRequest WaitingQueue::PopLowestTier() {
+  return PopFrom(LowestWaiting());
+}
+
+void WaitingQueue::CommitGrant(const SlotRequest& request) {
+  StateOf(request).turn = next_turn_++;
+  if (++grants_since_stride_ >= starvation_stride_)
+    grants_since_stride_ = 0;
+}
+
+void WaitingQueue::Restore(QueuedRequest queued) {
+  ClassState& state = StateOf(queued.request);
+  Count(queued.request);
+  class_of_.emplace(queued.request.request, KeyOf(queued.request));
+  const CustomerId customer = CustomerOf(queued.request);
+  const double share = ShareOf(queued.request);
+  state.queue.Restore(std::move(queued), customer, share);
+}
+
+std::optional<QueuedRequest> WaitingQueue::Remove(const RequestId& request) {
+  const auto found = class_of_.find(request);
+  if (found == class_of_.end())
+    return std::nullopt;
+  return Forget(*classes_.at(found->second).queue.Remove(request));
+}
+
+QueuedRequest WaitingQueue::RemoveForShedding(const ClassKey& overloaded) {
+  const ClassKey own = KeyOf(overloaded);
+  auto victim = LowestWaiting();
+  if (victim->first.first <= own.first)
+    return Forget(classes_.at(own).queue.RemoveNewestOfHeaviest());
+  const Tier lowest = victim->first.first;
+  for (auto other = classes_.begin(); other != classes_.end(); ++other) {
+    if (other->first.first == lowest &&
+        other->second.queue.heaviest_work() >
+            victim->second.queue.heaviest_work())
+      victim = other;
+  }
+  return Forget(victim->second.queue.RemoveNewestOfHeaviest());
+}
+
+void WaitingQueue::Charge(const SlotRequest& request, double tokens) {
+  StateOf(request).queue.Charge(CustomerOf(request), tokens);
+}
+
+void WaitingQueue::ForEach(
+    const std::function<void(const QueuedRequest&)>& visit) const {
+  for (const auto& [key, state] : classes_)
+    state.queue.ForEach(visit);
+}
+
+WaitingQueue::ClassKey WaitingQueue::KeyOf(const ClassKey& configured) const {
+  if (!discipline_.by_tier)
+    return {Tier(0), ClassId()};
+  return {configured.first,
+          discipline_.by_customer ? configured.second : ClassId()};
+}
+
+CustomerId WaitingQueue::CustomerOf(const SlotRequest& request) const {
+  return discipline_.by_customer ? request.customer : CustomerId();
+}
+
+double WaitingQueue::ShareOf(const SlotRequest& request) const {
+  return discipline_.by_customer ? request.share : 1;
+}
+
+WaitingQueue::ClassState& WaitingQueue::StateOf(const SlotRequest& request) {
+  return classes_[KeyOf(request)];
+}
+
+WaitingQueue::Classes::iterator WaitingQueue::HighestWaiting() {
+  auto found = classes_.begin();
+  while (found->second.queue.empty())
+    ++found;
+  // Classes of one tier take turns: the one that waited longest is next.
+  for (auto other = found; other != classes_.end(); ++other) {
+    if (other->first.first != found->first.first)
+      break;
+    if (!other->second.queue.empty() && other->second.turn < found->second.turn)
+      found = other;
+  }
+  return found;
+}
+
+WaitingQueue::Classes::iterator WaitingQueue::LongestWaiting() {
+  auto longest = classes_.end();
+  for (auto other = classes_.begin(); other != classes_.end(); ++other) {
+    if (other->second.queue.empty())
+      continue;
+    if (longest == classes_.end() || other->second.turn < longest->second.turn)
+      longest = other;
+  }
+  return longest;
+}
+
+WaitingQueue::Classes::iterator WaitingQueue::LowestWaiting() {
+  auto found = std::prev(classes_.end());
+  while (found->second.queue.empty())
+    --found;
+  return found;
+}
+
+QueuedRequest WaitingQueue::Forget(QueuedRequest queued) {
+  class_of_.erase(queued.request.request);
+  --counts_.at({queued.request.tier, queued.request.class_id}).waiting;
+  return queued;
+}
+
+QueuedRequest WaitingQueue::PopFrom(Classes::iterator found) {
+  return Forget(found->second.queue.Pop());
+}
+
+void WaitingQueue::Count(const SlotRequest& request) {
+  ClassCount& count = counts_[{request.tier, request.class_id}];
+  count.class_id = request.class_id;
+  count.tier = request.tier;
+  count.queue_limit = request.queue_limit;
+  count.first_token_target = request.first_token_target;
+  ++count.waiting;
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/policy/internal/waiting_queue.h
@@ -0,0 +1,88 @@
+#ifndef POLICY_INTERNAL_WAITING_QUEUE_H_
+#define POLICY_INTERNAL_WAITING_QUEUE_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "policy/internal/class_queue.h"
+#include "policy/queue_discipline.h"
+
+namespace bamboomount {
+
+// All waiting requests of a cell: tiers in strict order, with one grant in
+// every `starvation_stride` for the class that waited longest without one.
+class WaitingQueue {
+ public:
+  using ClassKey = std::pair<Tier, ClassId>;
+
+  WaitingQueue(const QueueDiscipline& discipline, int starvation_stride);
+
+  void Push(QueuedRequest queued);
+  // The next request to grant. Requires !empty(). The caller reports the grant
+  // with CommitGrant or returns the request with Restore.
+  QueuedRequest Pop();
+  // The next request of the lowest waiting tier; as Pop.
+  QueuedRequest PopLowestTier();
+  void CommitGrant(const SlotRequest& request);
+  void Restore(QueuedRequest queued);
+  std::optional<QueuedRequest> Remove(const RequestId& request);
+  // Removes the newest request of the customer with the most queued work:
+  // from the lowest waiting tier if it is below that of the overloaded class,
+  // else from the overloaded class. Requires that it waits.
+  QueuedRequest RemoveForShedding(const ClassKey& overloaded);
+  void Charge(const SlotRequest& request, double tokens);
+
+  bool empty() const { return class_of_.empty(); }
+  int size() const { return static_cast<int>(class_of_.size()); }
+  bool Contains(const RequestId& request) const {
+    return class_of_.contains(request);
+  }
+  // Waiting requests by the configured class, in order of tiers.
+  struct ClassCount {
+    ClassId class_id;
+    Tier tier;
+    int queue_limit = 0;
+    Millis first_token_target{0};
+    int waiting = 0;
+  };
+  const std::map<ClassKey, ClassCount>& counts() const { return counts_; }
+  void ForEach(const std::function<void(const QueuedRequest&)>& visit) const;
+
+ private:
+  struct ClassState {
+    ClassQueue queue;
+    // Grows when the class starts to wait and with each of its grants; the
+    // smallest of the waiting classes has waited longest.
+    std::uint64_t turn = 0;
+  };
+  using Classes = std::map<ClassKey, ClassState>;
+
+  ClassKey KeyOf(const ClassKey& configured) const;
+  ClassKey KeyOf(const SlotRequest& request) const {
+    return KeyOf(ClassKey{request.tier, request.class_id});
+  }
+  CustomerId CustomerOf(const SlotRequest& request) const;
+  double ShareOf(const SlotRequest& request) const;
+  ClassState& StateOf(const SlotRequest& request);
+  Classes::iterator HighestWaiting();
+  Classes::iterator LongestWaiting();
+  Classes::iterator LowestWaiting();
+  QueuedRequest Forget(QueuedRequest queued);
+  QueuedRequest PopFrom(Classes::iterator found);
+  void Count(const SlotRequest& request);
+
+  const QueueDiscipline& discipline_;
+  const int starvation_stride_;
+  Classes classes_;
+  std::unordered_map<RequestId, ClassKey> class_of_;
+  std::map<ClassKey, ClassCount> counts_;
+  int grants_since_stride_ = 0;
+  std::uint64_t next_turn_ = 1;
+};
+
+}  // namespace bamboomount
+
+#endif  // POLICY_INTERNAL_WAITING_QUEUE_H_
--- /dev/null
+++ b/src/policy/placement/round_robin.h
@@ -0,0 +1,21 @@
+#ifndef POLICY_PLACEMENT_ROUND_ROBIN_H_
+#define POLICY_PLACEMENT_ROUND_ROBIN_H_
+
+#include <memory>
+
+#include "policy/placement_strategy.h"
+
+namespace bamboomount {
+
+// Grants to the one whose last grant is the longest ago. Scans all.
+class RoundRobin : public PlacementStrategy {
+ public:
+  static std::unique_ptr<PlacementStrategy> Make(std::uint64_t seed);
+
+  BackendState* Choose(const SlotRequest& request,
+                       const PlacementCandidates& candidates) override;
+};
+
+}  // namespace bamboomount
+
+#endif  // POLICY_PLACEMENT_ROUND_ROBIN_H_
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -3,8 +3,14 @@
 #ifndef POLICY_POLICY_H_
 #define POLICY_POLICY_H_
 
+#include "policy/cell_backend.h"
+#include "policy/cell_options.h"
 #include "policy/cell_scheduler.h"
 #include "policy/load_report.h"
+#include "policy/output_estimator.h"
+#include "policy/placement_registry.h"
+#include "policy/queue_discipline.h"
+#include "policy/retry_budget.h"
 #include "policy/slot_request.h"
 
 #endif  // POLICY_POLICY_H_
--- a/src/policy/slot_request.h
+++ b/src/policy/slot_request.h
@@ -17,8 +17,10 @@
   CustomerId customer;
   // Weight of the customer inside its class.
   double share = 1;
-  // Requests of the class that may wait in the cell.
+  // Requests of the class that may wait in the cell. Room that lower tiers do
+  // not use is added; 0 sets no limit.
   int queue_limit = 0;
+  // 0 sets no target.
   Millis first_token_target{0};
   Tokens prompt_tokens;
   // The caller's max_tokens, if it set one.
--- /dev/null
+++ b/tests/policy/cell_driver.h
@@ -0,0 +1,84 @@
+#ifndef POLICY_CELL_DRIVER_H_
+#define POLICY_CELL_DRIVER_H_
+
+#include <map>
+#include <ostream>
+#include <set>
+#include <vector>
+
+#include "policy/policy.h"
+
+namespace bamboomount {
+
+// One step of a random history of a cell; the meaning of a and b depends on
+// the kind.
+struct CellEvent {
+  enum class Kind {
+    kEnqueue,
+    kCancel,
+    kFinish,
+    kFail,
+    kProgress,
+    kLoad,
+    kLeave,
+    kAdopt,
+    kResize,
+    kAdvance,
+  };
+  Kind kind = Kind::kAdvance;
+  int a = 0;
+  int b = 0;
+};
+std::ostream& operator<<(std::ostream& out, const CellEvent& event);
+
+// Applies events to a scheduler and keeps its own account of what waits and
+// runs. Every Decide checks the decisions against it and throws
+// std::logic_error on a violation.
+class CellDriver {
+ public:
+  CellDriver();
+
+  void Apply(const CellEvent& event);
+  void Decide();
+  // Lets time pass and requests finish until nothing waits. Returns false if
+  // some request gets no decision.
+  bool Drain();
+
+  // Lets every class finish enough requests for predictions.
+  void WarmUp();
+
+  int sheds() const { return sheds_; }
+
+ private:
+  void Enqueue(int a, int b);
+  void Finish(int index, SlotEnd end);
+  void NoteAlive(const BackendId& backend);
+  void Check(const SlotDecision& decision);
+  void CheckGrant(const SlotRequest& request, const BackendId& backend);
+  void CheckCounts() const;
+  RequestId NthRunning(int index) const;
+
+  CellScheduler cell_;
+  SteadyTime now_{std::chrono::hours(1)};
+  std::map<BackendId, int> slots_;
+  std::map<RequestId, SlotRequest> waiting_;
+  std::map<RequestId, BackendId> running_;
+  std::map<RequestId, SteadyTime> granted_at_;
+  struct Failure {
+    SteadyTime first;
+    // Whether the scheduler must have counted one of the failures.
+    bool certain = false;
+  };
+  std::map<BackendId, Failure> failed_;
+  // Later signs of life; failures of requests granted before them describe the
+  // past, and the scheduler may ignore them.
+  std::map<BackendId, SteadyTime> alive_at_;
+  std::set<BackendId> leaving_;
+  std::vector<SlotRequest> shed_now_;
+  int next_request_ = 0;
+  int sheds_ = 0;
+};
+
+}  // namespace bamboomount
+
+#endif  // POLICY_CELL_DRIVER_H_
