Measure the scheduler of one cell under load

Cause: the scheduling rules were tested, but not how well they serve. Ruled out: a simulator of many cells or routers; one cell with an event queue answers the questions on placement and queueing.

--- /dev/null
+++ b/bench/policy_experiments/main.cc
@@ -0,0 +1,55 @@
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+#include "load_experiment.h"
+
+namespace bamboomount {
+namespace {
+
+bool Selected(const std::string& wanted, const std::string& name) {
+  return wanted.empty() || wanted == name;
+}
+
+void RunScenario(const Deployment& deployment,
+                 const Scenario& scenario,
+                 const std::string& strategy_name,
+                 std::uint64_t seed) {
+  std::vector<std::string> classes;
+  classes.reserve(deployment.classes.size());
+  for (const ClassLoad& load : deployment.classes)
+    classes.push_back(load.name);
+  std::cout << "\n"
+            << deployment.name << ", " << scenario.name << "\n\n"
+            << Report::Header(classes) << "\n";
+  for (const Strategy& strategy : Strategies()) {
+    if (!Selected(strategy_name, strategy.name))
+      continue;
+    LoadExperiment experiment(deployment, scenario, strategy, seed);
+    std::cout << experiment.Run().Row(strategy.name) << std::endl;
+  }
+}
+
+}  // namespace
+}  // namespace bamboomount
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command("Drives the scheduler of one cell with a load.");
+  TCLAP::ValueArg<std::string> deployment("", "deployment", "Only this one.",
+                                          false, "", "name", command);
+  TCLAP::ValueArg<std::string> scenario("", "scenario", "Only this one.", false,
+                                        "", "name", command);
+  TCLAP::ValueArg<std::string> strategy("", "strategy", "Only this one.", false,
+                                        "", "name", command);
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the load.", false, 1,
+                                      "number", command);
+  command.parse(argc, argv);
+  for (const auto& fleet : bamboomount::Deployments()) {
+    for (const auto& load : bamboomount::Scenarios()) {
+      if (bamboomount::Selected(deployment.getValue(), fleet.name) &&
+          bamboomount::Selected(scenario.getValue(), load.name))
+        bamboomount::RunScenario(fleet, load, strategy.getValue(),
+                                 seed.getValue());
+    }
+  }
+}
