Run the controller role and record usage on routers

Cause: the daemon had no controller role and routers counted nothing. Ruled out: reading usage from the platform for the operators' command, since the platform only takes reports; the rows in the table hold the same figures. Orders stay empty until the spending plan is wired. Conclusion: both roles are there.

--- a/apps/bamboomountd/events.h
+++ b/apps/bamboomountd/events.h
@@ -28,9 +28,15 @@
     "A peer sent a change that cannot be read; it is fetched from the store "
     "instead. Check that all instances run compatible versions."};
 
+inline constexpr LogEvent kUsageNotWritten{
+    1006, Severity::kWarning, "usage_not_written",
+    "Usage figures could not be written to the table; they are kept and "
+    "written later. Check the platform's table service."};
+
 inline constexpr std::array kDaemonEvents{
     kProcessStarted,       kStopRequested,  kProcessStopped,
-    kDirectoryUnavailable, kBackendLeaving, kPeerChangeUnreadable};
+    kDirectoryUnavailable, kBackendLeaving, kPeerChangeUnreadable,
+    kUsageNotWritten};
 
 }  // namespace bamboomount
 
--- a/apps/bamboomountd/main.cc
+++ b/apps/bamboomountd/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "controller_process.h"
 #include "events.h"
 #include "router_process.h"
 
@@ -57,7 +58,10 @@
   const StopSignal stop;
   SetLogProcess(role + "/" + settings.instance.value());
   Log(kProcessStarted, {{"role", role}});
-  RouterProcess(settings).Run(stop);
+  if (role == "router")
+    RouterProcess(settings).Run(stop);
+  else
+    RunControllerProcess(settings, stop);
   Log(kProcessStopped);
   return kExitOk;
 }
--- a/apps/bamboomountd/router_operations.cc
+++ b/apps/bamboomountd/router_operations.cc
@@ -1,5 +1,8 @@
 #include "router_operations.h"
 
+#include "controller/controller.h"
+#include "usage_lines.h"
+
 #include <algorithm>
 #include <thread>
 #include <utility>
@@ -9,6 +12,7 @@
 
 constexpr Millis kAcknowledgmentPoll{20};
 constexpr Millis kEmergencyLogTimeout{2000};
+constexpr Millis kLeaseReadTimeout{500};
 
 Millis ToMillis(BootTime time) {
   return std::chrono::duration_cast<Millis>(time);
@@ -43,6 +47,9 @@
   status.backends = BackendStatuses();
   status.store_answers = parts_.follower.freshness() == Freshness::kConfirmed;
   status.emergency_withdrawals = changes_.UnloggedWithdrawals();
+  const auto lease = ReadLease(parts_.table, kLeaseReadTimeout);
+  if (lease && lease.value())
+    status.lease = LeaseStatus{lease.value()->holder, lease.value()->token};
   return status;
 }
 
@@ -99,12 +106,9 @@
   return parts_.spans.FindTrace(trace_id);
 }
 
-Result<std::vector<UsageLine>> RouterOperations::Usage(int /*windows*/,
-                                                       Millis /*timeout*/) {
-  return Error{ErrorCode::kNotFound,
-               RunVerdict::kNotRun,
-               "usage is not recorded yet",
-               {}};
+Result<std::vector<UsageLine>> RouterOperations::Usage(int windows,
+                                                       Millis timeout) {
+  return ReadUsage(parts_.table, windows, timeout);
 }
 
 void RouterOperations::LogEmergencyWithdrawals() {
--- a/apps/bamboomountd/router_process.cc
+++ b/apps/bamboomountd/router_process.cc
@@ -14,6 +14,7 @@
 #include "platform/http_instance_directory.h"
 #include "platform/http_object_store.h"
 #include "platform/http_table_store.h"
+#include "platform/usage_recorder.h"
 #include "router/router.h"
 #include "router_operations.h"
 
@@ -24,6 +25,9 @@
 constexpr Millis kRegisterTimeout{1000};
 // How often what the roster heard is passed on to the freshness rule.
 constexpr Millis kHeardInterval{250};
+constexpr Millis kUsageFlushInterval{5000};
+constexpr Millis kUsageFlushTimeout{1000};
+constexpr Millis kFlusherPause{100};
 constexpr std::size_t kKeptSpans = 20'000;
 
 }  // namespace
@@ -37,6 +41,7 @@
         directory_(settings.platform_address),
         log_(table_, objects_),
         follower_(log_, state_, MakeFollowerOptions(settings)),
+        usage_(table_, settings.instance, UsageWindowSettings()),
         slots_(*state_.current()->config, 1),
         poller_(directory_, kDirectoryInterval),
         transport_(settings.instance, settings.peer_address),
@@ -63,6 +68,7 @@
     peers_.Start();
     PeerRunner peer_runner(peers_, poller_, {});
     std::thread maintenance([this] { Maintain(); });
+    std::thread usage_flusher([this] { FlushUsage(); });
     AdminServer admin(settings_.admin_address, settings_.admin_token,
                       operations_);
     std::cout << R"({"listening":")" << router_.listen_address() << "\"}"
@@ -74,6 +80,7 @@
     router_.Drain();
     stopping_ = true;
     maintenance.join();
+    usage_flusher.join();
     poller_.Stop();
     follower_.Stop();
   }
@@ -123,6 +130,25 @@
     }
   }
 
+  // Writes usage to the table; figures that cannot be written are kept.
+  void FlushUsage() {
+    auto next = std::chrono::steady_clock::now() + kUsageFlushInterval;
+    while (!stopping_) {
+      std::this_thread::sleep_for(kFlusherPause);
+      if (std::chrono::steady_clock::now() < next)
+        continue;
+      next += kUsageFlushInterval;
+      WriteUsage();
+    }
+    WriteUsage();
+  }
+
+  void WriteUsage() {
+    const auto flushed = usage_.Flush(kUsageFlushTimeout);
+    if (!flushed)
+      Log(kUsageNotWritten, {{"error", flushed.error().message}});
+  }
+
   RouterDependencies MakeDependencies() {
     return {state_,
             slots_,
@@ -131,7 +157,9 @@
             spans_,
             [this] { return follower_.freshness() != Freshness::kStale; },
             [this] { return Addresses(); },
-            [](const CustomerId&, Tokens, Tokens) {}};
+            [this](const CustomerId& customer, Tokens prompt, Tokens output) {
+              usage_.Record(customer, {1, prompt, output});
+            }};
   }
 
   std::vector<InstanceAddress> Addresses() const {
@@ -175,6 +203,7 @@
   ControlStateHolder state_;
   ChangeLog log_;
   StateFollower follower_;
+  UsageRecorder usage_;
   LocalSlotBroker slots_;
   DirectoryPoller poller_;
   NngPeerTransport transport_;
--- /dev/null
+++ b/apps/bamboomountd/usage_lines.cc
@@ -0,0 +1,63 @@
+#include "usage_lines.h"
+
+#include <chrono>
+
+#include "platform/usage_rows.h"
+#include "platform/usage_window_settings.h"
+
+namespace bamboomount {
+namespace {
+
+struct WindowUsage {
+  CustomerUsage customers;
+  UsageWindowState state = UsageWindowState::kOpen;
+};
+
+Result<WindowUsage> ReadSealed(const std::string& text) {
+  const auto sealed = SealedUsage::Parse(text);
+  if (!sealed)
+    return Error{ErrorCode::kInternal,
+                 RunVerdict::kNotRun,
+                 "a sealed usage row is damaged",
+                 {}};
+  return WindowUsage{sealed->customers, UsageWindowState::kSealed};
+}
+
+Result<WindowUsage> ReadWindow(TableStore& table,
+                               UsageWindow window,
+                               Millis timeout) {
+  BOOST_OUTCOME_TRY(sealed, table.Read(UsageSealedKey(window), timeout));
+  if (sealed)
+    return ReadSealed(sealed->value);
+  BOOST_OUTCOME_TRY(closed, table.Read(UsageClosedKey(window), timeout));
+  BOOST_OUTCOME_TRY(rows, table.Scan(UsageRowPrefix(window), timeout));
+  SealedUsage sum;
+  for (const Row& row : rows) {
+    const auto usage = UsageRow::Parse(row.value);
+    if (usage)
+      sum.Add(*usage);
+  }
+  return WindowUsage{sum.customers, closed ? UsageWindowState::kClosed
+                                           : UsageWindowState::kOpen};
+}
+
+}  // namespace
+
+Result<std::vector<UsageLine>> ReadUsage(TableStore& table,
+                                         int windows,
+                                         Millis timeout) {
+  const UsageWindow now =
+      UsageWindowSettings().WindowAt(std::chrono::system_clock::now());
+  std::vector<UsageLine> lines;
+  for (int back = windows - 1; back >= 0; --back) {
+    const UsageWindow window(now.value() - back);
+    BOOST_OUTCOME_TRY(usage, ReadWindow(table, window, timeout));
+    for (const auto& [customer, figures] : usage.customers)
+      lines.push_back({window, customer, figures.requests,
+                       figures.prompt_tokens, figures.output_tokens,
+                       usage.state});
+  }
+  return lines;
+}
+
+}  // namespace bamboomount
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -13,6 +13,7 @@
 #include "controller/lease_guard.h"
 #include "controller/lease_manager.h"
 #include "controller/lease_settings.h"
+#include "controller/lease_view.h"
 #include "controller/order_journal.h"
 #include "controller/spending_strategy.h"
 #include "controller/usage_sealer.h"
