Bound retries of the router by the retry budget

Cause: attempts at other backend servers were bounded for each request only, so an outage could multiply the load of the fleet. Ruled out: the budget's start with one retry. The budget now starts with its burst of 20, and the property test bounds retries by that burst plus 10 % of requests, as strictly as before for any start. Change: one budget for each router, the percentage from the limit retry_budget_percent, back-off with jitter that a cancellation interrupts. Before: up to 3 retries for each request. After: the policy tests pass with the stated bound. Conclusion: retries are bounded over the fleet, since every router is.

--- a/src/policy/retry_budget.cc
+++ b/src/policy/retry_budget.cc
@@ -5,23 +5,21 @@
 namespace bamboomount {
 namespace {
 
-constexpr std::int64_t kTenthsPerRetry = 10;
-// A crash fails all streams of a backend server at once.
-constexpr std::int64_t kBurstRetries = 20;
 constexpr Millis kFirstBackoff{50};
 constexpr Millis kLongestBackoff{2000};
 constexpr int kMaxDoublings = 10;
 
 }  // namespace
 
-void RetryBudget::AddRequest() {
-  tenths_ = std::min(tenths_ + 1, kBurstRetries * kTenthsPerRetry);
+void RetryBudget::AddRequest(int percent) {
+  hundredths_ =
+      std::min(hundredths_ + percent, kBurstRetries * kHundredthsPerRetry);
 }
 
 bool RetryBudget::TrySpend() {
-  if (tenths_ < kTenthsPerRetry)
+  if (hundredths_ < kHundredthsPerRetry)
     return false;
-  tenths_ -= kTenthsPerRetry;
+  hundredths_ -= kHundredthsPerRetry;
   return true;
 }
 
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -7,12 +7,17 @@
 
 namespace bamboomount {
 
-// Bounds retries to 10 % of requests: each request earns a tenth of a retry,
-// unused ones are kept up to a burst. Not thread-safe.
+// Bounds retries to a share of requests: each request earns a part of a retry,
+// unused ones are kept up to kBurstRetries. Not thread-safe.
 class RetryBudget {
  public:
-  // Counts a first attempt.
-  void AddRequest();
+  // A crash fails all streams of a backend server at once; a router that has
+  // just started must be able to resume them too, so the budget starts full.
+  static constexpr std::int64_t kBurstRetries = 20;
+  static constexpr int kDefaultPercent = 10;
+
+  // Counts a first attempt, which earns `percent` hundredths of a retry.
+  void AddRequest(int percent = kDefaultPercent);
   // Takes one retry from the budget; false if there is none.
   bool TrySpend();
 
@@ -21,8 +26,9 @@
   static Millis Backoff(int retry, double random);
 
  private:
-  // In tenths of a retry; a router that has just started may retry once.
-  std::int64_t tenths_ = 10;
+  static constexpr std::int64_t kHundredthsPerRetry = 100;
+
+  std::int64_t hundredths_ = kBurstRetries * kHundredthsPerRetry;
 };
 
 }  // namespace bamboomount
--- a/src/router/internal/chat_exchange.cc
+++ b/src/router/internal/chat_exchange.cc
@@ -7,6 +7,7 @@
 #include "router/internal/backend_request_builder.h"
 #include "router/internal/error_reply.h"
 #include "router/internal/event_stream_splitter.h"
+#include "router/internal/retry_permission.h"
 #include "router/internal/slot_request_factory.h"
 #include "router/internal/slot_wait.h"
 #include "router/internal/span_recorder.h"
@@ -88,6 +89,7 @@
 
 asio::awaitable<void> ChatExchange::Run() {
   Error last_error;
+  CountFirstAttempt(context_, *plan_.config);
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     auto slot = co_await NextSlot(attempt);
     if (!slot) {
@@ -112,6 +114,12 @@
     Log(kBackendAttemptFailed, {{"request", request_.id.value()},
                                 {"backend", slot.value().backend.value()},
                                 {"error", last_error.message}});
+    if (attempt + 1 == kMaxAttempts)
+      break;
+    const bool may_retry =
+        co_await WaitForRetry(context_, running_, attempt + 1);
+    if (!may_retry)
+      break;
   }
   const Error cause = running_.cancel_reason().value_or(last_error);
   co_await Fail(cause);
--- a/src/router/internal/handler_context.h
+++ b/src/router/internal/handler_context.h
@@ -6,6 +6,7 @@
 #include "router/internal/blocking_pool.h"
 #include "router/internal/claim_store.h"
 #include "router/internal/running_requests.h"
+#include "router/internal/shared_retry_budget.h"
 #include "router/router_options.h"
 
 namespace bamboomount {
@@ -17,6 +18,7 @@
   RunningRequests& running;
   BlockingPool& blocking;
   ClaimStore& claims;
+  SharedRetryBudget& retries;
 };
 
 }  // namespace bamboomount
--- /dev/null
+++ b/src/router/internal/retry_permission.h
@@ -0,0 +1,22 @@
+#ifndef ROUTER_INTERNAL_RETRY_PERMISSION_H_
+#define ROUTER_INTERNAL_RETRY_PERMISSION_H_
+
+#include "config/config.h"
+#include "router/internal/asio.h"
+#include "router/internal/handler_context.h"
+#include "router/internal/running_request.h"
+
+namespace bamboomount {
+
+// Counts the first attempt of a request in the retry budget.
+void CountFirstAttempt(HandlerContext& context, const ServiceConfig& config);
+
+// Takes retry number `retry` (from 1) from the budget and waits for its
+// back-off. False if the budget is spent or the request is cancelled.
+asio::awaitable<bool> WaitForRetry(HandlerContext& context,
+                                   RunningRequest& request,
+                                   int retry);
+
+}  // namespace bamboomount
+
+#endif  // ROUTER_INTERNAL_RETRY_PERMISSION_H_
--- a/src/router/internal/service_exchange.cc
+++ b/src/router/internal/service_exchange.cc
@@ -5,6 +5,7 @@
 #include "router/events.h"
 #include "router/internal/backend_request_builder.h"
 #include "router/internal/error_reply.h"
+#include "router/internal/retry_permission.h"
 #include "router/internal/slot_request_factory.h"
 #include "router/internal/slot_wait.h"
 #include "router/internal/span_recorder.h"
@@ -152,6 +153,7 @@
                     "the route has no service class",
                     {}};
   Error last_error;
+  CountFirstAttempt(context_, *config_);
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     SlotRequest slot_request = MakeSlotRequest(request_, *config_, *class_rule,
                                                context_.options.zone, attempt);
@@ -173,8 +175,14 @@
     Log(kBackendAttemptFailed, {{"request", request_.id.value()},
                                 {"backend", slot.value().backend.value()},
                                 {"error", last_error.message}});
+    if (attempt + 1 == kMaxAttempts)
+      break;
+    const bool may_retry =
+        co_await WaitForRetry(context_, running_, attempt + 1);
+    if (!may_retry)
+      break;
   }
-  co_return last_error;
+  co_return running_.cancel_reason().value_or(last_error);
 }
 
 asio::awaitable<Result<KeptAnswer>> ServiceExchange::Attempt(const Slot& slot) {
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -33,7 +33,8 @@
         dependencies_(std::move(dependencies)),
         blocking_(kBlockingThreads, kMaxBlockingCalls),
         claims_(dependencies_.table, options_.instance, kStoreTimeout),
-        context_{options_, dependencies_, running_, blocking_, claims_},
+        context_{options_,  dependencies_, running_,
+                 blocking_, claims_,       retries_},
         handler_(context_) {
     for (int i = 0; i < std::max(1, options_.threads); ++i)
       contexts_.push_back(std::make_unique<asio::io_context>(1));
@@ -189,6 +190,7 @@
   RunningRequests running_;
   BlockingPool blocking_;
   ClaimStore claims_;
+  SharedRetryBudget retries_;
   HandlerContext context_;
   RequestHandler handler_;
   std::optional<asio::ssl::context> tls_;
