--- a/src/config/internal/field_values.cc
+++ b/src/config/internal/field_values.cc
@@ -137,10 +137,10 @@
 }
 
 std::string FormatNumber(double number) {
-  // Long enough for every double in shortest form.
+  // Long enough for every bound of a table, the largest being 1e18.
   char buffer[32];
-  const auto result =
-      std::to_chars(std::begin(buffer), std::end(buffer), number);
+  const auto result = std::to_chars(std::begin(buffer), std::end(buffer),
+                                    number, std::chars_format::fixed);
   return {buffer, result.ptr};
 }
 
--- a/src/config/internal/field_values.h
+++ b/src/config/internal/field_values.h
@@ -40,7 +40,7 @@
                       Range range,
                       std::int64_t& number);
 
-// Shortest decimal text of `number`.
+// Shortest decimal text of a bound, without exponent.
 std::string FormatNumber(double number);
 
 }  // namespace bamboomount::internal
--- a/src/config/limit_table.cc
+++ b/src/config/limit_table.cc
@@ -16,6 +16,10 @@
        "size of a caller's request body"},
       {"header_timeout_ms", "ms", 10000, 100, 120000,
        "time a caller may take to send a request header"},
+      {"first_byte_timeout_ms", "ms", 60000, 100, 600000,
+       "time a backend server may take until its answer begins"},
+      {"stall_timeout_ms", "ms", 5000, 100, 600000,
+       "pause in a stream after which it is resumed at another engine"},
       {"kept_answer_bytes", "bytes", 65536, 0, 1048576,
        "size up to which the answer of a call that must not repeat is kept in "
        "its claim row"},
