Add cells, their owners and the distributed slot broker

Ruled out: - A periodic list of running requests from each router to each owner: at 350 routers nearly each running request has a cell of its own. The owner repeats the grant of a slot without sign of life for 3 s instead; the router answers with progress or, if it does not know it, with a release. - Acknowledged releases: one more message per request for what the repeated grant recovers as well. - Waiting for reports by each router's own roster only: removals are seen up to an interval apart, longer than the 300 ms of the new owner. It asks the others for their reports (CellReportRequest). - Times passed into the queue of a new owner that lie in the past, since CellScheduler::Enqueue documents `now`. The age of a waiting request starts anew at a new owner.

Change: CellMap, OwnerOf (xxhash), OwnedCell (owner's side, one lock per cell), DistributedSlotBroker (own requests in 16 shards by request id, since Cancel, Release and ReportProgress name the request only). Each placement has an attempt number; what carries another one is released or ignored. A callback that has begun is waited for by Cancel, one that has not is dropped.

--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -114,6 +114,10 @@
   visit(v.cell, v.owner);
 }
 template <typename Visit>
+void Fields(Visit&& visit, CellReportRequestMessage& v) {
+  visit(v.cell, v.owner);
+}
+template <typename Visit>
 void Fields(Visit&& visit, LeavingMessage& v) {
   visit(v.incarnation);
 }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -155,6 +155,15 @@
   std::vector<WaitingSlot> waiting;
 };
 
+// Sent by a new owner. Routers answer also if their roster does not show the
+// sender as owner yet: removals are seen up to an interval apart, which is
+// longer than the new owner waits.
+struct CellReportRequestMessage {
+  CellId cell;
+  // Incarnation of the sender.
+  Incarnation owner;
+};
+
 struct CellReportAcceptedMessage {
   CellId cell;
   Incarnation owner;
@@ -178,6 +187,7 @@
                                  SlotProgressMessage,
                                  CellReportMessage,
                                  CellReportAcceptedMessage,
+                                 CellReportRequestMessage,
                                  LeavingMessage>;
 
 }  // namespace bamboomount
--- /dev/null
+++ b/src/peer/owned_cell.h
@@ -0,0 +1,128 @@
+#ifndef PEER_OWNED_CELL_H_
+#define PEER_OWNED_CELL_H_
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "peer/cell_map.h"
+#include "peer/messages.h"
+#include "peer/roster.h"
+
+namespace bamboomount {
+
+struct OutgoingMessage {
+  InstanceId to;
+  PeerMessage message;
+};
+using OutgoingMessages = std::vector<OutgoingMessage>;
+
+// How long a new owner waits for the reports of the other routers.
+inline constexpr Millis kCollectionLimit{300};
+// Reports that are missing are requested this often.
+inline constexpr Millis kReportRequestInterval{75};
+// A granted slot without sign of life is granted again after this time; the
+// router answers with progress, or with a release if it does not know it. That
+// recovers slots whose release was lost.
+inline constexpr Millis kSlotConfirmInterval{3000};
+// A slot is freed after this many unanswered confirmations.
+inline constexpr int kSlotConfirmTries = 5;
+
+// The owner's side of one cell: which router holds or waits for which slot.
+// The caller passes the time in, holds a lock and sends the messages that each
+// call returns. Not thread-safe.
+class OwnedCell {
+ public:
+  // Grants nothing before all `members` have reported or kCollectionLimit has
+  // passed.
+  OwnedCell(const Cell& cell,
+            Incarnation self_incarnation,
+            const std::vector<RosterMember>& members,
+            SteadyTime now);
+
+  void SetBackends(const std::vector<CellBackend>& backends, SteadyTime now);
+  void MarkLeaving(const BackendId& backend, SteadyTime now);
+  void ObserveLoad(const BackendId& backend,
+                   const LoadReport& report,
+                   SteadyTime now);
+
+  OutgoingMessages OnRequest(const InstanceId& from,
+                             const SlotRequestMessage& message,
+                             SteadyTime now);
+  OutgoingMessages OnCancel(const InstanceId& from,
+                            const SlotCancelMessage& message,
+                            SteadyTime now);
+  OutgoingMessages OnRelease(const InstanceId& from,
+                             const SlotReleaseMessage& message,
+                             SteadyTime now);
+  void OnProgress(const InstanceId& from,
+                  const SlotProgress& progress,
+                  SteadyTime now);
+  OutgoingMessages OnReport(const InstanceId& from,
+                            const CellReportMessage& message,
+                            SteadyTime now);
+  // Frees what routers held that left the roster or were restarted.
+  OutgoingMessages OnRoster(const std::vector<RosterMember>& members,
+                            SteadyTime now);
+  OutgoingMessages Tick(SteadyTime now);
+
+  int waiting() const { return scheduler_.waiting(); }
+  int running() const { return scheduler_.running(); }
+  bool collecting() const { return collecting_; }
+
+ private:
+  // A request that a router has in this cell.
+  struct Holder {
+    InstanceId router;
+    // Of the router; 0 while it is not in this router's roster.
+    Incarnation incarnation;
+    SlotAttempt attempt;
+    // Set once a slot is granted.
+    std::optional<BackendId> backend;
+    SteadyTime confirmed_at{};
+    int unanswered_confirmations = 0;
+  };
+  using Holders = std::unordered_map<RequestId, Holder>;
+
+  // Drops whatever an earlier attempt of the request left. Returns false if
+  // the message belongs to an outdated attempt or to another router.
+  bool Supersede(const InstanceId& from,
+                 const RequestId& request,
+                 SlotAttempt attempt,
+                 SteadyTime now);
+  Holder* Find(const InstanceId& from,
+               const RequestId& request,
+               SlotAttempt attempt);
+  Holder MakeHolder(const InstanceId& router, SlotAttempt attempt) const;
+  void Free(Holders::iterator holder,
+            const SlotOutcome& outcome,
+            SteadyTime now);
+  void AdoptRunning(const InstanceId& from,
+                    const RunningSlot& slot,
+                    SteadyTime now);
+  void Enqueue(const InstanceId& from,
+               SlotAttempt attempt,
+               const SlotRequest& request,
+               SteadyTime now,
+               OutgoingMessages& out);
+  void EndCollection(SteadyTime now);
+  void RequestReports(SteadyTime now, OutgoingMessages& out);
+  void Decide(SteadyTime now, OutgoingMessages& out);
+  void ConfirmSlots(SteadyTime now, OutgoingMessages& out);
+  OutgoingMessage GrantOf(const RequestId& request, const Holder& holder) const;
+
+  const CellId cell_;
+  const Incarnation self_incarnation_;
+  CellScheduler scheduler_;
+  Holders holders_;
+  std::map<InstanceId, Incarnation> members_;
+  bool collecting_ = true;
+  SteadyTime collecting_until_;
+  SteadyTime next_report_request_;
+  std::set<InstanceId> reports_missing_;
+};
+
+}  // namespace bamboomount
+
+#endif  // PEER_OWNED_CELL_H_
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -3,7 +3,10 @@
 #ifndef PEER_PEER_H_
 #define PEER_PEER_H_
 
+#include "peer/cell_map.h"
+#include "peer/cell_owners.h"
 #include "peer/change_exchange.h"
+#include "peer/distributed_slot_broker.h"
 #include "peer/in_memory_network.h"
 #include "peer/local_slot_broker.h"
 #include "peer/message_codec.h"
--- /dev/null
+++ b/src/peer/rendezvous_hash.cc
@@ -0,0 +1,13 @@
+#include "peer/rendezvous_hash.h"
+
+#include <xxhash.h>
+
+namespace bamboomount {
+
+std::uint64_t RendezvousWeight(const std::string& key,
+                               const std::string& candidate) {
+  return XXH3_64bits_withSeed(candidate.data(), candidate.size(),
+                              XXH3_64bits(key.data(), key.size()));
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/peer/rendezvous_hash.h
@@ -0,0 +1,16 @@
+#ifndef PEER_RENDEZVOUS_HASH_H_
+#define PEER_RENDEZVOUS_HASH_H_
+
+#include <cstdint>
+#include <string>
+
+namespace bamboomount {
+
+// The weight of `candidate` for `key`; the candidate with the highest weight
+// is chosen. Equal on all machines.
+std::uint64_t RendezvousWeight(const std::string& key,
+                               const std::string& candidate);
+
+}  // namespace bamboomount
+
+#endif  // PEER_RENDEZVOUS_HASH_H_
--- a/tests/peer/message_codec_test.cc
+++ b/tests/peer/message_codec_test.cc
@@ -59,6 +59,7 @@
                         {{attempt, MakeRequest(), BackendId("b1"), Tokens(1)}},
                         {{attempt, MakeRequest()}}},
       CellReportAcceptedMessage{cell, Incarnation(2)},
+      CellReportRequestMessage{cell, Incarnation(2)},
       LeavingMessage{Incarnation(6)}};
 }
 
--- a/tests/peer/peer_cluster.h
+++ b/tests/peer/peer_cluster.h
@@ -57,6 +57,7 @@
   ControlStateHolder holder;
   MemoryChangeExchange exchange;
   std::unique_ptr<PeerNode> node;
+  std::unique_ptr<DistributedSlotBroker> broker;
   bool alive = true;
   // When it sends its heartbeats inside an interval.
   Millis phase{0};
@@ -68,8 +69,11 @@
   static constexpr Millis kStep{25};
   static constexpr Millis kInterval{1000};
 
-  PeerCluster(int size, std::uint64_t seed, bool listed = true)
-      : network(seed), random_(seed) {
+  PeerCluster(int size,
+              std::uint64_t seed,
+              bool listed = true,
+              ServiceConfig config = {})
+      : network(seed), config_(std::move(config)), random_(seed) {
     // A time point of 0 would hide faults with unset times.
     network.DeliverUntil(SteadyTime(std::chrono::hours(1)));
     for (int i = 0; i < size; ++i)
@@ -99,6 +103,17 @@
                                               router->holder, router->exchange,
                                               [this] { return network.now(); });
     PeerRouter& added = *router;
+    router->broker = std::make_unique<DistributedSlotBroker>(
+        id, incarnation, *router->transport, config_,
+        [this] { return network.now(); });
+    router->node->AddRosterListener(
+        [&added](const std::vector<RosterMember>& members) {
+          added.broker->UpdateRoster(members);
+        });
+    router->node->SetSlotHandler(
+        [&added](const InstanceId& sender, const PeerMessage& message) {
+          added.broker->HandleMessage(sender, message);
+        });
     routers[id] = std::move(router);
     added.node->Start();
     return added;
@@ -143,6 +158,8 @@
     for (auto& [id, router] : routers) {
       if (router->alive && since_epoch % kInterval == router->phase)
         router->node->Tick();
+      if (router->alive && !config_.pools.empty())
+        router->broker->Tick();
     }
     network.DeliverUntil(network.now() + kStep);
   }
@@ -168,9 +185,27 @@
   std::map<InstanceId, std::unique_ptr<PeerRouter>> routers;
 
  private:
+  const ServiceConfig config_;
   std::mt19937_64 random_;
 };
 
+// A configuration with one pool "futter".
+inline ServiceConfig MakeConfig(int backends, int slots, int cell_size) {
+  ServiceConfig config;
+  PoolRule pool;
+  pool.pool = PoolId("futter");
+  pool.cell_size = cell_size;
+  config.pools = {pool};
+  for (int i = 0; i < backends; ++i) {
+    BackendRule backend;
+    backend.backend = BackendId("engine-" + std::to_string(i));
+    backend.pool = pool.pool;
+    backend.slots = slots;
+    config.backends.push_back(backend);
+  }
+  return config;
+}
+
 }  // namespace bamboomount
 
 #endif  // PEER_PEER_CLUSTER_H_
