Predict waits from the rate at which slots become free now

Cause: during a chat burst 44 % of the granted chat requests were late. The predicted wait was the shorter of two figures; one assumed that all slots run what waits, which is too optimistic while long requests hold slots. Ruled out: a lower bound by work ahead; it is what was removed. Change: predicted wait = requests ahead / current release rate.

--- a/src/policy/internal/service_times.cc
+++ b/src/policy/internal/service_times.cc
@@ -50,21 +50,15 @@
   for (const auto& [id, record] : records_)
     running += record.running;
   double ahead = 0;
-  double work_ahead = 0;
   for (const auto& [key, count] : counts) {
     if (key.first > last.tier)
       break;
     ahead += count.waiting;
-    const auto found = records_.find(count.class_id);
-    if (found != records_.end() && found->second.has_evidence())
-      work_ahead += count.waiting * found->second.held_millis;
   }
   const double rate = ReleaseRate();
   if (running == 0 || rate <= 0)
     return std::nullopt;
-  // The first is near if slots turn over as now, the second if they run what
-  // waits; the shorter one is certain.
-  const double wait = std::min(ahead / rate, work_ahead / running);
+  const double wait = ahead / rate;
   // Shedding cannot help a class whose first token alone takes too long.
   const double first_token =
       std::min(own->second.first_token_millis,
