Shed at 65 % of the first-token target

Cause: of the chat requests granted in a burst 44 % were late, as the mean wait was 0.72 s of a target of 1 s; shedding at the target leaves no room for the spread around the prediction. Change: a waiting request counts as predicted to miss at 65 % of its target. Ration is still refused almost completely during a chat burst.

--- a/src/policy/cell_scheduler.cc
+++ b/src/policy/cell_scheduler.cc
@@ -14,6 +14,10 @@
 
 // A refused caller that repeats sooner only adds load.
 constexpr Millis kMinRetryAfter{100};
+// Requests predicted at the target itself are late half of the time. In a chat
+// burst of ten times, 50, 65, 80 and 100 % gave 30, 28, 23 and 17 % attained;
+// 50 % sheds more than needed in lesser overload.
+constexpr int kMissPercent = 65;
 // No figure is known for a cell without backend servers.
 constexpr Millis kNoBackendRetryAfter{1000};
 
@@ -287,7 +291,8 @@
     while (count.waiting > 0) {
       const auto predicted =
           service_times_->PredictLast(count, waiting_->counts());
-      if (!predicted || *predicted <= count.first_token_target)
+      if (!predicted ||
+          *predicted <= count.first_token_target * kMissPercent / 100)
         break;
       const QueuedRequest shed = waiting_->RemoveForShedding(key);
       Refuse(shed.request.request, ErrorCode::kDeadlineUnreachable,
