Keep one waiting request of each class for its guaranteed grant

Ruled out: shedding only the class that is predicted to miss (lower tiers would wait while a higher one is shed); a limit raised in the lower tiers (the newest is shed at any limit). Change: load of a higher tier leaves one waiting request of each lower class. CellOptions::keeps_guaranteed_turn switches it off. The property that no higher tier is shed while a lower tier waits is kept in full for the option off; with it on, at most one request of each lower class may wait. Conclusion: no class starves in a burst. It costs the bursting tier, since a guaranteed grant of a long request holds its slot about ten times as long.

--- a/src/policy/cell_options.h
+++ b/src/policy/cell_options.h
@@ -14,6 +14,10 @@
   std::string discipline = "weighted_tiers";
   // One grant in this many goes to the class that waited longest; 0 disables.
   int starvation_stride = 16;
+  // Keeps one waiting request of each class for its guaranteed grant when load
+  // of a higher tier sheds lower tiers. Without it, a burst of a higher tier
+  // refuses each request of the lower ones before its turn comes.
+  bool keeps_guaranteed_turn = true;
   // Seeds the samples of backend servers.
   std::uint64_t seed = 1;
 };
--- a/src/policy/cell_scheduler.cc
+++ b/src/policy/cell_scheduler.cc
@@ -39,8 +39,7 @@
     : discipline_(FindQueueDiscipline(options.discipline)),
       placement_(MakePlacementStrategy(options.placement, options.seed)),
       backends_(std::make_unique<BackendTable>()),
-      waiting_(std::make_unique<WaitingQueue>(discipline_,
-                                              options.starvation_stride)),
+      waiting_(std::make_unique<WaitingQueue>(discipline_, options)),
       service_times_(std::make_unique<ServiceTimes>()),
       stragglers_(std::make_unique<StragglerDetector>()) {}
 
@@ -250,10 +249,10 @@
 
 void CellScheduler::ShedOverLimit() {
   for (const SlotRequest& arrival : std::exchange(arrivals_, {})) {
-    if (!waiting_->Contains(arrival.request) || !IsOverLimit(arrival.tier))
+    const auto overloaded = FindOverLimit(arrival.tier);
+    if (!waiting_->Contains(arrival.request) || !overloaded)
       continue;
-    const QueuedRequest shed =
-        waiting_->RemoveForShedding({arrival.tier, arrival.class_id});
+    const QueuedRequest shed = waiting_->RemoveForShedding(*overloaded);
     const auto& count =
         waiting_->counts().at({shed.request.tier, shed.request.class_id});
     const Millis wait = service_times_->PredictLast(count, waiting_->counts())
@@ -263,25 +262,29 @@
   }
 }
 
-bool CellScheduler::IsOverLimit(Tier tier) const {
+std::optional<std::pair<Tier, ClassId>> CellScheduler::FindOverLimit(
+    Tier tier) const {
   const auto& counts = waiting_->counts();
   int room = 0;
   for (auto entry = counts.rbegin(); entry != counts.rend();) {
     const Tier current = entry->first.first;
+    std::optional<std::pair<Tier, ClassId>> over;
     int excess = 0;
     int unused = 0;
     for (; entry != counts.rend() && entry->first.first == current; ++entry) {
       const auto& count = entry->second;
       if (count.queue_limit <= 0)
         continue;
+      if (count.waiting > count.queue_limit)
+        over = entry->first;
       excess += std::max(0, count.waiting - count.queue_limit);
       unused += std::max(0, count.queue_limit - count.waiting);
     }
     if (current <= tier && excess > room)
-      return true;
+      return over;
     room = std::max(0, room - excess) + unused;
   }
-  return false;
+  return std::nullopt;
 }
 
 void CellScheduler::ShedPredictedMisses() {
--- a/src/policy/cell_scheduler.h
+++ b/src/policy/cell_scheduler.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "policy/cell_backend.h"
@@ -99,9 +100,9 @@
   void ShedOverLimit();
   void ShedPredictedMisses();
   void Refuse(const RequestId& request, ErrorCode reason, Millis retry_after);
-  // Whether this tier or a higher one has more requests waiting than its own
-  // limits and the room that the tiers below leave.
-  bool IsOverLimit(Tier tier) const;
+  // A class of this tier or a higher one that has more requests waiting than
+  // its own limit and the room that the tiers below leave.
+  std::optional<std::pair<Tier, ClassId>> FindOverLimit(Tier tier) const;
   void ObserveEnd(const Running& run,
                   const SlotOutcome& outcome,
                   SteadyTime now);
--- a/src/policy/internal/waiting_queue.cc
+++ b/src/policy/internal/waiting_queue.cc
@@ -3,10 +3,13 @@
 namespace bamboomount {
 
 WaitingQueue::WaitingQueue(const QueueDiscipline& discipline,
-                           int starvation_stride)
+                           const CellOptions& options)
     : discipline_(discipline),
-      starvation_stride_(discipline.prevents_starvation ? starvation_stride
-                                                        : 0) {}
+      starvation_stride_(
+          discipline.prevents_starvation ? options.starvation_stride : 0),
+      kept_turns_(starvation_stride_ > 0 && options.keeps_guaranteed_turn ? 1
+                                                                          : 0) {
+}
 
 void WaitingQueue::Push(QueuedRequest queued) {
   ClassState& state = StateOf(queued.request);
@@ -53,16 +56,9 @@
 
 QueuedRequest WaitingQueue::RemoveForShedding(const ClassKey& overloaded) {
   const ClassKey own = KeyOf(overloaded);
-  auto victim = LowestWaiting();
-  if (victim->first.first <= own.first)
-    return Forget(classes_.at(own).queue.RemoveNewestOfHeaviest());
-  const Tier lowest = victim->first.first;
-  for (auto other = classes_.begin(); other != classes_.end(); ++other) {
-    if (other->first.first == lowest &&
-        other->second.queue.heaviest_work() >
-            victim->second.queue.heaviest_work())
-      victim = other;
-  }
+  auto victim = LowestToShed(own.first);
+  if (victim == classes_.end())
+    victim = classes_.find(own);
   return Forget(victim->second.queue.RemoveNewestOfHeaviest());
 }
 
@@ -127,6 +123,19 @@
   return found;
 }
 
+WaitingQueue::Classes::iterator WaitingQueue::LowestToShed(Tier tier) {
+  auto lowest = classes_.end();
+  for (auto other = classes_.begin(); other != classes_.end(); ++other) {
+    const ClassQueue& queue = other->second.queue;
+    if (other->first.first <= tier || queue.size() <= kept_turns_)
+      continue;
+    if (lowest == classes_.end() || lowest->first.first < other->first.first ||
+        lowest->second.queue.heaviest_work() < queue.heaviest_work())
+      lowest = other;
+  }
+  return lowest;
+}
+
 QueuedRequest WaitingQueue::Forget(QueuedRequest queued) {
   class_of_.erase(queued.request.request);
   --counts_.at({queued.request.tier, queued.request.class_id}).waiting;
--- a/src/policy/internal/waiting_queue.h
+++ b/src/policy/internal/waiting_queue.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "policy/cell_options.h"
 #include "policy/internal/class_queue.h"
 #include "policy/queue_discipline.h"
 
@@ -18,7 +19,7 @@
  public:
   using ClassKey = std::pair<Tier, ClassId>;
 
-  WaitingQueue(const QueueDiscipline& discipline, int starvation_stride);
+  WaitingQueue(const QueueDiscipline& discipline, const CellOptions& options);
 
   void Push(QueuedRequest queued);
   // The next request to grant. Requires !empty(). The caller reports the grant
@@ -30,8 +31,8 @@
   void Restore(QueuedRequest queued);
   std::optional<QueuedRequest> Remove(const RequestId& request);
   // Removes the newest request of the customer with the most queued work:
-  // from the lowest waiting tier if it is below that of the overloaded class,
-  // else from the overloaded class. Requires that it waits.
+  // from the lowest tier below the overloaded class that has requests beyond
+  // the kept turns, else from the overloaded class. Requires that it waits.
   QueuedRequest RemoveForShedding(const ClassKey& overloaded);
   void Charge(const SlotRequest& request, double tokens);
 
@@ -70,12 +71,17 @@
   Classes::iterator HighestWaiting();
   Classes::iterator LongestWaiting();
   Classes::iterator LowestWaiting();
+  // Of the classes below `tier` with more than the kept turns: in the lowest
+  // tier, the one with the heaviest customer.
+  Classes::iterator LowestToShed(Tier tier);
   QueuedRequest Forget(QueuedRequest queued);
   QueuedRequest PopFrom(Classes::iterator found);
   void Count(const SlotRequest& request);
 
   const QueueDiscipline& discipline_;
   const int starvation_stride_;
+  // Waiting requests of a class that load of higher tiers does not shed.
+  const int kept_turns_;
   Classes classes_;
   std::unordered_map<RequestId, ClassKey> class_of_;
   std::map<ClassKey, ClassCount> counts_;
--- a/tests/policy/fairness_test.cc
+++ b/tests/policy/fairness_test.cc
@@ -77,6 +77,37 @@
   }
 }
 
+// Guards against a class that is shed before its guaranteed grant comes,
+// while the tier above is overloaded.
+RC_BOOST_PROP(a_burst_above_does_not_shed_the_guaranteed_turn, ()) {
+  CellScheduler cell;
+  SteadyTime now{std::chrono::hours(1)};
+  cell.SetBackends({{BackendId("b"), ZoneId("z"), false, 1}}, now);
+  cell.Enqueue(MakeRequest(0, 1, 0), now);
+  const int burst = *rc::gen::inRange(2, 10);
+  int next_id = 1;
+  for (int grant = 0; grant < 2 * kStride; ++grant) {
+    for (int i = 0; i < burst; ++i) {
+      SlotRequest above = MakeRequest(next_id++, 0, i);
+      above.queue_limit = 1;
+      above.first_token_target = Millis(20);
+      cell.Enqueue(above, now);
+    }
+    for (const SlotDecision& decision : cell.Decide(now)) {
+      if (decision.request == RequestId("0"))
+        RC_ASSERT(decision.backend.has_value());
+      if (!decision.backend)
+        continue;
+      if (decision.request == RequestId("0"))
+        return;
+      now += Millis(10);
+      cell.Finish(decision.request,
+                  {SlotEnd::kCompleted, Tokens(10), Millis(5), Millis(5)}, now);
+    }
+  }
+  RC_FAIL("no grant within the bound");
+}
+
 // Guards against a guaranteed share that grows beyond one grant in 16.
 RC_BOOST_PROP(the_highest_tier_keeps_fifteen_of_sixteen_grants, ()) {
   const int classes = *rc::gen::inRange(2, 7);
