Shed the customer with the most queued and granted work

Change: the heaviest customer of a class is the one with the most queued and granted, unfinished work.

--- a/src/policy/cell_scheduler.cc
+++ b/src/policy/cell_scheduler.cc
@@ -69,7 +69,7 @@
   waiting_->Remove(request.request);
   backends_->Acquire(backend);
   service_times_->Start(request.class_id);
-  Running run{request, backend, std::nullopt, {}, 0, Tokens(0), now};
+  Running run{request, backend, std::nullopt, 0, {}, 0, Tokens(0), now};
   run.estimate = outputs_.Estimate(request.customer, request.class_id,
                                    request.max_output_tokens);
   running_.emplace(request.request, std::move(run));
@@ -98,6 +98,8 @@
   if (run.granted && outcome.end != SlotEnd::kConnectFailed)
     held = std::chrono::duration_cast<Millis>(now - *run.granted);
   service_times_->End(run.request.class_id, held);
+  if (run.granted)
+    waiting_->AddGrantedWork(run.request, -run.cost);
   const auto produced = static_cast<double>(outcome.output_tokens.value());
   ChargeDifference(run, produced);
   if (outcome.end == SlotEnd::kCompleted) {
@@ -219,10 +221,12 @@
                           BackendState& state,
                           SteadyTime now) {
   const SlotRequest& request = queued.request;
-  Running run{request, state.backend.backend, now, {}, 0, Tokens(0), now};
+  Running run{
+      request, state.backend.backend, now, queued.cost, {}, 0, Tokens(0), now};
   run.estimate.expected_tokens = queued.cost - PromptTokens(request);
   run.load = state.running;
   placement_->Granted(request, state);
+  waiting_->AddGrantedWork(request, queued.cost);
   backends_->Acquire(state.backend.backend);
   service_times_->Start(request.class_id);
   decisions_.push_back(
--- a/src/policy/cell_scheduler.h
+++ b/src/policy/cell_scheduler.h
@@ -86,6 +86,8 @@
     BackendId backend;
     // Empty if another owner granted it.
     std::optional<SteadyTime> granted;
+    // Estimated work, in tokens; 0 if another owner granted it.
+    double cost = 0;
     OutputEstimate estimate;
     // Requests on the backend server at the time of the grant.
     int load = 0;
--- a/src/policy/internal/class_queue.cc
+++ b/src/policy/internal/class_queue.cc
@@ -73,6 +73,17 @@
     found->second->deficit -= tokens;
 }
 
+void ClassQueue::AddGrantedWork(const CustomerId& customer, double tokens) {
+  double& granted = granted_work_[customer];
+  granted += tokens;
+  // Sums of estimates leave rounding errors below one token.
+  if (granted < 1)
+    granted_work_.erase(customer);
+  const auto found = flow_of_.find(customer);
+  if (found != flow_of_.end())
+    AddWork(*found->second, tokens);
+}
+
 void ClassQueue::ForEach(
     const std::function<void(const QueuedRequest&)>& visit) const {
   for (const Flow& flow : flows_) {
@@ -88,10 +99,12 @@
     found->second->share = std::max(share, kMinShare);
     return found->second;
   }
-  flows_.push_back({customer, std::max(share, kMinShare), 0, 0, {}});
+  const auto granted = granted_work_.find(customer);
+  const double work = granted == granted_work_.end() ? 0 : granted->second;
+  flows_.push_back({customer, std::max(share, kMinShare), 0, work, {}});
   const auto flow = std::prev(flows_.end());
   flow_of_.emplace(customer, flow);
-  by_work_.emplace(0, customer);
+  by_work_.emplace(work, customer);
   return flow;
 }
 
--- a/src/policy/internal/class_queue.h
+++ b/src/policy/internal/class_queue.h
@@ -22,18 +22,22 @@
   // Returns a request taken with Pop to the front of its customer.
   void Restore(QueuedRequest queued, const CustomerId& customer, double share);
   std::optional<QueuedRequest> Remove(const RequestId& request);
-  // Removes the newest request of the customer with the most queued work.
+  // Removes the newest request of the customer with the most work, queued and
+  // granted.
   QueuedRequest RemoveNewestOfHeaviest();
   // Charges a customer for work that its estimate did not cover; negative
   // amounts are credited. Has no effect on customers that do not wait.
   void Charge(const CustomerId& customer, double tokens);
+  // Counts granted work of a customer that has not finished; negative amounts
+  // when it has.
+  void AddGrantedWork(const CustomerId& customer, double tokens);
 
   bool empty() const { return location_.empty(); }
   int size() const { return static_cast<int>(location_.size()); }
   bool Contains(const RequestId& request) const {
     return location_.contains(request);
   }
-  // Queued work of the heaviest customer, in tokens.
+  // Work of the heaviest waiting customer, in tokens.
   double heaviest_work() const {
     return by_work_.empty() ? 0 : by_work_.rbegin()->first;
   }
@@ -44,6 +48,7 @@
     CustomerId customer;
     double share = 1;
     double deficit = 0;
+    // Queued and granted, in tokens.
     double work = 0;
     std::list<QueuedRequest> requests;
   };
@@ -66,6 +71,8 @@
   std::unordered_map<CustomerId, FlowList::iterator> flow_of_;
   std::unordered_map<RequestId, Location> location_;
   std::set<std::pair<double, CustomerId>> by_work_;
+  // Of customers with granted requests, whether they wait or not.
+  std::unordered_map<CustomerId, double> granted_work_;
   // The largest cost seen; smaller quanta need more rounds for each grant.
   double quantum_ = 1;
   bool turn_started_ = false;
--- a/src/policy/internal/waiting_queue.cc
+++ b/src/policy/internal/waiting_queue.cc
@@ -66,6 +66,10 @@
   StateOf(request).queue.Charge(CustomerOf(request), tokens);
 }
 
+void WaitingQueue::AddGrantedWork(const SlotRequest& request, double tokens) {
+  StateOf(request).queue.AddGrantedWork(CustomerOf(request), tokens);
+}
+
 void WaitingQueue::ForEach(
     const std::function<void(const QueuedRequest&)>& visit) const {
   for (const auto& [key, state] : classes_)
--- a/src/policy/internal/waiting_queue.h
+++ b/src/policy/internal/waiting_queue.h
@@ -35,6 +35,8 @@
   // the kept turns, else from the overloaded class. Requires that it waits.
   QueuedRequest RemoveForShedding(const ClassKey& overloaded);
   void Charge(const SlotRequest& request, double tokens);
+  // See ClassQueue.
+  void AddGrantedWork(const SlotRequest& request, double tokens);
 
   bool empty() const { return class_of_.empty(); }
   int size() const { return static_cast<int>(class_of_.size()); }
