Take slots from the owners of cells and poll the load of owned engines

Cause: each router queued by itself, so the priority order held inside one router only, and load reports were not read. Ruled out: polling every engine from every router (630 reports a second at 350 nodes each); only the owner of a cell polls its engines. Change: the distributed slot broker in place of the local one, a poller of load reports on its own event loop. Before: local queues. Conclusion: one queue for each cell serves all routers.

--- a/apps/bamboomountd/router_process.cc
+++ b/apps/bamboomountd/router_process.cc
@@ -28,6 +28,8 @@
 constexpr Millis kUsageFlushInterval{5000};
 constexpr Millis kUsageFlushTimeout{1000};
 constexpr Millis kFlusherPause{100};
+constexpr Millis kLoadInterval{500};
+constexpr Millis kSlotTick{25};
 constexpr std::size_t kKeptSpans = 20'000;
 
 }  // namespace
@@ -42,9 +44,19 @@
         log_(table_, objects_),
         follower_(log_, state_, MakeFollowerOptions(settings)),
         usage_(table_, settings.instance, UsageWindowSettings()),
-        slots_(*state_.current()->config, 1),
         poller_(directory_, kDirectoryInterval),
+        incarnation_(NewIncarnation()),
         transport_(settings.instance, settings.peer_address),
+        slots_(settings.instance,
+               incarnation_,
+               transport_,
+               *state_.current()->config,
+               BootSteadyNow),
+        load_poller_([this] { return PolledBackends(); },
+                     [this](const auto& backend, const auto& report) {
+                       slots_.ObserveLoad(backend, report);
+                     },
+                     kLoadInterval),
         exchange_(follower_, state_),
         peers_(MakePeerOptions(settings),
                transport_,
@@ -56,7 +68,12 @@
                      [this] { return leaving_.load(); }}),
         router_(MakeRouterOptions(settings), MakeDependencies()) {
     state_.AddListener(
-        [this](const auto& state) { slots_.Configure(*state->config, 1); });
+        [this](const auto& state) { slots_.Configure(*state->config); });
+    peers_.AddRosterListener(
+        [this](const auto& members) { slots_.UpdateRoster(members); });
+    peers_.SetSlotHandler([this](const auto& sender, const auto& message) {
+      slots_.HandleMessage(sender, message);
+    });
     poller_.SetListener([this](const auto& listing) { OnListing(listing); });
   }
 
@@ -69,6 +86,8 @@
     PeerRunner peer_runner(peers_, poller_, {});
     std::thread maintenance([this] { Maintain(); });
     std::thread usage_flusher([this] { FlushUsage(); });
+    std::thread slot_timers([this] { TickSlots(); });
+    load_poller_.Start();
     AdminServer admin(settings_.admin_address, settings_.admin_token,
                       operations_);
     std::cout << R"({"listening":")" << router_.listen_address() << "\"}"
@@ -81,6 +100,8 @@
     stopping_ = true;
     maintenance.join();
     usage_flusher.join();
+    load_poller_.Stop();
+    slot_timers.join();
     poller_.Stop();
     follower_.Stop();
   }
@@ -104,15 +125,18 @@
     return options;
   }
 
+  // Later starts of the same instance need a higher number.
+  static Incarnation NewIncarnation() {
+    return Incarnation(std::chrono::duration_cast<Millis>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count());
+  }
+
   PeerNodeOptions MakePeerOptions(const ProcessSettings& settings) const {
     PeerNodeOptions options;
     options.self = settings.instance;
     options.peer_address = transport_.address();
-    // Later starts of the same instance need a higher number.
-    options.incarnation =
-        Incarnation(std::chrono::duration_cast<Millis>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count());
+    options.incarnation = incarnation_;
     options.seed_peers = settings.seed_peers;
     options.random_seed = std::random_device()();
     return options;
@@ -130,6 +154,28 @@
     }
   }
 
+  void TickSlots() {
+    while (!stopping_) {
+      std::this_thread::sleep_for(kSlotTick);
+      slots_.Tick();
+    }
+  }
+
+  // Engines of the cells that this router owns.
+  std::vector<PolledBackend> PolledBackends() const {
+    const auto config = state_.current()->config;
+    std::vector<PolledBackend> polled;
+    for (const BackendId& backend : slots_.OwnedBackends()) {
+      const BackendRule* rule = config->FindBackend(backend);
+      const PoolRule* pool =
+          rule == nullptr ? nullptr : config->FindPool(rule->pool);
+      if (pool == nullptr || pool->kind != PoolKind::kModel)
+        continue;
+      polled.push_back({backend, rule->address});
+    }
+    return polled;
+  }
+
   // Writes usage to the table; figures that cannot be written are kept.
   void FlushUsage() {
     auto next = std::chrono::steady_clock::now() + kUsageFlushInterval;
@@ -204,9 +250,11 @@
   ChangeLog log_;
   StateFollower follower_;
   UsageRecorder usage_;
-  LocalSlotBroker slots_;
   DirectoryPoller poller_;
+  const Incarnation incarnation_;
   NngPeerTransport transport_;
+  DistributedSlotBroker slots_;
+  BackendLoadPoller load_poller_;
   FollowerChangeExchange exchange_;
   PeerNode peers_;
   std::atomic<bool> leaving_ = false;
