Read only the versions that are shown, and log an obstacle once

Ruled out: a second index for the newest versions; version numbers are dense, so rows are read by number.

Change: ChangeLog::History takes the newest version and a count, ConfigChange replaces ConfigText, and the interface shows the last 100 versions. Events 2011 and 2014 are logged once for each reason. New tests: a change that cannot be read makes the state stale, also in an outage afterwards; a log shorter than the state changes nothing.

Figures: a history of 3 versions takes 3 reads (test).

Conclusion: the cost of the history no longer grows with the age of the fleet.

--- a/apps/bamboomount/command/config_commands.cc
+++ b/apps/bamboomount/command/config_commands.cc
@@ -184,7 +184,7 @@
  public:
   std::string name() const override { return "config history"; }
   std::string summary() const override {
-    return "List all versions, who applied them and when";
+    return "List the last 100 versions, who applied them and when";
   }
   Result<ExitCode> Run(const std::vector<std::string>& args,
                        Console& console) const override {
--- a/src/admin/change_operations.cc
+++ b/src/admin/change_operations.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "admin/events.h"
 #include "telemetry/telemetry.h"
@@ -11,6 +12,9 @@
 
 // Author of withdrawals that an instance writes to the log after an outage.
 constexpr char kEmergencyAuthor[] = "emergency-withdrawal";
+// Versions that operators see; each costs one small read. Earlier ones can
+// still be shown by number.
+constexpr std::uint64_t kHistoryLength = 100;
 
 }  // namespace
 
@@ -33,23 +37,16 @@
     return ConfigReply{state->config_version, state->sequence,
                        state->config_author, state->config_unix_seconds,
                        state->config_text};
-  BOOST_OUTCOME_TRY(entries, log_.History(timeout));
-  const auto entry = std::find_if(
-      entries.begin(), entries.end(),
-      [&](const auto& candidate) { return candidate.version == *version; });
-  if (entry == entries.end())
-    return Error{ErrorCode::kNotFound,
-                 RunVerdict::kNotRun,
-                 "there is no version " + std::to_string(version->value()),
-                 {}};
-  BOOST_OUTCOME_TRY(text, log_.ConfigText(*version, timeout));
-  return ConfigReply{entry->version, entry->sequence, entry->author,
-                     entry->unix_seconds, std::move(text)};
+  BOOST_OUTCOME_TRY(change, log_.ConfigChange(*version, timeout));
+  return ConfigReply{*version, change.sequence, change.author,
+                     change.unix_seconds,
+                     std::get<ConfigApplied>(change.body).text};
 }
 
 Result<std::vector<ConfigVersionEntry>> ChangeOperations::ConfigHistory(
     Millis timeout) {
-  return log_.History(timeout);
+  return log_.History(holder_.current()->config_version, kHistoryLength,
+                      timeout);
 }
 
 Result<ChangeReply> ChangeOperations::ApplyConfig(
--- a/src/admin/fleet_operations.h
+++ b/src/admin/fleet_operations.h
@@ -28,7 +28,7 @@
   // The configuration in force here, or an earlier version.
   virtual Result<ConfigReply> Config(std::optional<ConfigVersion> version,
                                      Millis timeout) = 0;
-  // Oldest first.
+  // The last 100 versions, oldest first.
   virtual Result<std::vector<ConfigVersionEntry>> ConfigHistory(
       Millis timeout) = 0;
   virtual Result<ChangeReply> ApplyConfig(const ApplyConfigRequest& request,
--- a/src/state/change_log.cc
+++ b/src/state/change_log.cc
@@ -44,13 +44,9 @@
   ConfigVersionEntry first{body.base + ConfigVersion(1), body.base,
                            state.sequence, state.config_author,
                            state.config_unix_seconds};
-  const auto row =
-      table.Read(internal::ConfigKey(first.version), deadline.Remaining());
-  if (row && row.value()) {
-    auto entry = internal::DecodeEntry(row.value()->value);
-    if (entry)
-      first = std::move(entry).value();
-  }
+  auto entry = internal::ReadEntry(table, first.version, deadline.Remaining());
+  if (entry)
+    first = std::move(entry).value();
   error.message = first.author + " was first and applied version " +
                   Text(first.version) + " at " +
                   std::to_string(first.unix_seconds) +
@@ -187,27 +183,25 @@
   return internal::ReadChange(table_, sequence, timeout);
 }
 
-Result<std::vector<ConfigVersionEntry>> ChangeLog::History(Millis timeout) {
-  BOOST_OUTCOME_TRY(rows, table_.Scan(internal::kConfigPrefix, timeout));
+Result<std::vector<ConfigVersionEntry>> ChangeLog::History(ConfigVersion newest,
+                                                           std::uint64_t count,
+                                                           Millis timeout) {
+  const Deadline deadline(timeout);
+  const std::uint64_t last = newest.value();
   std::vector<ConfigVersionEntry> entries;
-  for (const Row& row : rows) {
-    BOOST_OUTCOME_TRY(entry, internal::DecodeEntry(row.value));
+  for (std::uint64_t version = last > count ? last - count + 1 : 1;
+       version <= last; ++version) {
+    BOOST_OUTCOME_TRY(entry, internal::ReadEntry(table_, ConfigVersion(version),
+                                                 deadline.Remaining()));
     entries.push_back(std::move(entry));
   }
   return entries;
 }
 
-Result<std::string> ChangeLog::ConfigText(ConfigVersion version,
-                                          Millis timeout) {
+Result<Change> ChangeLog::ConfigChange(ConfigVersion version, Millis timeout) {
   const Deadline deadline(timeout);
-  BOOST_OUTCOME_TRY(
-      row, table_.Read(internal::ConfigKey(version), deadline.Remaining()));
-  if (!row)
-    return Error{ErrorCode::kNotFound,
-                 RunVerdict::kNotRun,
-                 "there is no version " + Text(version),
-                 {}};
-  BOOST_OUTCOME_TRY(entry, internal::DecodeEntry(row->value));
+  BOOST_OUTCOME_TRY(entry,
+                    internal::ReadEntry(table_, version, deadline.Remaining()));
   BOOST_OUTCOME_TRY(change, Read(entry.sequence, deadline.Remaining()));
   const auto* config = std::get_if<ConfigApplied>(&change.body);
   if (config == nullptr || config->version != version)
@@ -216,7 +210,7 @@
         RunVerdict::kNotRun,
         "the history names the wrong change for version " + Text(version),
         {}};
-  return config->text;
+  return std::move(change);
 }
 
 std::shared_ptr<const ControlState> ChangeLog::Tip() const {
--- a/src/state/change_log.h
+++ b/src/state/change_log.h
@@ -76,10 +76,13 @@
   // Fails with kNotFound for a sequence that the log does not have.
   Result<Change> Read(ChangeSequence sequence, Millis timeout);
 
-  // All versions, oldest first.
-  Result<std::vector<ConfigVersionEntry>> History(Millis timeout);
-  // Text of one version. Fails with kNotFound.
-  Result<std::string> ConfigText(ConfigVersion version, Millis timeout);
+  // The last `count` versions up to `newest`, oldest first. Row by row, since a
+  // scan would read the versions of all years.
+  Result<std::vector<ConfigVersionEntry>> History(ConfigVersion newest,
+                                                  std::uint64_t count,
+                                                  Millis timeout);
+  // The change that applied one version. Fails with kNotFound.
+  Result<Change> ConfigChange(ConfigVersion version, Millis timeout);
 
  private:
   std::shared_ptr<const ControlState> Tip() const;
--- a/src/state/internal/log_rows.cc
+++ b/src/state/internal/log_rows.cc
@@ -23,6 +23,29 @@
           {}};
 }
 
+std::string EncodeEntry(const ConfigVersionEntry& entry) {
+  return Json{{"version", entry.version.value()},
+              {"base", entry.base.value()},
+              {"sequence", entry.sequence.value()},
+              {"author", entry.author},
+              {"unix_seconds", entry.unix_seconds}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<ConfigVersionEntry> DecodeEntry(const std::string& text) {
+  try {
+    const Json json = Json::parse(text);
+    return ConfigVersionEntry{
+        ConfigVersion(json.at("version").get<std::uint64_t>()),
+        ConfigVersion(json.at("base").get<std::uint64_t>()),
+        ChangeSequence(json.at("sequence").get<std::uint64_t>()),
+        json.at("author").get<std::string>(),
+        json.at("unix_seconds").get<std::int64_t>()};
+  } catch (const Json::exception&) {
+    return Damaged(kConfigPrefix);
+  }
+}
+
 }  // namespace
 
 std::string ChangeKey(ChangeSequence sequence) {
@@ -61,27 +84,16 @@
   return change;
 }
 
-std::string EncodeEntry(const ConfigVersionEntry& entry) {
-  return Json{{"version", entry.version.value()},
-              {"base", entry.base.value()},
-              {"sequence", entry.sequence.value()},
-              {"author", entry.author},
-              {"unix_seconds", entry.unix_seconds}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-Result<ConfigVersionEntry> DecodeEntry(const std::string& text) {
-  try {
-    const Json json = Json::parse(text);
-    return ConfigVersionEntry{
-        ConfigVersion(json.at("version").get<std::uint64_t>()),
-        ConfigVersion(json.at("base").get<std::uint64_t>()),
-        ChangeSequence(json.at("sequence").get<std::uint64_t>()),
-        json.at("author").get<std::string>(),
-        json.at("unix_seconds").get<std::int64_t>()};
-  } catch (const Json::exception&) {
-    return Damaged(kConfigPrefix);
-  }
+Result<ConfigVersionEntry> ReadEntry(TableStore& table,
+                                     ConfigVersion version,
+                                     Millis timeout) {
+  BOOST_OUTCOME_TRY(row, table.Read(ConfigKey(version), timeout));
+  if (!row)
+    return Error{ErrorCode::kNotFound,
+                 RunVerdict::kNotRun,
+                 "there is no version " + std::to_string(version.value()),
+                 {}};
+  return DecodeEntry(row->value);
 }
 
 Transaction AppendTransaction(const Head& head, const Change& change) {
--- a/src/state/internal/log_rows.h
+++ b/src/state/internal/log_rows.h
@@ -28,8 +28,10 @@
                           ChangeSequence sequence,
                           Millis timeout);
 
-std::string EncodeEntry(const ConfigVersionEntry& entry);
-Result<ConfigVersionEntry> DecodeEntry(const std::string& text);
+// Fails with kNotFound for a version that was not applied.
+Result<ConfigVersionEntry> ReadEntry(TableStore& table,
+                                     ConfigVersion version,
+                                     Millis timeout);
 
 // The transaction that appends `change` after `head`.
 Transaction AppendTransaction(const Head& head, const Change& change);
--- a/src/state/state_follower.cc
+++ b/src/state/state_follower.cc
@@ -220,12 +220,27 @@
     Log(kStorePollFailed, {{"reason", caught_up.error().message}});
   if (answered && was_silent)
     Log(kStorePollRecovered);
-  if (answered && !caught_up && caught_up.error().code == ErrorCode::kConflict)
-    Log(kLogShorterThanState, {{"reason", caught_up.error().message}});
-  if (caught_up && caught_up.value().interruption &&
-      caught_up.value().interruption->code == ErrorCode::kInvalidConfig)
-    Log(kChangeNotApplicable,
-        {{"reason", caught_up.value().interruption->message}});
+  if (answered)
+    NoteObstacle(caught_up);
+}
+
+// A state that cannot follow the log meets the same obstacle at each poll.
+void StateFollower::NoteObstacle(const Result<CaughtUp>& caught_up) {
+  std::optional<Error> obstacle;
+  if (!caught_up)
+    obstacle = caught_up.error();
+  else if (caught_up.value().interruption &&
+           caught_up.value().interruption->code != ErrorCode::kStoreUnavailable)
+    obstacle = caught_up.value().interruption;
+  const std::string reason = obstacle ? obstacle->message : std::string();
+  {
+    const std::lock_guard lock(rule_mutex_);
+    if (std::exchange(stuck_reason_, reason) == reason)
+      return;
+  }
+  if (obstacle)
+    Log(caught_up ? kChangeNotApplicable : kLogShorterThanState,
+        {{"reason", reason}});
 }
 
 }  // namespace bamboomount
--- a/src/state/state_follower.h
+++ b/src/state/state_follower.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -83,6 +84,7 @@
   void Advance(std::shared_ptr<const ControlState> state);
   void Keep(const Change& change);
   void NoteAnswer(const Result<CaughtUp>& caught_up, BootTime asked_at);
+  void NoteObstacle(const Result<CaughtUp>& caught_up);
 
   ChangeLog& log_;
   ControlStateHolder& holder_;
@@ -92,6 +94,8 @@
   mutable std::mutex rule_mutex_;
   FreshnessRule rule_;
   bool store_silent_ = false;
+  // Why the state cannot follow the log; empty while it can. Logged once.
+  std::string stuck_reason_;
 
   mutable std::mutex changes_mutex_;
   // Pushed changes whose predecessors are missing.
--- a/tests/state/change_log_test.cc
+++ b/tests/state/change_log_test.cc
@@ -96,11 +96,14 @@
     const std::string winner = second.has_value() ? "CARLA" : "BEAT";
     RC_ASSERT(loser.error().code == ErrorCode::kStaleBase);
     RC_ASSERT(loser.error().message.starts_with(winner + " was first"));
-    const auto history = fixture.log.History(kTestTimeout).value();
+    const auto history = fixture.History();
     RC_ASSERT(history.size() == 2U);
     RC_ASSERT(history.back().author == winner);
-    RC_ASSERT(fixture.log.ConfigText(ConfigVersion(2), kTestTimeout).value() ==
-              ConfigTextFor(winner));
+    RC_ASSERT(std::get<ConfigApplied>(
+                  fixture.log.ConfigChange(ConfigVersion(2), kTestTimeout)
+                      .value()
+                      .body)
+                  .text == ConfigTextFor(winner));
   }));
 }
 
@@ -139,7 +142,7 @@
     const auto outcome = fixture.ApplyConfig("ANNA", 0);
     BOOST_REQUIRE(outcome.has_value());
     BOOST_TEST(outcome.value().state->sequence.value() == 1U);
-    BOOST_TEST(fixture.log.History(kTestTimeout).value().size() == 1U);
+    BOOST_TEST(fixture.History().size() == 1U);
   }
   LogFixture fixture;
   fixture.table.faults = {CommitFault::kNotSent};
@@ -185,6 +188,20 @@
                  .state->sequence.value() == 201U);
 }
 
+// Years of versions must not be read to show the last ones.
+BOOST_AUTO_TEST_CASE(history_reads_only_what_it_shows) {
+  LogFixture fixture;
+  for (std::uint64_t base = 0; base < 9; ++base)
+    BOOST_REQUIRE(fixture.ApplyConfig("ANNA", base).has_value());
+  fixture.table.reads = 0;
+  const auto entries =
+      fixture.log.History(ConfigVersion(9), 3, kTestTimeout).value();
+  BOOST_REQUIRE(entries.size() == 3U);
+  BOOST_TEST(entries.front().version.value() == 7U);
+  BOOST_TEST(entries.back().version.value() == 9U);
+  BOOST_TEST(fixture.table.reads == 3);
+}
+
 // Bytes from another process must not throw through the message loop.
 BOOST_AUTO_TEST_CASE(decoding_refuses_texts_that_are_no_change) {
   for (const char* text : {"", "[]", "{\"kind\":\"x\"}", "{\"kind\":1}",
--- a/tests/state/log_fixture.cc
+++ b/tests/state/log_fixture.cc
@@ -36,6 +36,12 @@
                     kTestTimeout);
 }
 
+std::vector<ConfigVersionEntry> LogFixture::History() {
+  const auto all =
+      log.CatchUp(std::make_shared<const ControlState>(), kTestTimeout).value();
+  return log.History(all.state->config_version, 1000, kTestTimeout).value();
+}
+
 std::vector<Change> LogFixture::AppendRandomChanges() {
   std::vector<Change> changes;
   const auto add = [&](const Result<AppendOutcome>& outcome) {
--- a/tests/state/log_fixture.h
+++ b/tests/state/log_fixture.h
@@ -26,6 +26,9 @@
   Result<AppendOutcome> Withdraw(const std::string& key);
   Result<AppendOutcome> Drain(const std::string& instance);
 
+  // The history of the whole log.
+  std::vector<ConfigVersionEntry> History();
+
   // Appends a random series of valid changes after a first configuration.
   // Call it inside a rapidcheck property only.
   std::vector<Change> AppendRandomChanges();
--- a/tests/state/state_follower_test.cc
+++ b/tests/state/state_follower_test.cc
@@ -115,6 +115,49 @@
   BOOST_TEST((follower.freshness() == Freshness::kConfirmed));
 }
 
+// A program too old to read a change would otherwise serve keys that later
+// changes withdraw.
+BOOST_AUTO_TEST_CASE(a_change_that_cannot_be_read_makes_the_state_stale) {
+  FollowerFixture fixture;
+  StateFollower& follower = fixture.follower;
+  BOOST_REQUIRE(fixture.ApplyConfig("ANNA", 0).has_value());
+  BOOST_REQUIRE(follower.PollOnce().has_value());
+  Change unreadable{ChangeSequence(2), "ANNA", 0,
+                    ConfigApplied{ConfigVersion(2), ConfigVersion(1), "{"}};
+  BOOST_REQUIRE(fixture.table
+                    .Commit(Transaction()
+                                .Put("change/head", "2")
+                                .Put("change/00000000000000000002",
+                                     EncodeChange(unreadable)),
+                            kTestTimeout)
+                    .has_value());
+  BOOST_TEST((follower.PollOnce().error().code == ErrorCode::kInvalidConfig));
+  BOOST_TEST(fixture.holder.current()->sequence.value() == 1U);
+  fixture.now += seconds(5);
+  BOOST_TEST((follower.freshness() == Freshness::kStale));
+  // Nor does a store outage afterwards help it.
+  fixture.table.silent = true;
+  BOOST_TEST(!follower.PollOnce().has_value());
+  follower.OnInstanceList({InstanceId("a"), InstanceId("b"), InstanceId("c")});
+  follower.OnPeerHeard(InstanceId("b"), {ChangeSequence(1), {}}, fixture.now);
+  BOOST_TEST((follower.freshness() == Freshness::kStale));
+}
+
+// I13: a store restored from a backup must not take rules back.
+BOOST_AUTO_TEST_CASE(a_log_shorter_than_the_state_changes_nothing) {
+  FollowerFixture fixture;
+  BOOST_REQUIRE(fixture.ApplyConfig("ANNA", 0).has_value());
+  BOOST_REQUIRE(fixture.Drain("x").has_value());
+  BOOST_REQUIRE(fixture.follower.PollOnce().has_value());
+  BOOST_REQUIRE(
+      fixture.table.Commit(Transaction().Put("change/head", "1"), kTestTimeout)
+          .has_value());
+  BOOST_TEST(
+      (fixture.follower.PollOnce().error().code == ErrorCode::kConflict));
+  BOOST_TEST(fixture.holder.current()->sequence.value() == 2U);
+  BOOST_TEST(!fixture.Drain("y").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bamboomount
