--- a/src/policy/internal/class_queue.cc
+++ b/src/policy/internal/class_queue.cc
@@ -95,13 +95,13 @@
 ClassQueue::FlowList::iterator ClassQueue::FlowOf(const CustomerId& customer,
                                                   double share) {
   const auto found = flow_of_.find(customer);
-  if (found != flow_of_.end()) {
-    found->second->share = std::max(share, kMinShare);
+  if (found != flow_of_.end())
     return found->second;
-  }
+  share = std::max(share, kMinShare);
   const auto granted = granted_work_.find(customer);
-  const double work = granted == granted_work_.end() ? 0 : granted->second;
-  flows_.push_back({customer, std::max(share, kMinShare), 0, work, {}});
+  const double work =
+      granted == granted_work_.end() ? 0 : granted->second / share;
+  flows_.push_back({customer, share, 0, work, {}});
   const auto flow = std::prev(flows_.end());
   flow_of_.emplace(customer, flow);
   by_work_.emplace(work, customer);
@@ -110,7 +110,7 @@
 
 void ClassQueue::AddWork(Flow& flow, double cost) {
   by_work_.erase({flow.work, flow.customer});
-  flow.work += cost;
+  flow.work += cost / flow.share;
   by_work_.emplace(flow.work, flow.customer);
 }
 
--- a/src/policy/internal/class_queue.h
+++ b/src/policy/internal/class_queue.h
@@ -22,8 +22,8 @@
   // Returns a request taken with Pop to the front of its customer.
   void Restore(QueuedRequest queued, const CustomerId& customer, double share);
   std::optional<QueuedRequest> Remove(const RequestId& request);
-  // Removes the newest request of the customer with the most work, queued and
-  // granted.
+  // Removes the newest request of the customer with the most work by share,
+  // queued and granted.
   QueuedRequest RemoveNewestOfHeaviest();
   // Charges a customer for work that its estimate did not cover; negative
   // amounts are credited. Has no effect on customers that do not wait.
@@ -37,7 +37,7 @@
   bool Contains(const RequestId& request) const {
     return location_.contains(request);
   }
-  // Work of the heaviest waiting customer, in tokens.
+  // Work by share of the heaviest waiting customer, in tokens.
   double heaviest_work() const {
     return by_work_.empty() ? 0 : by_work_.rbegin()->first;
   }
@@ -48,7 +48,7 @@
     CustomerId customer;
     double share = 1;
     double deficit = 0;
-    // Queued and granted, in tokens.
+    // Queued and granted, in tokens by share.
     double work = 0;
     std::list<QueuedRequest> requests;
   };
--- a/tests/policy/fairness_test.cc
+++ b/tests/policy/fairness_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck/boost_test.h>
 
 #include <algorithm>
+#include <set>
 
 #include "policy/policy.h"
 
@@ -77,6 +78,37 @@
   }
 }
 
+// Guards against a flood of one customer that sheds requests of others: what
+// it runs counts too, and a larger share may have more work.
+RC_BOOST_PROP(the_customer_with_the_most_work_by_share_is_shed, ()) {
+  CellScheduler cell;
+  SteadyTime now{std::chrono::hours(1)};
+  const int slots = *rc::gen::inRange(1, 4);
+  cell.SetBackends({{BackendId("b"), ZoneId("z"), false, slots}}, now);
+  const int share = *rc::gen::inRange(1, 4);
+  const int waiting = *rc::gen::inRange(1, 4);
+  int next_id = 0;
+  // Customer 0 has share 1 and fills the slots.
+  const auto enqueue = [&](int customer) {
+    SlotRequest request = MakeRequest(next_id++, 0, customer);
+    request.queue_limit = (1 + share) * waiting - 1;
+    request.share = customer == 0 ? 1 : share;
+    cell.Enqueue(request, now);
+    return request.request;
+  };
+  for (int i = 0; i < slots; ++i)
+    enqueue(0);
+  cell.Decide(now);
+  std::set<RequestId> of_flood;
+  for (int i = 0; i < waiting; ++i)
+    of_flood.insert(enqueue(0));
+  for (int i = 0; i < share * waiting; ++i)
+    enqueue(1);
+  const auto decisions = cell.Decide(now);
+  RC_ASSERT(decisions.size() == 1U);
+  RC_ASSERT(of_flood.contains(decisions[0].request));
+}
+
 // Guards against a class that is shed before its guaranteed grant comes,
 // while the tier above is overloaded.
 RC_BOOST_PROP(a_burst_above_does_not_shed_the_guaranteed_turn, ()) {
