Plan the fleet of a pool over firm and cheap backend servers

Cause: no part decided how many backend servers to order in which zone. Ruled out: following the demand in both directions at once (any noise changes the fleet); taking cheap ones out of the plan while a zone has none (other zones still have them). Change: SpendingPlanner finds the cheapest fleet in which the protected tiers fit on the firm ones plus what survives the loss of any one zone. Before: none.

--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -12,5 +12,6 @@
 #include "policy/queue_discipline.h"
 #include "policy/retry_budget.h"
 #include "policy/slot_request.h"
+#include "policy/spending_planner.h"
 
 #endif  // POLICY_POLICY_H_
