--- a/src/admin/events.h
+++ b/src/admin/events.h
@@ -1,6 +1,8 @@
 #ifndef ADMIN_EVENTS_H_
 #define ADMIN_EVENTS_H_
 
+#include <array>
+
 #include "telemetry/log_event.h"
 
 namespace bamboomount {
@@ -27,6 +29,11 @@
     6012, Severity::kInfo, "emergency_withdrawal_logged",
     "An emergency withdrawal is in the log now."};
 
+// All events of this library, for the catalogue.
+inline constexpr std::array kAdminEvents{
+    kAdminListening, kAdminRefused,        kAdminFailed,
+    kOperatorAction, kEmergencyWithdrawal, kEmergencyWithdrawalLogged};
+
 }  // namespace bamboomount
 
 #endif  // ADMIN_EVENTS_H_
--- a/src/controller/events.h
+++ b/src/controller/events.h
@@ -1,6 +1,8 @@
 #ifndef CONTROLLER_EVENTS_H_
 #define CONTROLLER_EVENTS_H_
 
+#include <array>
+
 #include "telemetry/log_event.h"
 
 // Log events 4000 to 4999. Usage recording (4100 to 4199) runs on routers.
@@ -48,6 +50,12 @@
     "A row of the table service could not be read. Check which version of the "
     "program wrote it."};
 
+// All events of this library, for the catalogue.
+inline constexpr std::array kControllerEvents{
+    kLeaseTaken,    kLeaseLost,      kLeaseSteppedDown, kLeaseReleased,
+    kOrderAccepted, kOrderRefused,   kOrderUnresolved,  kOrderAbandoned,
+    kWindowSealed,  kWindowReported, kReportFailed,     kMalformedRow};
+
 }  // namespace bamboomount::events
 
 #endif  // CONTROLLER_EVENTS_H_
--- a/src/peer/events.h
+++ b/src/peer/events.h
@@ -1,6 +1,8 @@
 #ifndef PEER_EVENTS_H_
 #define PEER_EVENTS_H_
 
+#include <array>
+
 #include "telemetry/log_event.h"
 
 namespace bamboomount::peer_events {
@@ -55,6 +57,15 @@
     "them within its own share of the slots. Priority order holds only inside "
     "this router meanwhile."};
 
+// All events of this library, for the catalogue.
+inline constexpr std::array kPeerEvents{kListening,      kMessageRefused,
+                                        kPeerDialFailed, kPeerJoined,
+                                        kPeerSuspected,  kPeerRemoved,
+                                        kPeerLeaving,    kDirectoryUnavailable,
+                                        kChangesMissing, kWithdrawalReceived,
+                                        kCellOwned,      kCellReportsMissing,
+                                        kCellGivenUp,    kLocalBudgetUsed};
+
 }  // namespace bamboomount::peer_events
 
 #endif  // PEER_EVENTS_H_
--- a/src/platform/events.h
+++ b/src/platform/events.h
@@ -1,6 +1,8 @@
 #ifndef PLATFORM_EVENTS_H_
 #define PLATFORM_EVENTS_H_
 
+#include <array>
+
 #include "telemetry/log_event.h"
 
 // Log events 4100 to 4199.
@@ -19,6 +21,10 @@
     4102, Severity::kError, "usage_row_malformed",
     "This router's own usage row could not be read."};
 
+// All events of this library, for the catalogue.
+inline constexpr std::array kPlatformEvents{kUsageLate, kUsageAmbiguous,
+                                            kUsageRowMalformed};
+
 }  // namespace bamboomount::events
 
 #endif  // PLATFORM_EVENTS_H_
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -1,6 +1,8 @@
 #ifndef STATE_EVENTS_H_
 #define STATE_EVENTS_H_
 
+#include <array>
+
 #include "telemetry/log_event.h"
 
 namespace bamboomount {
@@ -46,6 +48,13 @@
     "The basis on which keyed requests are served changed: confirmed, "
     "majority or stale. Keyed requests are refused while stale."};
 
+// All events of this library, for the catalogue.
+inline constexpr std::array kStateEvents{
+    kChangeAppended,      kStaleBaseRefused, kAppendOutcomeUnknown,
+    kSnapshotNotWritten,  kSnapshotNotRead,  kStateAdvanced,
+    kChangeNotApplicable, kStorePollFailed,  kStorePollRecovered,
+    kLogShorterThanState, kFreshnessChanged};
+
 }  // namespace bamboomount
 
 #endif  // STATE_EVENTS_H_
