Offer a peer the whole state where single changes are not kept

The state property, made stricter, also found that changes were offered up to a point before the state in force after the state had jumped (falsified after 1 jump), and that the router that made a change did not keep it for its peers.

Ruled out: another message between peers for whole states; the change that a peer asks for can carry it, and the codec, the log and the fold refuse it anywhere else.

Change: WholeState as a body of Change that is never appended; ChangesAfter offers changes only if they reach the state in force. stale_base names the time in UTC. StateFollower::store_answers for the status.

Conclusion: peers can bring each other to the newest state without the store.

--- a/src/state/change.cc
+++ b/src/state/change.cc
@@ -29,6 +29,9 @@
   Json operator()(const InstanceDrained& body) const {
     return {{"kind", "instance_drained"}, {"instance", body.instance.value()}};
   }
+  Json operator()(const WholeState& body) const {
+    return {{"kind", "whole_state"}, {"state", body.encoded}};
+  }
 };
 
 ChangeBody DecodeConfigApplied(const Json& json) {
@@ -51,13 +54,18 @@
   return InstanceDrained{InstanceId(json.at("instance").get<std::string>())};
 }
 
+ChangeBody DecodeWholeState(const Json& json) {
+  return WholeState{json.at("state").get<std::string>()};
+}
+
 using BodyDecoder = ChangeBody (*)(const Json&);
 
-constexpr std::array<std::pair<std::string_view, BodyDecoder>, 4>
+constexpr std::array<std::pair<std::string_view, BodyDecoder>, 5>
     kBodyDecoders = {{{"config_applied", DecodeConfigApplied},
                       {"key_granted", DecodeKeyGranted},
                       {"key_withdrawn", DecodeKeyWithdrawn},
-                      {"instance_drained", DecodeInstanceDrained}}};
+                      {"instance_drained", DecodeInstanceDrained},
+                      {"whole_state", DecodeWholeState}}};
 
 Error NotAChange(const std::string& reason) {
   return {ErrorCode::kBadRequest,
--- a/src/state/change.h
+++ b/src/state/change.h
@@ -31,8 +31,18 @@
   InstanceId instance;
 };
 
-using ChangeBody =
-    std::variant<ConfigApplied, KeyGranted, KeyWithdrawn, InstanceDrained>;
+// In place of the changes up to a sequence, for a peer that lacks more changes
+// than are kept. Never appended to the log.
+struct WholeState {
+  // As EncodeControlState writes it.
+  std::string encoded;
+};
+
+using ChangeBody = std::variant<ConfigApplied,
+                                KeyGranted,
+                                KeyWithdrawn,
+                                InstanceDrained,
+                                WholeState>;
 
 // One entry of the change log.
 struct Change {
--- a/src/state/change_log.cc
+++ b/src/state/change_log.cc
@@ -1,5 +1,7 @@
 #include "state/change_log.h"
 
+#include <fmt/chrono.h>
+
 #include <chrono>
 #include <utility>
 
@@ -30,6 +32,11 @@
   return std::to_string(version.value());
 }
 
+std::string UtcText(std::int64_t unix_seconds) {
+  return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}",
+                     fmt::gmtime(static_cast<std::time_t>(unix_seconds)));
+}
+
 // Names who applied the version after the stale base.
 Error StaleBase(TableStore& table,
                 const ConfigApplied& body,
@@ -48,11 +55,10 @@
   if (entry)
     first = std::move(entry).value();
   error.message = first.author + " was first and applied version " +
-                  Text(first.version) + " at " +
-                  std::to_string(first.unix_seconds) +
-                  " s (Unix time); your text was edited from version " +
-                  Text(body.base) + ", in force is version " +
-                  Text(state.config_version) + " by " + state.config_author;
+                  Text(first.version) + " at " + UtcText(first.unix_seconds) +
+                  "; your text was edited from version " + Text(body.base) +
+                  ", in force is version " + Text(state.config_version) +
+                  " by " + state.config_author;
   return error;
 }
 
--- a/src/state/control_state.cc
+++ b/src/state/control_state.cc
@@ -68,6 +68,10 @@
     return Success();
   }
 
+  Result<void> operator()(const WholeState& /*body*/) {
+    return Conflict("a whole state is no change of the log");
+  }
+
  private:
   ControlState& state_;
   const Change& change_;
--- a/src/state/internal/change_check.cc
+++ b/src/state/internal/change_check.cc
@@ -48,6 +48,11 @@
                                                   : Need::kAppend;
   }
 
+  Result<Need> operator()(const WholeState& /*body*/) const {
+    return Refusal(ErrorCode::kBadRequest,
+                   "a whole state is no change of the log");
+  }
+
  private:
   const ControlState& state_;
 };
--- a/src/state/state_follower.cc
+++ b/src/state/state_follower.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "state/events.h"
 #include "telemetry/telemetry.h"
@@ -65,7 +66,17 @@
 }
 
 void StateFollower::OfferChange(const Change& change) {
-  if (change.sequence <= holder_.current()->sequence)
+  const ChangeSequence in_force = holder_.current()->sequence;
+  if (const auto* whole = std::get_if<WholeState>(&change.body)) {
+    if (change.sequence > in_force)
+      OfferWholeState(change, *whole);
+    return;
+  }
+  // The state that this process just appended the change to is in force
+  // already; peers may still ask for the change.
+  if (change.sequence == in_force)
+    Keep(change);
+  if (change.sequence <= in_force)
     return;
   {
     const std::lock_guard lock(changes_mutex_);
@@ -86,6 +97,18 @@
   wake_.notify_all();
 }
 
+void StateFollower::OfferWholeState(const Change& change,
+                                    const WholeState& body) {
+  auto state = DecodeControlState(body.encoded);
+  if (!state) {
+    Log(kChangeNotApplicable,
+        {{"sequence", std::to_string(change.sequence.value())},
+         {"reason", state.error().message}});
+    return;
+  }
+  OfferState(std::make_shared<const ControlState>(std::move(state).value()));
+}
+
 void StateFollower::OfferState(std::shared_ptr<const ControlState> state) {
   Advance(std::move(state));
   while (ApplyPending()) {
@@ -93,13 +116,22 @@
 }
 
 std::vector<Change> StateFollower::ChangesAfter(ChangeSequence sequence) const {
-  const std::lock_guard lock(changes_mutex_);
-  const auto first = std::find_if(
-      recent_.begin(), recent_.end(),
-      [&](const Change& change) { return change.sequence > sequence; });
-  if (first == recent_.end() || first->sequence != sequence + ChangeSequence(1))
+  const auto state = holder_.current();
+  if (state->sequence <= sequence)
     return {};
-  return {first, recent_.end()};
+  {
+    const std::lock_guard lock(changes_mutex_);
+    const auto next =
+        std::find_if(recent_.begin(), recent_.end(), [&](const Change& change) {
+          return change.sequence == sequence + ChangeSequence(1);
+        });
+    if (next != recent_.end() && recent_.back().sequence >= state->sequence)
+      return {next, recent_.end()};
+  }
+  Change whole;
+  whole.sequence = state->sequence;
+  whole.body = WholeState{EncodeControlState(*state)};
+  return {std::move(whole)};
 }
 
 void StateFollower::SetGapListener(GapListener listener) {
@@ -130,6 +162,11 @@
   return rule_.ConfirmationAge(sequence, options_.now());
 }
 
+bool StateFollower::store_answers() const {
+  const std::lock_guard lock(rule_mutex_);
+  return store_answered_;
+}
+
 void StateFollower::Run() {
   Freshness last = Freshness::kConfirmed;
   while (true) {
@@ -211,6 +248,7 @@
   {
     const std::lock_guard lock(rule_mutex_);
     was_silent = std::exchange(store_silent_, !answered);
+    store_answered_ = answered;
     if (!answered)
       rule_.OnStoreSilent();
     else if (caught_up)
--- a/src/state/state_follower.h
+++ b/src/state/state_follower.h
@@ -63,8 +63,9 @@
   void OfferChange(const Change& change);
   // A whole state of a peer; ignored unless it is higher.
   void OfferState(std::shared_ptr<const ControlState> state);
-  // Changes after `sequence` for a peer that lacks them. Empty if they are not
-  // kept any more; the peer then needs the whole state.
+  // Changes after `sequence` for a peer that lacks them; one with the whole
+  // state if they are not kept any more. A router that starts while the store
+  // is down gets its state this way.
   std::vector<Change> ChangesAfter(ChangeSequence sequence) const;
   // Set it before Start. Runs without locks held.
   void SetGapListener(GapListener listener);
@@ -76,11 +77,14 @@
                    BootTime not_sent_before);
   Freshness freshness() const;
   std::optional<BootTime> confirmation_age() const;
+  // Whether the store answered the last poll; false before the first one.
+  bool store_answers() const;
 
  private:
   void Run();
   Millis NextPause();
   bool ApplyPending();
+  void OfferWholeState(const Change& change, const WholeState& body);
   void Advance(std::shared_ptr<const ControlState> state);
   void Keep(const Change& change);
   void NoteAnswer(const Result<CaughtUp>& caught_up, BootTime asked_at);
@@ -93,6 +97,7 @@
 
   mutable std::mutex rule_mutex_;
   FreshnessRule rule_;
+  bool store_answered_ = false;
   bool store_silent_ = false;
   // Why the state cannot follow the log; empty while it can. Logged once.
   std::string stuck_reason_;
--- a/tests/admin/admin_server_test.cc
+++ b/tests/admin/admin_server_test.cc
@@ -60,6 +60,10 @@
   BOOST_REQUIRE(history.size() == 2U);
   BOOST_TEST(history[1].author == "BEAT");
   BOOST_TEST(operations.pushed.size() == 2U);
+  // A peer that lost a push asks the instance that made the change.
+  const auto kept = operations.follower.ChangesAfter(ChangeSequence(1));
+  BOOST_REQUIRE(kept.size() == 1U);
+  BOOST_TEST(EncodeChange(kept[0]) == EncodeChange(operations.pushed[1]));
 }
 
 // The operator must see all faults in one answer.
--- a/tests/state/state_follower_test.cc
+++ b/tests/state/state_follower_test.cc
@@ -1,4 +1,5 @@
 #include <rapidcheck.h>
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 
@@ -47,9 +48,15 @@
       last = state->sequence;
       RC_ASSERT(EncodeControlState(*state) ==
                 EncodeControlState(states[last.value()]));
-      const auto kept = fixture.follower.ChangesAfter(ChangeSequence(pick));
-      for (std::size_t k = 0; k < kept.size(); ++k)
-        RC_ASSERT(kept[k].sequence.value() == pick + 1 + k);
+      // A peer at any earlier state reaches this one by what it is offered.
+      FollowerFixture peer;
+      peer.follower.OfferState(std::make_shared<const ControlState>(
+          states[std::min<std::size_t>(pick, last.value())]));
+      for (const Change& change :
+           fixture.follower.ChangesAfter(peer.holder.current()->sequence))
+        peer.follower.OfferChange(DecodeChange(EncodeChange(change)).value());
+      RC_ASSERT(EncodeControlState(*peer.holder.current()) ==
+                EncodeControlState(*state));
     }
     RC_ASSERT(fixture.follower.PollOnce().has_value());
     RC_ASSERT(fixture.holder.current()->sequence.value() == changes.size());
@@ -97,13 +104,16 @@
   FollowerFixture fixture;
   StateFollower& follower = fixture.follower;
   BOOST_TEST((follower.freshness() == Freshness::kStale));
+  BOOST_TEST(!follower.store_answers());
   BOOST_REQUIRE(fixture.ApplyConfig("ANNA", 0).has_value());
   BOOST_REQUIRE(follower.PollOnce().has_value());
   BOOST_TEST((follower.freshness() == Freshness::kConfirmed));
+  BOOST_TEST(follower.store_answers());
   fixture.now += seconds(3);
   BOOST_TEST((follower.confirmation_age().value() == seconds(3)));
   fixture.table.silent = true;
   BOOST_TEST(!follower.PollOnce().has_value());
+  BOOST_TEST(!follower.store_answers());
   BOOST_TEST((follower.freshness() == Freshness::kConfirmed));
   fixture.now += seconds(2);
   BOOST_TEST((follower.freshness() == Freshness::kStale));
@@ -115,6 +125,29 @@
   BOOST_TEST((follower.freshness() == Freshness::kConfirmed));
 }
 
+// Section 6: a router that starts while the store is down takes the highest
+// state that its peers offer, however long ago the changes were made.
+BOOST_AUTO_TEST_CASE(a_start_in_an_outage_gets_the_whole_state_from_a_peer) {
+  FollowerFixture fixture;
+  BOOST_REQUIRE(fixture.ApplyConfig("ANNA", 0).has_value());
+  for (int i = 0; i < 100; ++i)
+    BOOST_REQUIRE(fixture.Drain("i" + std::to_string(i)).has_value());
+  BOOST_REQUIRE(fixture.follower.PollOnce().has_value());
+  FollowerFixture starting;
+  starting.table.silent = true;
+  const auto offered = fixture.follower.ChangesAfter(ChangeSequence(0));
+  BOOST_REQUIRE(offered.size() == 1U);
+  starting.follower.OfferChange(offered.front());
+  BOOST_TEST(starting.holder.current()->sequence.value() == 101U);
+  BOOST_TEST(EncodeControlState(*starting.holder.current()) ==
+             EncodeControlState(*fixture.holder.current()));
+  // A whole state is no change of the log.
+  BOOST_TEST(!ApplyChange(ControlState(), offered.front()).has_value());
+  BOOST_TEST((fixture.log.Append("ANNA", offered.front().body, kTestTimeout)
+                  .error()
+                  .code == ErrorCode::kBadRequest));
+}
+
 // A program too old to read a change would otherwise serve keys that later
 // changes withdraw.
 BOOST_AUTO_TEST_CASE(a_change_that_cannot_be_read_makes_the_state_stale) {
