--- a/bench/policy_experiments/main.cc
+++ b/bench/policy_experiments/main.cc
@@ -1,8 +1,10 @@
 #include <tclap/CmdLine.h>
 
+#include <iomanip>
 #include <iostream>
 
 #include "load_experiment.h"
+#include "spending_experiment.h"
 
 namespace bamboomount {
 namespace {
@@ -30,6 +32,30 @@
   }
 }
 
+void RunSpending(std::uint64_t seed) {
+  std::cout << "| deployment | surplus factor | headroom | cost / cheapest |"
+               " short % | protected short % | on cheap % | changes |\n"
+               "|---|---|---|---|---|---|---|---|\n";
+  for (const Deployment& deployment : Deployments()) {
+    for (const double surplus : {1.0, 1.05, 1.15}) {
+      for (const double headroom : {1.0, 1.1}) {
+        SpendingOptions options;
+        options.firm_cost = deployment.firm_cost_per_hour;
+        options.cheap_cost = deployment.cheap_cost_per_hour;
+        options.surplus_factor = surplus;
+        const SpendingReport report =
+            RunSpendingDay(deployment, options, headroom, seed);
+        std::cout << std::fixed << std::setprecision(2) << "| "
+                  << deployment.name << " | " << surplus << " | " << headroom
+                  << " | " << report.cost_ratio << " | " << report.short_percent
+                  << " | " << report.protected_short_percent << " | "
+                  << std::setprecision(1) << report.cheap_percent << " | "
+                  << report.changes << " |\n";
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bamboomount
 
@@ -43,7 +69,13 @@
                                         "", "name", command);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the load.", false, 1,
                                       "number", command);
+  TCLAP::SwitchArg spending("", "spending", "A day of the spending planner.",
+                            command);
   command.parse(argc, argv);
+  if (spending.getValue()) {
+    bamboomount::RunSpending(seed.getValue());
+    return 0;
+  }
   for (const auto& fleet : bamboomount::Deployments()) {
     for (const auto& load : bamboomount::Scenarios()) {
       if (bamboomount::Selected(deployment.getValue(), fleet.name) &&
--- a/src/policy/spending_planner.cc
+++ b/src/policy/spending_planner.cc
@@ -71,8 +71,15 @@
                                                SteadyTime now) {
   if (!Suffices(input)) {
     surplus_since_.reset();
+    if (!shortage_since_)
+      shortage_since_ = now;
+    const bool protected_short =
+        Sum(input.zones).surviving() < RoundUp(input.protected_demand);
+    if (!protected_short && now - *shortage_since_ < options_.shortage_hold)
+      return {};
     return Order(input, Target(input, 1, now));
   }
+  shortage_since_.reset();
   const auto target = Target(input, options_.surplus_factor, now);
   std::vector<FleetChange> surplus = GiveBack(input, target);
   // Cheap ones that can be had again replace firm ones: more first, then fewer.
--- a/src/policy/spending_planner.h
+++ b/src/policy/spending_planner.h
@@ -38,10 +38,13 @@
   double cheap_cost = 0.4;
   // Backend servers ordered or given back in one step.
   int max_changes = 2;
+  // A shortage that leaves the protected tiers whole is met after this time, so
+  // that single peaks of a noisy demand order nothing.
+  Millis shortage_hold{60000};
   // Backend servers are given back if they are still not needed after this
   // time at a demand that is higher by this factor.
   Millis surplus_hold = std::chrono::minutes(10);
-  double surplus_factor = 1.15;
+  double surplus_factor = 1.05;
   // Firm ones are replaced by cheap ones if the cost falls below this part.
   double replace_below = 0.95;
   // How long a zone counts as without cheap ones after a failed order.
@@ -77,6 +80,7 @@
 
   const SpendingOptions options_;
   std::map<ZoneId, SteadyTime> unavailable_since_;
+  std::optional<SteadyTime> shortage_since_;
   std::optional<SteadyTime> surplus_since_;
 };
 
