Apply drains and report the store's answers truthfully

Cause: a drain was recorded in the change log but the drained router went on, and status said that the store answers for up to 4 s into an outage. Ruled out: a separate stop path for drains; the router signals itself, so that a drain is the planned stop that is tested. Change: a listener for the drained set, store_answers() in status, one path for the whole state to a peer. Before: 'instance drain' had no effect.

--- a/apps/bamboomountd/follower_change_exchange.cc
+++ b/apps/bamboomountd/follower_change_exchange.cc
@@ -35,9 +35,6 @@
       break;
     encoded.push_back({change.sequence, std::move(text)});
   }
-  const auto state = holder_.current();
-  if (encoded.empty() && state->sequence > after)
-    encoded.push_back({state->sequence, EncodeControlState(*state)});
   return encoded;
 }
 
@@ -45,16 +42,11 @@
     const std::vector<EncodedChange>& changes) {
   for (const EncodedChange& encoded : changes) {
     const auto change = DecodeChange(encoded.text);
-    if (change) {
-      follower_.OfferChange(change.value());
-      continue;
-    }
-    const auto state = DecodeControlState(encoded.text);
-    if (!state) {
-      Log(kPeerChangeUnreadable, {{"error", state.error().message}});
+    if (!change) {
+      Log(kPeerChangeUnreadable, {{"error", change.error().message}});
       return;
     }
-    follower_.OfferState(std::make_shared<const ControlState>(state.value()));
+    follower_.OfferChange(change.value());
   }
 }
 
--- a/apps/bamboomountd/follower_change_exchange.h
+++ b/apps/bamboomountd/follower_change_exchange.h
@@ -10,9 +10,7 @@
 // suspended counts against freshness.
 SteadyTime BootSteadyNow();
 
-// Connects the exchange of changes between peers to the state follower. A peer
-// that is further behind than the changes that are kept gets the whole state
-// in place of a change, so that a router can start while the store is down.
+// Connects the exchange of changes between peers to the state follower.
 class FollowerChangeExchange : public ChangeExchange {
  public:
   FollowerChangeExchange(StateFollower& follower, ControlStateHolder& holder)
--- a/apps/bamboomountd/router_operations.cc
+++ b/apps/bamboomountd/router_operations.cc
@@ -45,7 +45,7 @@
   status.self = Position();
   status.instances = InstanceStatuses();
   status.backends = BackendStatuses();
-  status.store_answers = parts_.follower.freshness() == Freshness::kConfirmed;
+  status.store_answers = parts_.follower.store_answers();
   status.emergency_withdrawals = changes_.UnloggedWithdrawals();
   const auto lease = ReadLease(parts_.table, kLeaseReadTimeout);
   if (lease && lease.value())
@@ -112,7 +112,7 @@
 }
 
 void RouterOperations::LogEmergencyWithdrawals() {
-  if (parts_.follower.freshness() != Freshness::kConfirmed ||
+  if (!parts_.follower.store_answers() ||
       changes_.UnloggedWithdrawals().empty())
     return;
   // A failure is repeated with the next call.
--- a/apps/bamboomountd/router_process.cc
+++ b/apps/bamboomountd/router_process.cc
@@ -69,6 +69,7 @@
         router_(MakeRouterOptions(settings), MakeDependencies()) {
     state_.AddListener(
         [this](const auto& state) { slots_.Configure(*state->config); });
+    state_.AddListener([this](const auto& state) { StopIfDrained(*state); });
     peers_.AddRosterListener(
         [this](const auto& members) { slots_.UpdateRoster(members); });
     peers_.SetSlotHandler([this](const auto& sender, const auto& message) {
@@ -231,6 +232,13 @@
     }
   }
 
+  // An operator drained this instance: the planned stop begins once.
+  void StopIfDrained(const ControlState& state) {
+    if (state.drained.contains(settings_.instance) &&
+        !drain_requested_.exchange(true))
+      StopSignal::Request();
+  }
+
   void Register(ListedState state) {
     const auto registered = directory_.Register(
         {settings_.instance, settings_.zone, router_.listen_address(),
@@ -259,6 +267,7 @@
   PeerNode peers_;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> stopping_ = false;
+  std::atomic<bool> drain_requested_ = false;
   RouterOperations operations_;
   RouterServer router_;
 };
--- a/apps/bamboomountd/stop_signal.h
+++ b/apps/bamboomountd/stop_signal.h
@@ -1,6 +1,8 @@
 #ifndef APPS_BAMBOOMOUNTD_STOP_SIGNAL_H_
 #define APPS_BAMBOOMOUNTD_STOP_SIGNAL_H_
 
+#include <unistd.h>
+
 #include <csignal>
 
 namespace bamboomount {
@@ -16,6 +18,9 @@
     pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
   }
 
+  // Makes Wait return, as a planned stop that an operator asked for.
+  static void Request() { kill(getpid(), SIGTERM); }
+
   // Blocks until a signal arrives; returns its number.
   int Wait() const {
     int signal = 0;
--- a/tests/docs/event_catalogue_test.cc
+++ b/tests/docs/event_catalogue_test.cc
@@ -57,9 +57,9 @@
   Catalogue catalogue;
   catalogue.Add("apps/bamboomountd/events.h", kDaemonEvents);
   catalogue.Add("src/state/events.h", kStateEvents);
-  catalogue.Add("src/peer/events.h", kPeerEvents);
-  catalogue.Add("src/platform/events.h", kPlatformEvents);
-  catalogue.Add("src/controller/events.h", kControllerEvents);
+  catalogue.Add("src/peer/events.h", peer_events::kPeerEvents);
+  catalogue.Add("src/platform/events.h", events::kPlatformEvents);
+  catalogue.Add("src/controller/events.h", events::kControllerEvents);
   catalogue.Add("src/router/events.h", kRouterEvents);
   catalogue.Add("src/admin/events.h", kAdminEvents);
   return catalogue;
