Check the fencing token of each order and report in the fleet properties

Change: an order has to carry the token that its id starts with, a report one above 0.

With the code in place: 3 of 3 test programs pass.

--- a/tests/controller/simulated_fleet.cc
+++ b/tests/controller/simulated_fleet.cc
@@ -362,6 +362,9 @@
 }
 
 void SimulatedFleet::ReceiveOrder(const BackendOrder& order) {
+  // The id starts with the token of the lease under which it was recorded.
+  if (order.fencing_token != FencingToken(std::stoull(order.order_id)))
+    violations_.insert("an order without its holder's token");
   if (order.fencing_token < newest_token_)
     violations_.insert("an order from an earlier holder");
   newest_token_ = std::max(newest_token_, order.fencing_token);
@@ -402,6 +405,8 @@
 }
 
 void SimulatedFleet::ReceiveReport(const UsageReport& report) {
+  if (report.fencing_token == FencingToken(0))
+    violations_.insert("a report without a token");
   if (report.fencing_token < newest_token_)
     violations_.insert("a report from an earlier holder");
   newest_token_ = std::max(newest_token_, report.fencing_token);
