Refuse a caller's key on open routes and in encoded bodies

Cause: a process test looked for the caller's key in everything that a plain service received and found it in four cases: an open route with the key in the query, an open route with the key in the body, a JSON body that spells the key with \u escapes behind a repeated member name (the parser keeps the last member), and a form body that spells it with percent escapes.

Ruled out: removing the key from the request, because the caller would not learn of its mistake and the body would no longer be its own.

Change: the check of where the key stands is a step of its own, which open routes take too. It undoes percent and JSON escapes over the whole text instead of parsing it.

Conclusion: other encodings, such as base64, are not detected.

--- a/src/router/internal/authenticator.cc
+++ b/src/router/internal/authenticator.cc
@@ -1,6 +1,5 @@
 #include "router/internal/authenticator.h"
 
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -39,19 +38,42 @@
   return decoded;
 }
 
-bool BodyContains(const std::string& body, const std::string& key) {
-  if (body.find(key) != std::string::npos)
-    return true;
-  // JSON escapes such as \u0041 could spell the key; the dump has none.
-  const auto json = nlohmann::json::parse(body, nullptr, false);
-  return !json.is_discarded() && json.dump().find(key) != std::string::npos;
+// Undoes JSON escapes wherever they stand, also in text that is not JSON. Only
+// escapes of ASCII matter, since keys are ASCII.
+std::string JsonUnescaped(std::string_view text) {
+  constexpr std::size_t kEscapeLength = 6;
+  std::string plain;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '\\' || i + 1 == text.size()) {
+      plain.push_back(text[i]);
+      continue;
+    }
+    const bool is_ascii =
+        text.substr(i, 4) == "\\u00" && i + kEscapeLength <= text.size();
+    const auto high = is_ascii ? HexDigit(text[i + 4]) : std::nullopt;
+    const auto low = is_ascii ? HexDigit(text[i + 5]) : std::nullopt;
+    if (high && low) {
+      plain.push_back(static_cast<char>(*high * 16 + *low));
+      i += kEscapeLength - 1;
+    } else {
+      plain.push_back(text[++i]);
+    }
+  }
+  return plain;
+}
+
+// Whether `text` spells `key`, plainly or encoded as in queries, forms or JSON.
+bool Spells(std::string_view text, const std::string& key) {
+  return text.find(key) != std::string_view::npos ||
+         PercentDecoded(text).find(key) != std::string::npos ||
+         JsonUnescaped(text).find(key) != std::string::npos;
 }
 
 bool AnotherHeaderContains(const HttpRequest& request, const std::string& key) {
   for (const auto& field : request) {
     if (field.name() == http::field::authorization)
       continue;
-    if (std::string(field.value()).find(key) != std::string::npos)
+    if (Spells(std::string(field.value()), key))
       return true;
   }
   return false;
@@ -80,13 +102,24 @@
   if (key.size() < kMinKeyLength || key.size() > kMaxKeyLength)
     return Refusal(ErrorCode::kUnknownKey, "the key is not known");
   BOOST_OUTCOME_TRY(identity, FindIdentity(key));
-  const std::string target(request.target());
-  if (target.find(key) != std::string::npos ||
-      PercentDecoded(target).find(key) != std::string::npos ||
-      AnotherHeaderContains(request, key) || BodyContains(request.body(), key))
+  BOOST_OUTCOME_TRY(CheckKeyPlacement(request));
+  return std::move(identity);
+}
+
+Result<void> Authenticator::CheckKeyPlacement(
+    const HttpRequest& request) const {
+  const std::string header(request[http::field::authorization]);
+  const std::size_t space = header.find(' ');
+  if (space == std::string::npos)
+    return Success();
+  const std::string key = header.substr(space + 1);
+  if (key.size() < kMinKeyLength)
+    return Success();
+  if (Spells(std::string(request.target()), key) ||
+      AnotherHeaderContains(request, key) || Spells(request.body(), key))
     return Refusal(ErrorCode::kKeyInRequest,
                    "the key must stand in the Authorization header only");
-  return std::move(identity);
+  return Success();
 }
 
 Result<CallerIdentity> Authenticator::FindIdentity(
--- a/src/router/internal/authenticator.h
+++ b/src/router/internal/authenticator.h
@@ -22,6 +22,11 @@
   // body, where it would reach a backend server.
   Result<CallerIdentity> Authenticate(const HttpRequest& request) const;
 
+  // Fails with kKeyInRequest if the text after the scheme of the Authorization
+  // header also stands in the target, another header or the body. Needs no
+  // known key, so it serves open routes too.
+  Result<void> CheckKeyPlacement(const HttpRequest& request) const;
+
  private:
   Result<CallerIdentity> FindIdentity(const std::string& key) const;
 
--- a/src/router/internal/request_handler.cc
+++ b/src/router/internal/request_handler.cc
@@ -176,7 +176,15 @@
     co_await reply.Send(unknown);
     co_return;
   }
-  if (!route->open) {
+  if (route->open) {
+    // An open route ignores the key, but must not pass it on either.
+    const auto placement = authenticator_.CheckKeyPlacement(request.http);
+    if (!placement) {
+      const WholeReply refusal = ErrorReply(placement.error());
+      co_await reply.Send(refusal);
+      co_return;
+    }
+  } else {
     const bool authenticated = co_await Authenticate(request, reply);
     if (!authenticated)
       co_return;
