Answer callers that send too slowly

Cause: the timeout of beast::tcp_stream closes the socket, so the reply 408 could not be sent. A process test with 50 slow senders got no answer on any.

Change: reading a header or a body is bounded by a timer that cancels the read and leaves the connection open for the reply.

--- a/src/router/internal/caller_session.cc
+++ b/src/router/internal/caller_session.cc
@@ -69,6 +69,40 @@
   return size == 0;
 }
 
+// Ends a read by cancelling it. The timeout of beast::tcp_stream closes the
+// socket instead, and the caller would get no error reply.
+class ReadDeadline {
+ public:
+  ReadDeadline(beast::tcp_stream& stream, std::chrono::seconds time)
+      : timer_(stream.get_executor(), time), state_(std::make_shared<State>()) {
+    stream.expires_never();
+    timer_.async_wait([&stream, state = state_](const error_code& error) {
+      if (error || state->finished)
+        return;
+      state->expired = true;
+      stream.cancel();
+    });
+  }
+  // The timer's handler may be queued already; it must not touch the stream.
+  ~ReadDeadline() { state_->finished = true; }
+  ReadDeadline(const ReadDeadline&) = delete;
+  ReadDeadline& operator=(const ReadDeadline&) = delete;
+
+  // The error of a read that ended with `error`.
+  error_code Outcome(const error_code& error) const {
+    return error && state_->expired ? error_code(beast::error::timeout) : error;
+  }
+
+ private:
+  struct State {
+    bool finished = false;
+    bool expired = false;
+  };
+
+  asio::steady_timer timer_;
+  std::shared_ptr<State> state_;
+};
+
 template <typename Stream>
 class SessionOn : public CallerSession,
                   public CallerReply,
@@ -207,8 +241,11 @@
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(kMaxBodyBytes);
     error_code error;
-    Lowest().expires_after(kHeaderTimeout);
-    co_await http::async_read_header(stream_, buffer_, parser, Await(error));
+    {
+      const ReadDeadline deadline(Lowest(), kHeaderTimeout);
+      co_await http::async_read_header(stream_, buffer_, parser, Await(error));
+      error = deadline.Outcome(error);
+    }
     if (!error)
       error = co_await ReadBody(parser);
     keep_alive_ = !error && parser.get().keep_alive();
@@ -231,9 +268,9 @@
       if (error)
         co_return error;
     }
-    Lowest().expires_after(kBodyTimeout);
+    const ReadDeadline deadline(Lowest(), kBodyTimeout);
     co_await http::async_read(stream_, buffer_, parser, Await(error));
-    co_return error;
+    co_return deadline.Outcome(error);
   }
 
   asio::awaitable<void> Serve(Parser& parser) {
