Accept callers after the first heartbeat round

Cause: a router that knows no peer yet takes itself for the owner of every cell and would grant slots beside the real owner. Ruled out: waiting for the whole roster, which a dead listed instance would hold up. Conclusion: starting routers no longer split a cell's queue.

--- a/apps/bamboomountd/router_process.cc
+++ b/apps/bamboomountd/router_process.cc
@@ -30,6 +30,8 @@
 constexpr Millis kFlusherPause{100};
 constexpr Millis kLoadInterval{500};
 constexpr Millis kSlotTick{25};
+// Two heartbeat intervals.
+constexpr Millis kPeerWait{2000};
 constexpr std::size_t kKeptSpans = 20'000;
 
 }  // namespace
@@ -79,12 +81,13 @@
   }
 
   void Run(const StopSignal& stop) {
-    router_.Start();
     follower_.Start();
     poller_.Start();
-    Register(ListedState::kLive);
     peers_.Start();
     PeerRunner peer_runner(peers_, poller_, {});
+    WaitForPeers();
+    router_.Start();
+    Register(ListedState::kLive);
     std::thread maintenance([this] { Maintain(); });
     std::thread usage_flusher([this] { FlushUsage(); });
     std::thread slot_timers([this] { TickSlots(); });
@@ -232,6 +235,20 @@
     }
   }
 
+  // A router that knows no peer takes itself for the owner of every cell.
+  // Callers are accepted once a peer was heard, if there is one.
+  void WaitForPeers() {
+    const auto deadline = std::chrono::steady_clock::now() + kPeerWait;
+    while (std::chrono::steady_clock::now() < deadline) {
+      const HeardCount count = peers_.HeardWithin(kPeerWait);
+      const bool is_alone = poller_.List(kPeerWait).has_value() &&
+                            poller_.last().instances.empty();
+      if (is_alone || count.heard > 1)
+        return;
+      std::this_thread::sleep_for(kSlotTick);
+    }
+  }
+
   // An operator drained this instance: the planned stop begins once.
   void StopIfDrained(const ControlState& state) {
     if (state.drained.contains(settings_.instance) &&
--- a/src/peer/local_slot_broker.cc
+++ b/src/peer/local_slot_broker.cc
@@ -45,9 +45,17 @@
   std::vector<DueCallback> due;
   {
     const std::lock_guard lock(mutex_);
-    pending_.emplace(request.request, Pending{pool, std::move(done)});
-    cells_[pool].Enqueue(request, std::chrono::steady_clock::now());
-    due = CollectDue(pool);
+    if (!cells_.contains(pool)) {
+      due.emplace_back(std::move(done),
+                       Error{ErrorCode::kNoBackend,
+                             RunVerdict::kNotRun,
+                             "the pool is not configured",
+                             {}});
+    } else {
+      pending_.emplace(request.request, Pending{pool, std::move(done)});
+      cells_[pool].Enqueue(request, std::chrono::steady_clock::now());
+      due = CollectDue(pool);
+    }
   }
   Run(std::move(due));
 }
