Test the running daemon against failing backend servers

Cause: whole answers, at-most-once calls, key secrecy, planned stops and bad input depend on many parts together.

Ruled out: byte boundaries through the scheduler, because it keeps a failed server out of use for a second and longer; that test runs the router library with a fixed slot broker. Freezing an engine before its first token: the router waits 60 s for the first byte, so the test freezes it in mid-stream.

--- a/standins/support/http_server.cc
+++ b/standins/support/http_server.cc
@@ -61,6 +61,13 @@
   socket.close(ignored);
 }
 
+bool IsClosedByPeer(tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t count =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 // Reads one request. Empty if the connection ended first or a fault ended it.
 asio::awaitable<std::optional<HttpRequest>> ReadRequest(
     tcp::socket& socket,
@@ -87,7 +94,11 @@
     std::size_t limit = kReadSize;
     if (reset_at >= 0) {
       if (received >= static_cast<std::size_t>(reset_at)) {
-        faults.Take();
+        // An idle connection that its caller closes is not a request.
+        co_await socket.async_wait(tcp::socket::wait_read, use_awaitable);
+        if (!IsClosedByPeer(socket)) {
+          faults.Take();
+        }
         CloseSocket(socket, true);
         co_return std::nullopt;
       }
@@ -179,10 +190,7 @@
   if (is_closed()) {
     return true;
   }
-  char byte = 0;
-  const ssize_t count =
-      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return IsClosedByPeer(socket_);
 }
 
 HttpServer::HttpServer(asio::io_context& io,
--- /dev/null
+++ b/tests/support/chat_client.cc
@@ -0,0 +1,126 @@
+#include "support/chat_client.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace bamboomount::support {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kDataPrefix = "data: ";
+constexpr std::string_view kErrorPrefix = "event: error\ndata: ";
+
+bool StartsWith(const std::string& text, std::string_view prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+// Enters the choice of a chunk; returns whether it held a token.
+bool EnterChunk(const std::string& text, ChatReply& reply) {
+  const Json chunk = Json::parse(text, nullptr, false);
+  if (!chunk.is_object() || chunk.value("choices", Json::array()).empty())
+    return false;
+  const Json& choice = chunk["choices"][0];
+  if (choice.contains("finish_reason") && choice["finish_reason"].is_string())
+    reply.finish_reason = choice["finish_reason"].get<std::string>();
+  if (!choice.contains("delta") || !choice["delta"].contains("content"))
+    return false;
+  reply.content += choice["delta"]["content"].get<std::string>();
+  ++reply.tokens;
+  return true;
+}
+
+void ReadStream(HttpClient& client,
+                ChatReply& reply,
+                const std::function<void(int)>& on_token) {
+  while (const auto event = client.ReadEvent()) {
+    if (StartsWith(*event, kErrorPrefix)) {
+      reply.error = event->substr(kErrorPrefix.size());
+    } else if (*event == "data: [DONE]") {
+      reply.done = true;
+    } else if (StartsWith(*event, kDataPrefix)) {
+      if (EnterChunk(event->substr(kDataPrefix.size()), reply) && on_token)
+        on_token(reply.tokens);
+    }
+  }
+  reply.complete = client.ended_cleanly();
+}
+
+void EnterWhole(const ClientAnswer& answer, ChatReply& reply) {
+  reply.complete = answer.complete;
+  const Json body = Json::parse(answer.body, nullptr, false);
+  if (reply.status != 200 || !body.is_object() || !body.contains("choices")) {
+    reply.error = answer.body;
+    return;
+  }
+  const Json& choice = body["choices"][0];
+  reply.content = choice["message"]["content"].get<std::string>();
+  reply.finish_reason = choice.value("finish_reason", "");
+  reply.done = true;
+}
+
+}  // namespace
+
+std::string ErrorMember(const std::string& body, const std::string& member) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("error") ||
+      !json["error"].is_object())
+    return "";
+  return json["error"].value(member, "");
+}
+
+std::string ChatReply::error_code() const {
+  return ErrorMember(error, "code");
+}
+
+std::string ChatReply::ran() const {
+  return ErrorMember(error, "ran");
+}
+
+ClientRequest ToRequest(const ChatQuestion& question) {
+  ClientRequest request;
+  request.method = "POST";
+  request.target = "/v1/chat/completions";
+  request.headers = question.headers;
+  request.headers.emplace_back("Content-Type", "application/json");
+  if (!question.key.empty())
+    request.headers.emplace_back("Authorization", "Bearer " + question.key);
+  const Json message = {{"role", "user"}, {"content", question.prompt}};
+  request.body = Json({{"model", question.model},
+                       {"stream", question.stream},
+                       {"max_tokens", question.max_tokens},
+                       {"messages", Json::array({message})}})
+                     .dump();
+  return request;
+}
+
+ChatReply Ask(const std::string& address,
+              const ChatQuestion& question,
+              const std::function<void(int)>& on_token) {
+  ChatReply reply;
+  try {
+    HttpClient client(address);
+    client.Send(ToRequest(question));
+    if (!question.stream) {
+      const ClientAnswer answer = client.ReadAnswer();
+      reply.status = answer.status;
+      reply.request_id = answer.header("X-Request-Id");
+      EnterWhole(answer, reply);
+      return reply;
+    }
+    const ClientAnswer head = client.ReadHead();
+    reply.status = head.status;
+    reply.request_id = head.header("X-Request-Id");
+    if (head.header("Content-Type").find("event-stream") != std::string::npos) {
+      ReadStream(client, reply, on_token);
+      return reply;
+    }
+    reply.error = client.ReadRest();
+    reply.complete = client.ended_cleanly();
+  } catch (const std::runtime_error&) {
+    // Not connected; the empty reply says so.
+  }
+  return reply;
+}
+
+}  // namespace bamboomount::support
--- /dev/null
+++ b/tests/system/byte_boundary_test.cc
@@ -0,0 +1,119 @@
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+#include "platform/in_memory_table_store.h"
+#include "router/router.h"
+#include "support/chat_client.h"
+#include "system/fleet_options.h"
+
+namespace bamboomount::support {
+namespace {
+
+// Grants the only plain service at once. The scheduler would keep a server out
+// of use for seconds after each failure.
+class FixedSlotBroker : public SlotBroker {
+ public:
+  void Request(const PoolId& /*pool*/,
+               const SlotRequest& request,
+               Callback done) override {
+    if (!request.excluded.empty()) {
+      done(Error{ErrorCode::kNoBackend, RunVerdict::kNotRun, "none left", {}});
+      return;
+    }
+    done(Slot{request.request, BackendId("s-1")});
+  }
+  void Cancel(const RequestId& /*request*/) override {}
+  void Release(const RequestId& /*request*/,
+               const SlotOutcome& /*outcome*/) override {}
+  void ReportProgress(const RequestId& /*request*/,
+                      Tokens /*generated*/) override {}
+};
+
+// A router in this process, with the configuration and key of a fleet.
+class LocalRouter {
+ public:
+  explicit LocalRouter(const Fleet& fleet)
+      : server_(Options(),
+                {state_, slots_, table_, metrics_, spans_, [] { return true; },
+                 [] { return std::vector<InstanceAddress>(); },
+                 [](const CustomerId&, Tokens, Tokens) {}}) {
+    ControlState state;
+    state.sequence = ChangeSequence(1);
+    state.config = std::make_shared<const ServiceConfig>(
+        ReadServiceConfig(fleet.ConfigText(100)).config);
+    state.keys[KeyDigest(Sha256Hex(fleet.key()))] = {
+        KeyId("first"), CustomerId("kennel"), false};
+    state_.Advance(std::make_shared<const ControlState>(std::move(state)));
+    server_.Start();
+  }
+
+  std::string address() const { return server_.listen_address(); }
+
+ private:
+  static RouterOptions Options() {
+    RouterOptions options;
+    options.instance = InstanceId("local");
+    options.listen_address = "127.0.0.1:0";
+    return options;
+  }
+
+  ControlStateHolder state_;
+  FixedSlotBroker slots_;
+  InMemoryTableStore table_;
+  Metrics metrics_;
+  SpanStore spans_{100};
+  RouterServer server_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(byte_boundary)
+
+// "ran":"no" after the first byte was handed over would make a caller repeat a
+// call that the server may have got.
+BOOST_AUTO_TEST_CASE(the_verdict_is_unknown_from_the_first_byte_on) {
+  Fleet fleet(TestFleet(1, 1, 0));
+  const LocalRouter router(fleet);
+  constexpr int kMostBoundaries = 1000;
+  // Repeats wait some seconds for the first try to end, so only some are made,
+  // all at the same time.
+  constexpr int kRepeatEvery = 16;
+  std::vector<std::future<ClientAnswer>> repeats;
+  int boundary = 0;
+  for (; boundary < kMostBoundaries; ++boundary) {
+    const std::string name = "cut-" + std::to_string(boundary);
+    fleet.service(0).SetFaults(R"({"times":1,"reset_at_byte":)" +
+                               std::to_string(boundary) + "}");
+    const ClientRequest call{
+        "POST",
+        Fleet::kRegistration,
+        {{"Authorization", "Bearer " + fleet.key()}, {"Idempotency-Key", name}},
+        name};
+    const ClientAnswer cut = CallOnce(router.address(), call);
+    if (cut.status == 200)
+      break;
+    const bool is_unknown =
+        cut.status == 502 && ErrorMember(cut.body, "ran") == "unknown";
+    BOOST_TEST(is_unknown, "byte " << boundary << ": " << cut.body);
+    if (boundary % kRepeatEvery != 0)
+      continue;
+    repeats.push_back(std::async(std::launch::async, [&router, call] {
+      return CallOnce(router.address(), call);
+    }));
+  }
+  BOOST_TEST(boundary > 100);
+  BOOST_TEST(boundary < kMostBoundaries);
+  for (auto& repeat : repeats) {
+    const ClientAnswer again = repeat.get();
+    const bool is_claimed =
+        again.status == 409 && ErrorMember(again.body, "ran") == "unknown";
+    BOOST_TEST(is_claimed, again.body);
+  }
+  fleet.service(0).SetFaults("{}");
+  // Only the call beyond the last boundary ran.
+  BOOST_TEST(fleet.Executed().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bamboomount::support
--- /dev/null
+++ b/tests/system/planned_stop_test.cc
@@ -0,0 +1,88 @@
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <future>
+
+#include "support/answer.h"
+#include "support/chat_client.h"
+#include "support/wait_until.h"
+#include "system/fleet_options.h"
+
+namespace bamboomount::support {
+namespace {
+
+constexpr int kStreams = 16;
+// At 100 tokens a second these outlive the 5 s in which a leaving instance
+// still accepts.
+constexpr int kTokens = 700;
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(planned_stop)
+
+// A planned stop that cuts requests would turn every update of the program into
+// failures for callers.
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_no_request) {
+  FleetOptions options = TestFleet(2, 1, 2);
+  options.engine_arguments = {"--pace", "100"};
+  Fleet fleet(options);
+  FleetInstance& leaving = fleet.instance(0);
+  std::atomic<int> started = 0;
+  std::vector<std::future<ChatReply>> streams;
+  streams.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
+    streams.push_back(std::async(std::launch::async, [&, i] {
+      ChatQuestion question;
+      question.key = fleet.key();
+      question.prompt = "prompt " + std::to_string(i);
+      question.max_tokens = kTokens;
+      return Ask(leaving.address, question,
+                 [&started](int tokens) { started += tokens == 1 ? 1 : 0; });
+    }));
+  }
+  BOOST_TEST(WaitUntil([&] { return started == kStreams; }));
+  leaving.router->Signal(SIGTERM);
+
+  // Until the listener closes, every call must be answered.
+  const ClientRequest lookup{"GET",
+                             Fleet::kKeyedLookup,
+                             {{"Authorization", "Bearer " + fleet.key()}},
+                             ""};
+  int served = 0;
+  int cut = 0;
+  BOOST_TEST(WaitUntil([&] {
+    try {
+      HttpClient caller(leaving.address);
+      caller.Send(lookup);
+      (caller.ReadAnswer().status == 200 ? served : cut) += 1;
+      return false;
+    } catch (const std::runtime_error&) {
+      return true;
+    }
+  }));
+  BOOST_TEST(served > 0);
+  // The call that meets the closing of the listener may be reset before it was
+  // accepted.
+  BOOST_TEST(cut <= 1);
+  for (int i = 0; i < kStreams; ++i) {
+    const ChatReply reply = streams[i].get();
+    const std::string prompt = "prompt " + std::to_string(i);
+    const bool is_whole =
+        reply.done && reply.complete &&
+        reply.content == standin::ExpectedAnswer(prompt, kTokens);
+    BOOST_TEST(is_whole, "stream " << i << " got " << reply.tokens
+                                   << " tokens, error " << reply.error);
+  }
+  BOOST_TEST(leaving.router->Wait() == 0);
+
+  // Callers that ask for addresses are sent elsewhere.
+  const ClientAnswer addresses =
+      CallOnce(fleet.instance(1).address, {"GET", "/v1/instances", {}, ""});
+  BOOST_TEST(addresses.body.find(leaving.address) == std::string::npos);
+  BOOST_TEST(addresses.body.find(fleet.instance(1).address) !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bamboomount::support
--- /dev/null
+++ b/tests/system/whole_answers_test.cc
@@ -0,0 +1,224 @@
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+#include "support/answer.h"
+#include "support/chat_client.h"
+#include "support/wait_until.h"
+#include "system/fleet_options.h"
+
+namespace bamboomount::support {
+namespace {
+
+constexpr int kTokens = 12;
+
+ChatQuestion Question(const Fleet& fleet, const std::string& prompt) {
+  ChatQuestion question;
+  question.key = fleet.key();
+  question.prompt = prompt;
+  question.max_tokens = kTokens;
+  return question;
+}
+
+std::vector<ChatReply> AskAtOnce(Fleet& fleet, int count) {
+  std::vector<std::future<ChatReply>> running;
+  running.reserve(count);
+  for (int i = 0; i < count; ++i) {
+    running.push_back(std::async(std::launch::async, [&fleet, i] {
+      return Ask(fleet.instance(0).address,
+                 Question(fleet, "prompt " + std::to_string(i)));
+    }));
+  }
+  std::vector<ChatReply> replies;
+  replies.reserve(running.size());
+  for (auto& reply : running)
+    replies.push_back(reply.get());
+  return replies;
+}
+
+void CheckWhole(const ChatReply& reply, const std::string& prompt) {
+  BOOST_TEST(reply.status == 200);
+  BOOST_TEST(reply.content == standin::ExpectedAnswer(prompt, kTokens));
+  BOOST_TEST(reply.finish_reason == "length");
+  BOOST_TEST(reply.done);
+  BOOST_TEST(reply.complete);
+  BOOST_TEST(reply.error == "");
+}
+
+// Whatever arrived belongs to the prompt, and nobody can take it for whole.
+void CheckVisiblyCut(const ChatReply& reply, const std::string& prompt) {
+  const std::string whole = standin::ExpectedAnswer(prompt, kTokens);
+  BOOST_TEST(whole.compare(0, reply.content.size(), reply.content) == 0);
+  BOOST_TEST(!reply.done);
+  BOOST_TEST(reply.finish_reason == "");
+  BOOST_TEST(reply.ran() == "unknown");
+  if (reply.status == 200) {
+    BOOST_TEST(reply.error_code() == "stream_interrupted");
+    BOOST_TEST(!reply.complete);
+  } else {
+    BOOST_TEST(reply.status >= 500);
+    BOOST_TEST(reply.content == "");
+  }
+}
+
+int ChatsSeen(BackendProcess& engine) {
+  int count = 0;
+  for (const auto& request : engine.Seen())
+    count += request.at("target") == "/v1/chat/completions" ? 1 : 0;
+  return count;
+}
+
+// Ways in which an engine fails after some tokens.
+constexpr const char* kMidStreamFaults[] = {
+    R"({"crash_after_tokens":3})",    R"({"close_after_tokens":3})",
+    R"({"truncate_after_tokens":3})", R"({"crash_after_tokens":0})",
+    R"({"truncate_after_tokens":0})",
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(whole_answers)
+
+// A caller would get half of an answer, or tokens twice, when an engine fails
+// in the middle and another one could go on.
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_at_another_engine) {
+  for (const char* fault : kMidStreamFaults) {
+    Fleet fleet(TestFleet(2, 1, 1));
+    BOOST_TEST_CONTEXT(fault) {
+      fleet.engine(0).SetFaults(fault);
+      const auto replies = AskAtOnce(fleet, 6);
+      for (std::size_t i = 0; i < replies.size(); ++i)
+        CheckWhole(replies[i], "prompt " + std::to_string(i));
+      BOOST_TEST(ChatsSeen(fleet.engine(0)) > 0);
+    }
+  }
+}
+
+// A caller would take a truncated text for the whole one.
+BOOST_AUTO_TEST_CASE(a_stream_that_cannot_go_on_ends_with_an_error) {
+  for (const char* fault : kMidStreamFaults) {
+    // The engine is out of use for a while after a failure.
+    Fleet fleet(TestFleet(1, 1, 1));
+    BOOST_TEST_CONTEXT(fault) {
+      fleet.engine(0).SetFaults(fault);
+      CheckVisiblyCut(Ask(fleet.instance(0).address, Question(fleet, "prompt")),
+                      "prompt");
+      fleet.engine(0).SetFaults("{}");
+      CheckWhole(Ask(fleet.instance(0).address, Question(fleet, "prompt")),
+                 "prompt");
+    }
+  }
+}
+
+// A whole answer that was cut must not reach the caller as if it were whole.
+BOOST_AUTO_TEST_CASE(a_cut_whole_answer_is_an_error) {
+  for (const char* fault :
+       {R"({"crash_after_tokens":0})", R"({"close_after_tokens":0})",
+        R"({"lose_answer":true})"}) {
+    Fleet fleet(TestFleet(1, 1, 1));
+    BOOST_TEST_CONTEXT(fault) {
+      fleet.engine(0).SetFaults(fault);
+      ChatQuestion question = Question(fleet, "prompt");
+      question.stream = false;
+      const ChatReply reply = Ask(fleet.instance(0).address, question);
+      BOOST_TEST(reply.status >= 500);
+      BOOST_TEST(reply.ran() == "unknown");
+      BOOST_TEST(reply.content == "");
+    }
+  }
+}
+
+// A caller would read the answer to somebody else's question.
+BOOST_AUTO_TEST_CASE(a_foreign_answer_is_not_passed_on) {
+  Fleet fleet(TestFleet(1, 1, 1));
+  CheckWhole(Ask(fleet.instance(0).address, Question(fleet, "secret of A")),
+             "secret of A");
+  fleet.engine(0).SetFaults(R"({"cross_answers":true})");
+  for (const bool stream : {true, false}) {
+    ChatQuestion question = Question(fleet, "question of B");
+    question.stream = stream;
+    const ChatReply reply = Ask(fleet.instance(0).address, question);
+    CheckVisiblyCut(reply, "question of B");
+    fleet.engine(0).SetFaults("{}");
+    CheckWhole(Ask(fleet.instance(0).address, Question(fleet, "secret of A")),
+               "secret of A");
+    fleet.engine(0).SetFaults(R"({"cross_answers":true})");
+  }
+  fleet.service(0).SetFaults(R"({"cross_answers":true})");
+  const HeaderList key = {{"Authorization", "Bearer " + fleet.key()}};
+  const ClientRequest first{"POST", Fleet::kKeyedLookup, key, "first body"};
+  const ClientRequest second{"POST", Fleet::kKeyedLookup, key, "second body"};
+  BOOST_TEST(CallOnce(fleet.instance(0).address, first).status == 200);
+  const ClientAnswer crossed = CallOnce(fleet.instance(0).address, second);
+  BOOST_TEST(crossed.status >= 500);
+  BOOST_TEST(crossed.body.find("first body") == std::string::npos);
+}
+
+// The second copy of an answer would become the answer to the next request on
+// the same connection.
+BOOST_AUTO_TEST_CASE(a_doubled_answer_reaches_its_caller_once) {
+  Fleet fleet(TestFleet(1, 1, 1));
+  fleet.engine(0).SetFaults(R"({"answer_twice":true})");
+  HttpClient caller(fleet.instance(0).address);
+  for (int i = 0; i < 4; ++i) {
+    const std::string prompt = "prompt " + std::to_string(i);
+    ChatQuestion question = Question(fleet, prompt);
+    question.stream = i % 2 == 0;
+    caller.Send(ToRequest(question));
+    const ClientAnswer answer = caller.ReadAnswer();
+    BOOST_TEST(answer.complete);
+    const std::string first = standin::AnswerToken(prompt, 0);
+    const std::size_t at = answer.body.find(first);
+    BOOST_TEST(at != std::string::npos);
+    BOOST_TEST(answer.body.find(first, at + 1) == std::string::npos);
+  }
+}
+
+// An answer that comes late must reach its own caller, not be dropped or given
+// to the next one.
+BOOST_AUTO_TEST_CASE(late_answers_reach_their_own_callers) {
+  Fleet fleet(TestFleet(2, 1, 1));
+  fleet.engine(0).SetFaults(R"({"late_ms":300})");
+  const auto replies = AskAtOnce(fleet, 8);
+  for (std::size_t i = 0; i < replies.size(); ++i)
+    CheckWhole(replies[i], "prompt " + std::to_string(i));
+}
+
+// A process crash cuts all streams of an engine at once; none may be lost.
+BOOST_AUTO_TEST_CASE(streams_survive_the_end_of_an_engine_process) {
+  Fleet fleet(TestFleet(2, 1, 1));
+  fleet.engine(0).SetFaults(R"({"crash_after_tokens":5,"crash_process":true})");
+  const auto replies = AskAtOnce(fleet, 8);
+  for (std::size_t i = 0; i < replies.size(); ++i)
+    CheckWhole(replies[i], "prompt " + std::to_string(i));
+  BOOST_TEST(!fleet.engine(0).process().running());
+}
+
+// An engine that stops in the middle of its answers would hold their callers
+// for ever.
+BOOST_AUTO_TEST_CASE(a_stream_of_a_frozen_engine_goes_on_at_another_one) {
+  constexpr int kStreams = 4;
+  FleetOptions options = TestFleet(2, 1, 1);
+  options.engine_arguments = {"--pace", "20"};
+  Fleet fleet(options);
+  std::atomic<int> started = 0;
+  std::vector<std::future<ChatReply>> streams;
+  streams.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
+    streams.push_back(std::async(std::launch::async, [&, i] {
+      return Ask(fleet.instance(0).address,
+                 Question(fleet, "prompt " + std::to_string(i)),
+                 [&started](int tokens) { started += tokens == 1 ? 1 : 0; });
+    }));
+  }
+  BOOST_TEST(WaitUntil([&] { return started == kStreams; }));
+  fleet.engine(0).process().Stop();
+  for (int i = 0; i < kStreams; ++i)
+    CheckWhole(streams[i].get(), "prompt " + std::to_string(i));
+  fleet.engine(0).process().Continue();
+  BOOST_TEST(ChatsSeen(fleet.engine(0)) > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bamboomount::support
