--- a/apps/bamboomountd/directory_poller.cc
+++ b/apps/bamboomountd/directory_poller.cc
@@ -69,12 +69,11 @@
     return;
   }
   available_ = true;
-  {
-    const std::lock_guard lock(mutex_);
-    last_ = listing.value();
-    read_once_ = true;
-  }
+  // The listener comes first: what status shows as listed is in force.
   listener_(listing.value());
+  const std::lock_guard lock(mutex_);
+  last_ = listing.value();
+  read_once_ = true;
 }
 
 }  // namespace bamboomount
--- a/apps/bamboomountd/router_process.cc
+++ b/apps/bamboomountd/router_process.cc
@@ -229,6 +229,7 @@
     for (const ListedInstance& entry : listing.instances)
       instances.insert(entry.instance);
     follower_.OnInstanceList(std::move(instances));
+    peers_.ApplyListing(listing.instances);
     for (const ListedBackend& entry : listing.backends) {
       if (entry.state == ListedState::kLeaving)
         slots_.MarkLeaving(entry.backend);
--- a/src/admin/operator_messages.h
+++ b/src/admin/operator_messages.h
@@ -115,10 +115,11 @@
   std::vector<InstanceId> reached;
   int listed = 0;
 
-  // In the log, or reached a strict majority of the listed instances.
+  // In the log, or reached a strict majority of the listed instances. Without
+  // a list no majority is defined.
   bool confirmed() const {
     return sequence.has_value() ||
-           static_cast<int>(reached.size()) * 2 > listed;
+           (listed > 0 && static_cast<int>(reached.size()) * 2 > listed);
   }
 };
 
