--- a/src/peer/local_slot_broker.cc
+++ b/src/peer/local_slot_broker.cc
@@ -46,11 +46,10 @@
   {
     const std::lock_guard lock(mutex_);
     if (!cells_.contains(pool)) {
-      due.emplace_back(std::move(done),
-                       Error{ErrorCode::kNoBackend,
-                             RunVerdict::kNotRun,
-                             "the pool is not configured",
-                             {}});
+      due.emplace_back(std::move(done), Error{ErrorCode::kNoBackend,
+                                              RunVerdict::kNotRun,
+                                              "the pool is not configured",
+                                              {}});
     } else {
       pending_.emplace(request.request, Pending{pool, std::move(done)});
       cells_[pool].Enqueue(request, std::chrono::steady_clock::now());
--- a/src/router/internal/caller_session.cc
+++ b/src/router/internal/caller_session.cc
@@ -12,13 +12,12 @@
 namespace bamboomount {
 namespace {
 
-// 16 KiB fits every known client's headers; more is taken for an attack.
-constexpr std::uint32_t kMaxHeaderBytes = 16'384;
-constexpr std::uint64_t kMaxBodyBytes = 1'048'576;
+// What a refused caller may still send before the connection is closed.
+constexpr std::size_t kMaxLingerBytes = 2'097'152;
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::chrono::seconds kIdleTimeout{60};
 // Bounds the time that a slow sender holds a connection.
-constexpr std::chrono::seconds kHeaderTimeout{10};
+constexpr std::chrono::seconds kHandshakeTimeout{10};
 constexpr std::chrono::seconds kBodyTimeout{30};
 constexpr std::chrono::seconds kWriteTimeout{30};
 
@@ -47,9 +46,9 @@
   };
   if (error == http::error::header_limit)
     return refusal(ErrorCode::kHeaderTooLarge,
-                   "the headers exceed 16384 bytes");
+                   "the headers exceed max_header_bytes");
   if (error == http::error::body_limit)
-    return refusal(ErrorCode::kBodyTooLarge, "the body exceeds 1048576 bytes");
+    return refusal(ErrorCode::kBodyTooLarge, "the body exceeds max_body_bytes");
   if (error == beast::error::timeout)
     return refusal(ErrorCode::kRequestTimeout,
                    "the request was not received in time");
@@ -73,7 +72,7 @@
 // socket instead, and the caller would get no error reply.
 class ReadDeadline {
  public:
-  ReadDeadline(beast::tcp_stream& stream, std::chrono::seconds time)
+  ReadDeadline(beast::tcp_stream& stream, Millis time)
       : timer_(stream.get_executor(), time), state_(std::make_shared<State>()) {
     stream.expires_never();
     timer_.async_wait([&stream, state = state_](const error_code& error) {
@@ -208,7 +207,7 @@
     error_code error;
     Lowest().socket().set_option(tcp::no_delay(true), error);
     if (HasHandshake(stream_)) {
-      Lowest().expires_after(kHeaderTimeout);
+      Lowest().expires_after(kHandshakeTimeout);
       error = co_await Handshake(stream_);
       if (error)
         co_return;
@@ -238,11 +237,16 @@
 
   asio::awaitable<bool> ServeOne() {
     Parser parser;
-    parser.header_limit(kMaxHeaderBytes);
-    parser.body_limit(kMaxBodyBytes);
+    const auto config = environment_.state.current()->config;
+    parser.header_limit(
+        static_cast<std::uint32_t>(config->Limit("max_header_bytes")));
+    parser.body_limit(
+        static_cast<std::uint64_t>(config->Limit("max_body_bytes")));
+    const Millis header_timeout(
+        static_cast<std::int64_t>(config->Limit("header_timeout_ms")));
     error_code error;
     {
-      const ReadDeadline deadline(Lowest(), kHeaderTimeout);
+      const ReadDeadline deadline(Lowest(), header_timeout);
       co_await http::async_read_header(stream_, buffer_, parser, Await(error));
       error = deadline.Outcome(error);
     }
@@ -304,7 +308,7 @@
     std::array<char, kReadBytes> discarded{};
     std::size_t total = 0;
     Lowest().expires_after(std::chrono::seconds(1));
-    while (!error && total < 2 * kMaxBodyBytes) {
+    while (!error && total < kMaxLingerBytes) {
       total += co_await Lowest().async_read_some(asio::buffer(discarded),
                                                  Await(error));
     }
--- a/src/router/internal/caller_session.h
+++ b/src/router/internal/caller_session.h
@@ -13,6 +13,7 @@
 struct SessionEnvironment {
   RequestHandler& handler;
   Metrics& metrics;
+  const ControlStateHolder& state;
   // Set once the listener is closed: sessions end after their request.
   const std::atomic<bool>& closing;
 };
--- a/src/router/internal/request_handler.cc
+++ b/src/router/internal/request_handler.cc
@@ -128,7 +128,8 @@
 asio::awaitable<void> RequestHandler::ReplyInstances(CallerRequest& /*request*/,
                                                      CallerReply& reply) {
   const WholeReply instances = InstancesReply(
-      context_.dependencies.addresses(), context_.options.address_time_to_live);
+      context_.dependencies.addresses(),
+      AddressTimeToLive(*context_.dependencies.state.current()->config));
   co_await reply.Send(instances);
 }
 
--- a/src/router/router_options.h
+++ b/src/router/router_options.h
@@ -24,11 +24,15 @@
   // Sent to backend servers in place of the caller's key.
   std::string backend_credential;
   int threads = 2;
-  // How long callers may keep an address answer, and so how long a leaving
-  // router still accepts connections.
-  Millis address_time_to_live{5000};
 };
 
+// How long callers may keep an address answer, and so how long a leaving
+// router still accepts connections.
+inline Millis AddressTimeToLive(const ServiceConfig& config) {
+  return std::chrono::seconds(
+      static_cast<std::int64_t>(config.Limit("address_ttl_s")));
+}
+
 // One entry of the answer to GET /v1/instances.
 struct InstanceAddress {
   InstanceId instance;
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -71,7 +71,8 @@
 
   void Drain() {
     Log(kDrainStarted);
-    std::this_thread::sleep_for(options_.address_time_to_live);
+    std::this_thread::sleep_for(
+        AddressTimeToLive(*dependencies_.state.current()->config));
     closing_ = true;
     asio::post(*contexts_.front(), [this] {
       error_code ignored;
@@ -124,9 +125,9 @@
         co_await delay.async_wait(Await(error));
         continue;
       }
-      AddSession(
-          StartCallerSession(std::move(socket), tls_ ? &*tls_ : nullptr,
-                             {handler_, dependencies_.metrics, closing_}));
+      AddSession(StartCallerSession(
+          std::move(socket), tls_ ? &*tls_ : nullptr,
+          {handler_, dependencies_.metrics, dependencies_.state, closing_}));
     }
   }
 
