Resume a stream whose engine froze before its first token

Cause: an engine that froze before its first byte held a streamed request for 60 s in every class. Ruled out: a lower first_byte_timeout_ms for all, since a long question may wait that long for its first token, and whole answers begin when they are complete. Change: for streams the wait is four first-token targets of the class, at least the stall timeout and at most first_byte_timeout_ms.

--- a/src/router/internal/chat_exchange.cc
+++ b/src/router/internal/chat_exchange.cc
@@ -1,5 +1,6 @@
 #include "router/internal/chat_exchange.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -22,6 +23,9 @@
 constexpr Millis kSendTimeout{5000};
 constexpr Millis kDefaultFirstByteTimeout{60'000};
 constexpr Millis kDefaultStallTimeout{5000};
+// An engine that has sent nothing after this many first-token targets of the
+// class is taken for frozen; 60 s for every class held live chats too long.
+constexpr int kFirstByteTargets = 4;
 // How often the cell's owner hears of a stream's progress.
 constexpr Millis kProgressInterval{250};
 constexpr std::size_t kMaxReplyBytes = 16'777'216;
@@ -195,8 +199,7 @@
   auto sent = co_await call.Send(backend_request, kSendTimeout);
   if (!sent)
     co_return sent;
-  const Millis first_byte_timeout =
-      Timeout("first_byte_timeout_ms", kDefaultFirstByteTimeout);
+  const Millis first_byte_timeout = FirstByteTimeout();
   auto head = co_await call.ReadHead(first_byte_timeout);
   if (!head)
     co_return head.error();
@@ -368,6 +371,18 @@
           {"traceparent", request_.trace.ToHeader()}};
 }
 
+Millis ChatExchange::FirstByteTimeout() const {
+  const Millis longest =
+      Timeout("first_byte_timeout_ms", kDefaultFirstByteTimeout);
+  // A whole answer begins when it is complete.
+  if (!plan_.streamed)
+    return longest;
+  const Millis shortest = Timeout("stall_timeout_ms", kDefaultStallTimeout);
+  return std::min(longest,
+                  std::max(shortest, plan_.class_rule.first_token_target *
+                                         kFirstByteTargets));
+}
+
 Millis ChatExchange::Timeout(const std::string& limit, Millis fallback) const {
   return Millis(static_cast<std::int64_t>(
       plan_.config->Limit(limit, static_cast<double>(fallback.count()))));
--- a/src/router/internal/chat_exchange.h
+++ b/src/router/internal/chat_exchange.h
@@ -45,6 +45,8 @@
   void RecordFirstToken(SlotOutcome& outcome);
   void RecordUsage();
   std::vector<ReplyHeader> ReplyHeaders() const;
+  // How long an engine may take until its answer begins.
+  Millis FirstByteTimeout() const;
   Millis Timeout(const std::string& limit, Millis fallback) const;
 
   HandlerContext& context_;
--- a/tests/system/whole_answers_test.cc
+++ b/tests/system/whole_answers_test.cc
@@ -1,11 +1,13 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <regex>
 
 #include "support/answer.h"
 #include "support/chat_client.h"
 #include "support/wait_until.h"
 #include "system/fleet_options.h"
+#include "system/operators.h"
 
 namespace bamboomount::support {
 namespace {
@@ -219,6 +221,34 @@
   BOOST_TEST(ChatsSeen(fleet.engine(0)) > 0);
 }
 
+// An engine that freezes before its first token would hold its callers for the
+// longest first-byte timeout of all classes.
+BOOST_AUTO_TEST_CASE(
+    a_stream_at_an_engine_frozen_from_the_start_goes_elsewhere) {
+  constexpr int kStreams = 4;
+  Fleet fleet(TestFleet(2, 1, 1));
+  // The fleet's own target of 20 s would allow the longest timeout.
+  const std::string text = std::regex_replace(
+      fleet.ConfigText(100), std::regex("\"first_token_ms\":20000"),
+      "\"first_token_ms\":1000");
+  const auto applied = OperatorOf(fleet.instance(0))
+                           .ApplyConfig({"test", ConfigVersion(1), text});
+  BOOST_REQUIRE(applied.has_value());
+  fleet.engine(0).process().Stop();
+  std::vector<std::future<ChatReply>> streams;
+  streams.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
+    streams.push_back(std::async(std::launch::async, [&, i] {
+      return Ask(fleet.instance(0).address,
+                 Question(fleet, "prompt " + std::to_string(i)));
+    }));
+  }
+  for (int i = 0; i < kStreams; ++i)
+    CheckWhole(streams[i].get(), "prompt " + std::to_string(i));
+  fleet.engine(0).process().Continue();
+  BOOST_TEST(WaitUntil([&] { return ChatsSeen(fleet.engine(0)) > 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bamboomount::support
