Name the library of outside services provider

Cause: the folder platform/ at the top is to hold the names and calls of the users' platform, and a library of the same name inside src/ would be taken for it. src/platform holds the product's own interfaces to a table service, object store, orders, usage reports and instance list.

No code changes.

--- a/apps/bamboomountd/controller_process.cc
+++ b/apps/bamboomountd/controller_process.cc
@@ -5,9 +5,9 @@
 
 #include "controller/controller.h"
 #include "events.h"
-#include "platform/http_backend_orders.h"
-#include "platform/http_table_store.h"
-#include "platform/http_usage_reports.h"
+#include "provider/http_backend_orders.h"
+#include "provider/http_table_store.h"
+#include "provider/http_usage_reports.h"
 
 namespace bamboomount {
 namespace {
--- a/apps/bamboomountd/directory_poller.h
+++ b/apps/bamboomountd/directory_poller.h
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <thread>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/apps/bamboomountd/usage_lines.cc
+++ b/apps/bamboomountd/usage_lines.cc
@@ -2,8 +2,8 @@
 
 #include <chrono>
 
-#include "platform/usage_rows.h"
-#include "platform/usage_window_settings.h"
+#include "provider/usage_rows.h"
+#include "provider/usage_window_settings.h"
 
 namespace bamboomount {
 namespace {
--- a/apps/bamboomountd/usage_lines.h
+++ b/apps/bamboomountd/usage_lines.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "admin/admin.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/admin/operator_messages.h
+++ b/src/admin/operator_messages.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "state/state.h"
 
 namespace bamboomount {
--- a/src/config/service_config.h
+++ b/src/config/service_config.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -17,7 +17,7 @@
 #include "controller/order_journal.h"
 #include "controller/spending_strategy.h"
 #include "controller/usage_sealer.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/controller/journal_entry.h
+++ b/src/controller/journal_entry.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/controller/lease_manager.h
+++ b/src/controller/lease_manager.h
@@ -11,7 +11,7 @@
 #include "base/base.h"
 #include "controller/lease_guard.h"
 #include "controller/lease_settings.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/controller/lease_view.h
+++ b/src/controller/lease_view.h
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/controller/order_journal.h
+++ b/src/controller/order_journal.h
@@ -12,7 +12,7 @@
 #include "base/base.h"
 #include "controller/journal_entry.h"
 #include "controller/lease_manager.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/controller/spending_strategy.h
+++ b/src/controller/spending_strategy.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "controller/journal_entry.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/controller/usage_sealer.h
+++ b/src/controller/usage_sealer.h
@@ -9,7 +9,7 @@
 
 #include "base/base.h"
 #include "controller/lease_manager.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -12,7 +12,7 @@
 #include "peer/change_exchange.h"
 #include "peer/peer_transport.h"
 #include "peer/roster.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "state/state.h"
 
 namespace bamboomount {
--- a/src/peer/peer_runner.h
+++ b/src/peer/peer_runner.h
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "peer/peer_node.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/platform/backend_orders.h
+++ b/src/provider/backend_orders.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_BACKEND_ORDERS_H_
-#define PLATFORM_BACKEND_ORDERS_H_
+#ifndef PROVIDER_BACKEND_ORDERS_H_
+#define PROVIDER_BACKEND_ORDERS_H_
 
 #include <optional>
 #include <string>
@@ -37,4 +37,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_BACKEND_ORDERS_H_
+#endif  // PROVIDER_BACKEND_ORDERS_H_
--- a/src/platform/events.h
+++ b/src/provider/events.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_EVENTS_H_
-#define PLATFORM_EVENTS_H_
+#ifndef PROVIDER_EVENTS_H_
+#define PROVIDER_EVENTS_H_
 
 #include <array>
 
@@ -27,4 +27,4 @@
 
 }  // namespace bamboomount::events
 
-#endif  // PLATFORM_EVENTS_H_
+#endif  // PROVIDER_EVENTS_H_
--- a/src/platform/http_backend_orders.h
+++ b/src/provider/http_backend_orders.h
@@ -1,10 +1,10 @@
-#ifndef PLATFORM_HTTP_BACKEND_ORDERS_H_
-#define PLATFORM_HTTP_BACKEND_ORDERS_H_
+#ifndef PROVIDER_HTTP_BACKEND_ORDERS_H_
+#define PROVIDER_HTTP_BACKEND_ORDERS_H_
 
 #include <string>
 #include <utility>
 
-#include "platform/backend_orders.h"
+#include "provider/backend_orders.h"
 
 namespace bamboomount {
 
@@ -28,4 +28,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_HTTP_BACKEND_ORDERS_H_
+#endif  // PROVIDER_HTTP_BACKEND_ORDERS_H_
--- a/src/platform/http_instance_directory.h
+++ b/src/provider/http_instance_directory.h
@@ -1,10 +1,10 @@
-#ifndef PLATFORM_HTTP_INSTANCE_DIRECTORY_H_
-#define PLATFORM_HTTP_INSTANCE_DIRECTORY_H_
+#ifndef PROVIDER_HTTP_INSTANCE_DIRECTORY_H_
+#define PROVIDER_HTTP_INSTANCE_DIRECTORY_H_
 
 #include <string>
 #include <utility>
 
-#include "platform/instance_directory.h"
+#include "provider/instance_directory.h"
 
 namespace bamboomount {
 
@@ -27,4 +27,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_HTTP_INSTANCE_DIRECTORY_H_
+#endif  // PROVIDER_HTTP_INSTANCE_DIRECTORY_H_
--- a/src/platform/http_object_store.cc
+++ b/src/provider/http_object_store.cc
@@ -1,6 +1,6 @@
-#include "platform/http_object_store.h"
+#include "provider/http_object_store.h"
 
-#include "platform/internal/http_exchange.h"
+#include "provider/internal/http_exchange.h"
 
 namespace bamboomount {
 
--- a/src/platform/http_object_store.h
+++ b/src/provider/http_object_store.h
@@ -1,10 +1,10 @@
-#ifndef PLATFORM_HTTP_OBJECT_STORE_H_
-#define PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef PROVIDER_HTTP_OBJECT_STORE_H_
+#define PROVIDER_HTTP_OBJECT_STORE_H_
 
 #include <string>
 #include <utility>
 
-#include "platform/object_store.h"
+#include "provider/object_store.h"
 
 namespace bamboomount {
 
@@ -29,4 +29,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // PROVIDER_HTTP_OBJECT_STORE_H_
--- a/src/platform/http_table_store.cc
+++ b/src/provider/http_table_store.cc
@@ -1,7 +1,7 @@
-#include "platform/http_table_store.h"
+#include "provider/http_table_store.h"
 
-#include "platform/internal/json_answer.h"
-#include "platform/wire.h"
+#include "provider/internal/json_answer.h"
+#include "provider/wire.h"
 
 namespace bamboomount {
 
--- a/src/platform/http_table_store.h
+++ b/src/provider/http_table_store.h
@@ -1,10 +1,10 @@
-#ifndef PLATFORM_HTTP_TABLE_STORE_H_
-#define PLATFORM_HTTP_TABLE_STORE_H_
+#ifndef PROVIDER_HTTP_TABLE_STORE_H_
+#define PROVIDER_HTTP_TABLE_STORE_H_
 
 #include <string>
 #include <utility>
 
-#include "platform/table_store.h"
+#include "provider/table_store.h"
 
 namespace bamboomount {
 
@@ -29,4 +29,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_HTTP_TABLE_STORE_H_
+#endif  // PROVIDER_HTTP_TABLE_STORE_H_
--- a/src/platform/http_usage_reports.cc
+++ b/src/provider/http_usage_reports.cc
@@ -1,9 +1,9 @@
-#include "platform/http_usage_reports.h"
+#include "provider/http_usage_reports.h"
 
 #include <nlohmann/json.hpp>
 
-#include "platform/internal/http_exchange.h"
-#include "platform/wire.h"
+#include "provider/internal/http_exchange.h"
+#include "provider/wire.h"
 
 namespace bamboomount {
 
--- a/src/platform/http_usage_reports.h
+++ b/src/provider/http_usage_reports.h
@@ -1,10 +1,10 @@
-#ifndef PLATFORM_HTTP_USAGE_REPORTS_H_
-#define PLATFORM_HTTP_USAGE_REPORTS_H_
+#ifndef PROVIDER_HTTP_USAGE_REPORTS_H_
+#define PROVIDER_HTTP_USAGE_REPORTS_H_
 
 #include <string>
 #include <utility>
 
-#include "platform/usage_reports.h"
+#include "provider/usage_reports.h"
 
 namespace bamboomount {
 
@@ -26,4 +26,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_HTTP_USAGE_REPORTS_H_
+#endif  // PROVIDER_HTTP_USAGE_REPORTS_H_
--- a/src/platform/in_memory_table_store.cc
+++ b/src/provider/in_memory_table_store.cc
@@ -1,4 +1,4 @@
-#include "platform/in_memory_table_store.h"
+#include "provider/in_memory_table_store.h"
 
 #include <algorithm>
 #include <thread>
--- a/src/platform/in_memory_table_store.h
+++ b/src/provider/in_memory_table_store.h
@@ -1,12 +1,12 @@
-#ifndef PLATFORM_IN_MEMORY_TABLE_STORE_H_
-#define PLATFORM_IN_MEMORY_TABLE_STORE_H_
+#ifndef PROVIDER_IN_MEMORY_TABLE_STORE_H_
+#define PROVIDER_IN_MEMORY_TABLE_STORE_H_
 
 #include <map>
 #include <mutex>
 #include <string>
 #include <vector>
 
-#include "platform/table_store.h"
+#include "provider/table_store.h"
 
 namespace bamboomount {
 
@@ -62,4 +62,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_IN_MEMORY_TABLE_STORE_H_
+#endif  // PROVIDER_IN_MEMORY_TABLE_STORE_H_
--- a/src/platform/instance_directory.h
+++ b/src/provider/instance_directory.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_INSTANCE_DIRECTORY_H_
-#define PLATFORM_INSTANCE_DIRECTORY_H_
+#ifndef PROVIDER_INSTANCE_DIRECTORY_H_
+#define PROVIDER_INSTANCE_DIRECTORY_H_
 
 #include <string>
 #include <vector>
@@ -43,4 +43,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_INSTANCE_DIRECTORY_H_
+#endif  // PROVIDER_INSTANCE_DIRECTORY_H_
--- a/src/platform/internal/http_exchange.cc
+++ b/src/provider/internal/http_exchange.cc
@@ -1,4 +1,4 @@
-#include "platform/internal/http_exchange.h"
+#include "provider/internal/http_exchange.h"
 
 #include <cxxtools/query_params.h>
 
--- a/src/platform/internal/http_exchange.h
+++ b/src/provider/internal/http_exchange.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_INTERNAL_HTTP_EXCHANGE_H_
-#define PLATFORM_INTERNAL_HTTP_EXCHANGE_H_
+#ifndef PROVIDER_INTERNAL_HTTP_EXCHANGE_H_
+#define PROVIDER_INTERNAL_HTTP_EXCHANGE_H_
 
 #include <string>
 
@@ -44,4 +44,4 @@
 
 }  // namespace bamboomount::internal
 
-#endif  // PLATFORM_INTERNAL_HTTP_EXCHANGE_H_
+#endif  // PROVIDER_INTERNAL_HTTP_EXCHANGE_H_
--- a/src/platform/internal/json_answer.h
+++ b/src/provider/internal/json_answer.h
@@ -1,9 +1,9 @@
-#ifndef PLATFORM_INTERNAL_JSON_ANSWER_H_
-#define PLATFORM_INTERNAL_JSON_ANSWER_H_
+#ifndef PROVIDER_INTERNAL_JSON_ANSWER_H_
+#define PROVIDER_INTERNAL_JSON_ANSWER_H_
 
 #include <nlohmann/json.hpp>
 
-#include "platform/internal/http_exchange.h"
+#include "provider/internal/http_exchange.h"
 
 namespace bamboomount::internal {
 
@@ -22,4 +22,4 @@
 
 }  // namespace bamboomount::internal
 
-#endif  // PLATFORM_INTERNAL_JSON_ANSWER_H_
+#endif  // PROVIDER_INTERNAL_JSON_ANSWER_H_
--- a/src/platform/object_store.h
+++ b/src/provider/object_store.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_OBJECT_STORE_H_
-#define PLATFORM_OBJECT_STORE_H_
+#ifndef PROVIDER_OBJECT_STORE_H_
+#define PROVIDER_OBJECT_STORE_H_
 
 #include <optional>
 #include <string>
@@ -23,4 +23,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_OBJECT_STORE_H_
+#endif  // PROVIDER_OBJECT_STORE_H_
--- a/src/platform/table_store.h
+++ b/src/provider/table_store.h
@@ -1,12 +1,12 @@
-#ifndef PLATFORM_TABLE_STORE_H_
-#define PLATFORM_TABLE_STORE_H_
+#ifndef PROVIDER_TABLE_STORE_H_
+#define PROVIDER_TABLE_STORE_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/base.h"
-#include "platform/transaction.h"
+#include "provider/transaction.h"
 
 namespace bamboomount {
 
@@ -40,4 +40,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_TABLE_STORE_H_
+#endif  // PROVIDER_TABLE_STORE_H_
--- a/src/platform/transaction.h
+++ b/src/provider/transaction.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_TRANSACTION_H_
-#define PLATFORM_TRANSACTION_H_
+#ifndef PROVIDER_TRANSACTION_H_
+#define PROVIDER_TRANSACTION_H_
 
 #include <optional>
 #include <string>
@@ -51,4 +51,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_TRANSACTION_H_
+#endif  // PROVIDER_TRANSACTION_H_
--- a/src/platform/usage_figures.h
+++ b/src/provider/usage_figures.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_USAGE_FIGURES_H_
-#define PLATFORM_USAGE_FIGURES_H_
+#ifndef PROVIDER_USAGE_FIGURES_H_
+#define PROVIDER_USAGE_FIGURES_H_
 
 #include <cstdint>
 #include <map>
@@ -33,4 +33,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_USAGE_FIGURES_H_
+#endif  // PROVIDER_USAGE_FIGURES_H_
--- a/src/platform/usage_recorder.cc
+++ b/src/provider/usage_recorder.cc
@@ -1,11 +1,11 @@
-#include "platform/usage_recorder.h"
+#include "provider/usage_recorder.h"
 
 #include <algorithm>
 #include <functional>
 #include <utility>
 #include <vector>
 
-#include "platform/events.h"
+#include "provider/events.h"
 #include "telemetry/telemetry.h"
 
 namespace bamboomount {
--- a/src/platform/usage_recorder.h
+++ b/src/provider/usage_recorder.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_USAGE_RECORDER_H_
-#define PLATFORM_USAGE_RECORDER_H_
+#ifndef PROVIDER_USAGE_RECORDER_H_
+#define PROVIDER_USAGE_RECORDER_H_
 
 #include <array>
 #include <cstdint>
@@ -8,9 +8,9 @@
 #include <string>
 
 #include "base/base.h"
-#include "platform/table_store.h"
-#include "platform/usage_rows.h"
-#include "platform/usage_window_settings.h"
+#include "provider/table_store.h"
+#include "provider/usage_rows.h"
+#include "provider/usage_window_settings.h"
 
 namespace bamboomount {
 
@@ -86,4 +86,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_USAGE_RECORDER_H_
+#endif  // PROVIDER_USAGE_RECORDER_H_
--- a/src/platform/usage_reports.h
+++ b/src/provider/usage_reports.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_USAGE_REPORTS_H_
-#define PLATFORM_USAGE_REPORTS_H_
+#ifndef PROVIDER_USAGE_REPORTS_H_
+#define PROVIDER_USAGE_REPORTS_H_
 
 #include <cstdint>
 
@@ -31,4 +31,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_USAGE_REPORTS_H_
+#endif  // PROVIDER_USAGE_REPORTS_H_
--- a/src/platform/usage_rows.cc
+++ b/src/provider/usage_rows.cc
@@ -1,4 +1,4 @@
-#include "platform/usage_rows.h"
+#include "provider/usage_rows.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/platform/usage_rows.h
+++ b/src/provider/usage_rows.h
@@ -1,12 +1,12 @@
-#ifndef PLATFORM_USAGE_ROWS_H_
-#define PLATFORM_USAGE_ROWS_H_
+#ifndef PROVIDER_USAGE_ROWS_H_
+#define PROVIDER_USAGE_ROWS_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "platform/usage_figures.h"
-#include "platform/usage_reports.h"
+#include "provider/usage_figures.h"
+#include "provider/usage_reports.h"
 
 namespace bamboomount {
 
@@ -46,4 +46,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_USAGE_ROWS_H_
+#endif  // PROVIDER_USAGE_ROWS_H_
--- a/src/platform/usage_window_settings.h
+++ b/src/provider/usage_window_settings.h
@@ -1,11 +1,11 @@
-#ifndef PLATFORM_USAGE_WINDOW_SETTINGS_H_
-#define PLATFORM_USAGE_WINDOW_SETTINGS_H_
+#ifndef PROVIDER_USAGE_WINDOW_SETTINGS_H_
+#define PROVIDER_USAGE_WINDOW_SETTINGS_H_
 
 #include <chrono>
 #include <functional>
 
 #include "base/base.h"
-#include "platform/usage_reports.h"
+#include "provider/usage_reports.h"
 
 namespace bamboomount {
 
@@ -38,4 +38,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_USAGE_WINDOW_SETTINGS_H_
+#endif  // PROVIDER_USAGE_WINDOW_SETTINGS_H_
--- a/src/platform/wire.cc
+++ b/src/provider/wire.cc
@@ -1,4 +1,4 @@
-#include "platform/wire.h"
+#include "provider/wire.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/wire.h
+++ b/src/provider/wire.h
@@ -1,13 +1,13 @@
-#ifndef PLATFORM_WIRE_H_
-#define PLATFORM_WIRE_H_
+#ifndef PROVIDER_WIRE_H_
+#define PROVIDER_WIRE_H_
 
 #include <nlohmann/json_fwd.hpp>
 
-#include "platform/backend_orders.h"
-#include "platform/instance_directory.h"
-#include "platform/table_store.h"
-#include "platform/transaction.h"
-#include "platform/usage_reports.h"
+#include "provider/backend_orders.h"
+#include "provider/instance_directory.h"
+#include "provider/table_store.h"
+#include "provider/transaction.h"
+#include "provider/usage_reports.h"
 
 // JSON forms of the platform's types. The From functions throw
 // nlohmann::json::exception if a member is missing or has another type.
@@ -29,4 +29,4 @@
 
 }  // namespace bamboomount::wire
 
-#endif  // PLATFORM_WIRE_H_
+#endif  // PROVIDER_WIRE_H_
--- a/src/router/internal/claim_store.h
+++ b/src/router/internal/claim_store.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/src/router/router_options.h
+++ b/src/router/router_options.h
@@ -7,7 +7,7 @@
 
 #include "base/base.h"
 #include "peer/peer.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "state/state.h"
 #include "telemetry/telemetry.h"
 
--- a/src/state/change_log.h
+++ b/src/state/change_log.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "state/change.h"
 #include "state/control_state.h"
 
--- a/src/state/internal/appender.h
+++ b/src/state/internal/appender.h
@@ -1,7 +1,7 @@
 #ifndef STATE_INTERNAL_APPENDER_H_
 #define STATE_INTERNAL_APPENDER_H_
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "state/change.h"
 #include "state/internal/deadline.h"
 #include "state/internal/log_rows.h"
--- a/src/state/internal/log_rows.h
+++ b/src/state/internal/log_rows.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "state/change_log.h"
 
 namespace bamboomount::internal {
--- a/standins/platform/lagging_directory.h
+++ b/standins/platform/lagging_directory.h
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <vector>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount::standin {
 
--- a/standins/platform/platform_state.h
+++ b/standins/platform/platform_state.h
@@ -8,7 +8,7 @@
 #include "fault_switches.h"
 #include "fenced_log.h"
 #include "lagging_directory.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "rate_limit.h"
 
 namespace bamboomount::standin {
--- a/tests/docs/event_catalogue_test.cc
+++ b/tests/docs/event_catalogue_test.cc
@@ -10,7 +10,7 @@
 #include "admin/events.h"
 #include "controller/events.h"
 #include "peer/events.h"
-#include "platform/events.h"
+#include "provider/events.h"
 #include "router/events.h"
 #include "state/events.h"
 
@@ -58,7 +58,7 @@
   catalogue.Add("apps/bamboomountd/events.h", kDaemonEvents);
   catalogue.Add("src/state/events.h", kStateEvents);
   catalogue.Add("src/peer/events.h", peer_events::kPeerEvents);
-  catalogue.Add("src/platform/events.h", events::kPlatformEvents);
+  catalogue.Add("src/provider/events.h", events::kPlatformEvents);
   catalogue.Add("src/controller/events.h", events::kControllerEvents);
   catalogue.Add("src/router/events.h", kRouterEvents);
   catalogue.Add("src/admin/events.h", kAdminEvents);
--- a/tests/platform/in_memory_table_store_test.cc
+++ b/tests/provider/in_memory_table_store_test.cc
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 namespace {
--- a/tests/platform/run_verdict_test.cc
+++ b/tests/provider/run_verdict_test.cc
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "support/platform_process.h"
 
 namespace bamboomount {
--- a/tests/platform/usage_recorder_test.cc
+++ b/tests/provider/usage_recorder_test.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 namespace {
--- a/tests/state/in_memory_stores.h
+++ b/tests/state/in_memory_stores.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "state/state.h"
 #include "support/backend_process.h"
 #include "support/child_process.h"
--- a/tests/support/platform_process.cc
+++ b/tests/support/platform_process.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "platform/internal/http_exchange.h"
+#include "provider/internal/http_exchange.h"
 
 namespace bamboomount::support {
 namespace {
--- a/tests/support/platform_process.h
+++ b/tests/support/platform_process.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
+#include "provider/provider.h"
 #include "support/child_process.h"
 
 namespace bamboomount::support {
--- a/tests/system/byte_boundary_test.cc
+++ b/tests/system/byte_boundary_test.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <future>
 
-#include "platform/in_memory_table_store.h"
+#include "provider/in_memory_table_store.h"
 #include "router/router.h"
 #include "support/chat_client.h"
 #include "system/fleet_options.h"
