--- /dev/null
+++ b/apps/bamboomount_entry/settings_file.cc
@@ -0,0 +1,22 @@
+#include "settings_file.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace bamboomount {
+
+std::string SettingsFile::Text() const {
+  std::ifstream file(path_);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+SettingsReading SettingsFile::Read() const {
+  const std::string text = Text();
+  if (text.empty())
+    return {{}, {"the file cannot be read or is empty"}};
+  return ReadInstanceSettings(text);
+}
+
+}  // namespace bamboomount
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -44,6 +44,8 @@
       return "may_have_run";
     case ErrorCode::kStoreUnavailable:
       return "store_unavailable";
+    case ErrorCode::kHistoryLost:
+      return "history_lost";
     case ErrorCode::kConflict:
       return "conflict";
     case ErrorCode::kStaleBase:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -31,6 +31,7 @@
   kIdempotencyKeyReused,
   kMayHaveRun,
   kStoreUnavailable,
+  kHistoryLost,
   kConflict,
   kStaleBase,
   kNotFound,
--- /dev/null
+++ b/src/gateway/control/backend_observer.cc
@@ -0,0 +1,91 @@
+#include "gateway/control/backend_observer.h"
+
+#include "gateway/events.h"
+#include "telemetry/log.h"
+
+namespace bamboomount {
+
+void BackendObserver::OnTable(const std::vector<TableRow>& rows,
+                              const StoreMoment& /*moment*/) {
+  const Instant now = BootClock::now();
+  std::vector<BackendServer> servers;
+  for (const TableRow& row : rows) {
+    const auto server = decoder_.DecodeBackend(row.key, row.value);
+    if (!server) {
+      Log(gateway_events::kBackendUnreadable,
+          {{"backend", row.key}, {"cause", server.error().message}});
+      continue;
+    }
+    NoteListed(server.value());
+    servers.push_back(server.value());
+  }
+  backends().Replace(servers, now);
+  dispatcher_.state().NoteBackendsRead();
+  Settle(now);
+}
+
+void BackendObserver::OnChanges(const std::vector<TableRow>& rows,
+                                const StoreMoment& /*moment*/) {
+  const Instant now = BootClock::now();
+  for (const TableRow& row : rows)
+    ApplyChange(row, now);
+  Settle(now);
+}
+
+void BackendObserver::ApplyChange(const TableRow& row, Instant now) {
+  const BackendId id(row.key);
+  if (row.deleted) {
+    Log(gateway_events::kBackendGone, {{"backend", row.key}});
+    backends().Remove(id, now);
+    dispatcher_.connections().Drop(id);
+    return;
+  }
+  const auto server = decoder_.DecodeBackend(row.key, row.value);
+  if (!server) {
+    Log(gateway_events::kBackendUnreadable,
+        {{"backend", row.key}, {"cause", server.error().message}});
+    backends().Forget(id);
+    return;
+  }
+  NoteListed(server.value());
+  backends().Update(server.value());
+}
+
+void BackendObserver::NoteListed(const BackendServer& server) {
+  const BackendServer* known = backends().Find(server.id);
+  if (known && known->draining == server.draining &&
+      known->address == server.address &&
+      known->started_at_ms == server.started_at_ms)
+    return;
+  const bool restarted = known && known->started_at_ms != server.started_at_ms;
+  if (restarted) {
+    dispatcher_.connections().Drop(server.id);
+    dispatcher_.state().loads().Forget(server.id);
+  }
+  Log(gateway_events::kBackendListed,
+      {{"backend", server.id.value()},
+       {"pool", server.pool.value()},
+       {"zone", server.zone.value()},
+       {"address", server.address},
+       {"draining", server.draining ? "yes" : "no"},
+       {"reclaimable", server.reclaimable ? "yes" : "no"}});
+}
+
+void BackendObserver::Settle(Instant now) {
+  const std::uint64_t before = backends().revision();
+  backends().Expire(now);
+  if (before != backends().revision() || revision_ != before) {
+    revision_ = backends().revision();
+    dispatcher_.WakeAll();
+  }
+}
+
+void BackendObserver::OnStoreAway(const Error& /*error*/) {
+  backends().NoteStoreAway();
+}
+
+void BackendObserver::OnStoreBack(Instant now) {
+  backends().NoteStoreBack(now);
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/control/config_observer.cc
@@ -0,0 +1,45 @@
+#include "gateway/control/config_observer.h"
+
+#include "gateway/events.h"
+#include "telemetry/log.h"
+
+namespace bamboomount {
+
+void ConfigObserver::OnTable(const std::vector<TableRow>& rows,
+                             const StoreMoment& moment) {
+  OnChanges(rows, moment);
+}
+
+void ConfigObserver::OnChanges(const std::vector<TableRow>& rows,
+                               const StoreMoment& moment) {
+  ApplyNewest(rows);
+  if (unreadable_ || !state_.policy())
+    state_.freshness().NoteStoreTime(moment.sent, moment.store_time);
+  else
+    state_.freshness().Confirm(moment.sent, moment.store_time);
+}
+
+void ConfigObserver::ApplyNewest(const std::vector<TableRow>& rows) {
+  // Several versions may have gathered; only the last one counts.
+  const TableRow* newest = nullptr;
+  for (const TableRow& row : rows) {
+    if (row.key == decoder_.config_key() && !row.deleted)
+      newest = &row;
+  }
+  if (!newest)
+    return;
+  auto policy = decoder_.DecodePolicy(newest->value);
+  unreadable_ = !policy;
+  if (!policy) {
+    Log(gateway_events::kConfigUnreadable, {{"cause", policy.error().message}});
+    return;
+  }
+  const auto applied = policy.value();
+  if (!state_.Apply(applied))
+    return;
+  Log(gateway_events::kConfigApplied,
+      {{"version", std::to_string(applied->version().value())},
+       {"routes", std::to_string(applied->route_count())}});
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/control/config_observer.h
@@ -0,0 +1,35 @@
+#ifndef GATEWAY_CONTROL_CONFIG_OBSERVER_H_
+#define GATEWAY_CONTROL_CONFIG_OBSERVER_H_
+
+#include <functional>
+#include <vector>
+
+#include "gateway/control/state_decoder.h"
+#include "gateway/control/table_follower.h"
+#include "gateway/gateway_state.h"
+
+namespace bamboomount {
+
+// Puts the operator's configuration in force.
+class ConfigObserver : public TableObserver {
+ public:
+  ConfigObserver(const StateDecoder& decoder, GatewayState& state)
+      : decoder_(decoder), state_(state) {}
+
+  void OnTable(const std::vector<TableRow>& rows,
+               const StoreMoment& moment) override;
+  void OnChanges(const std::vector<TableRow>& rows,
+                 const StoreMoment& moment) override;
+
+ private:
+  void ApplyNewest(const std::vector<TableRow>& rows);
+
+  const StateDecoder& decoder_;
+  GatewayState& state_;
+  // The newest configuration cannot be read, so that the one in force is old.
+  bool unreadable_ = false;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_CONTROL_CONFIG_OBSERVER_H_
--- /dev/null
+++ b/src/gateway/control/duty_runner.h
@@ -0,0 +1,56 @@
+#ifndef GATEWAY_CONTROL_DUTY_RUNNER_H_
+#define GATEWAY_CONTROL_DUTY_RUNNER_H_
+
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "gateway/control/async_table_store.h"
+#include "gateway/control/duty_client.h"
+#include "gateway/duties/duty_lease.h"
+#include "gateway/duties/fleet_planner.h"
+#include "gateway/duties/usage_seal.h"
+#include "gateway/gateway_state.h"
+
+namespace bamboomount {
+
+// Reports usage and orders backend servers while this instance holds the lease.
+// At most one call is open at a time, and none is sent without enough time left
+// on the lease.
+class DutyRunner {
+ public:
+  // Time on the lease that a call needs: its timeout and some way.
+  static constexpr Millis kCallTime{1000};
+
+  DutyRunner(AsyncTableStore& store, DutyClient& client, GatewayState& state);
+
+  // Called once per heartbeat. `lease` is held or not.
+  void Step(const DutyLease& lease, Instant now);
+  // The lease was taken anew: what the last holder left is read first.
+  void Begin();
+
+ private:
+  void LoadSeals();
+  void SealNext(const DutyLease& lease, Instant now);
+  void CommitSeal(const DutyLease& lease, const UsageSeal& seal);
+  void ReportNext(const DutyLease& lease);
+  void PlanOrders(Instant now);
+  void SendOrders();
+  DutyHolder Holder(const DutyLease& lease) const;
+
+  AsyncTableStore& store_;
+  DutyClient& client_;
+  GatewayState& state_;
+  UsageSchedule schedule_;
+  FleetPlanner planner_;
+  std::deque<BackendOrder> orders_;
+  // The lease of the last step; set while it is held.
+  const DutyLease* lease_ = nullptr;
+  bool loaded_ = false;
+  bool busy_ = false;
+  bool order_open_ = false;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_CONTROL_DUTY_RUNNER_H_
--- /dev/null
+++ b/src/gateway/duties/fleet_planner.h
@@ -0,0 +1,113 @@
+#ifndef GATEWAY_DUTIES_FLEET_PLANNER_H_
+#define GATEWAY_DUTIES_FLEET_PLANNER_H_
+
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "gateway/boot_clock.h"
+#include "gateway/control/duty_client.h"
+#include "gateway/membership/backend_server.h"
+#include "gateway/membership/member_registry.h"
+#include "gateway/traffic/pool.h"
+
+namespace bamboomount {
+
+// Backend servers of one kind in one zone that are ready, or leave.
+struct ZoneCount {
+  int ready = 0;
+  int draining = 0;
+};
+
+// What a pool has and what it is asked for.
+struct PoolDemand {
+  std::map<ZoneId, ZoneCount> firm;
+  std::map<ZoneId, ZoneCount> reclaimable;
+  // Over all instances.
+  int generating = 0;
+  std::int64_t unread_tokens = 0;
+  int slots_per_server = 1;
+};
+
+PoolDemand MeasureDemand(const Pool& pool,
+                         const std::vector<const BackendServer*>& listed,
+                         const MemberRegistry& members);
+
+// Plans how many backend servers of a pool to order in each zone.
+//
+// Reclaimable ones cost a small part of firm ones but go a whole zone at a
+// time. The plan therefore spreads reclaimable ones over all zones, so many
+// that the demand fits on what is left without any one zone, and gives firm
+// ones back once the reclaimable ones are ready. Where reclaimable ones are
+// not to be had, firm ones fill the gap.
+class FleetPlanner {
+ public:
+  // Orders that are due now. Counts are levels, not changes.
+  std::vector<BackendOrder> Plan(const Pool& pool,
+                                 const PoolDemand& demand,
+                                 Instant now);
+  void NoteOutcome(const BackendOrder& order, DutyOutcome outcome, Instant now);
+  // Forgets what was ordered; the servers that are listed tell.
+  void Reset();
+
+  // Servers that the demand needs.
+  static int Needed(const PoolDemand& demand);
+
+ private:
+  using Slot = std::pair<PoolId, std::pair<ZoneId, bool>>;
+  struct NeedHistory {
+    std::deque<int> recent;
+    // The largest demand that was sustained, and when.
+    int peak = 0;
+    Instant peak_at;
+  };
+  // Servers that the pool should have, and those that it cannot do without.
+  struct Target {
+    int wanted = 0;
+    int needed = 0;
+  };
+
+  // How many servers a pool has when nothing is ordered or taken away.
+  struct Size {
+    int servers = 0;
+    int listed = 0;
+    Instant changed;
+    bool settled = false;
+  };
+
+  // Returns whether the pool's size is known.
+  bool NoteSize(const PoolId& pool,
+                const PoolDemand& demand,
+                int zone_count,
+                Instant now);
+  static std::map<ZoneId, int> FirmLevels(
+      const ScalingRule& rule,
+      const std::vector<ZoneId>& zones,
+      const PoolDemand& demand,
+      const std::map<ZoneId, int>& reclaimable,
+      const Target& target);
+  int SustainedNeeded(const PoolId& pool, int needed, Instant now);
+  bool IsUnavailable(const Slot& slot, Instant now) const;
+  void OrderLevel(const Pool& pool,
+                  const ZoneId& zone,
+                  bool reclaimable,
+                  int present,
+                  int wanted,
+                  Instant now,
+                  std::vector<BackendOrder>& orders);
+
+  // The level last ordered, and when.
+  struct Ordered {
+    int count = 0;
+    Instant at;
+  };
+  std::map<Slot, Ordered> ordered_;
+  std::map<Slot, Instant> unavailable_since_;
+  std::map<PoolId, NeedHistory> needs_;
+  std::map<PoolId, Size> sizes_;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_DUTIES_FLEET_PLANNER_H_
--- /dev/null
+++ b/src/gateway/duties/usage_ledger.h
@@ -0,0 +1,31 @@
+#ifndef GATEWAY_DUTIES_USAGE_LEDGER_H_
+#define GATEWAY_DUTIES_USAGE_LEDGER_H_
+
+#include <map>
+
+#include "gateway/membership/member.h"
+
+namespace bamboomount {
+
+// Requests that began to run at this instance's word, by window and customer.
+// Old windows are dropped once every reader must have seen them.
+class UsageLedger {
+ public:
+  // Windows that are kept, the newest included.
+  static constexpr int kKeptWindows = 5;
+
+  void Count(WindowNumber window, const CustomerId& customer);
+  const std::map<WindowNumber, UsageCounts>& windows() const {
+    return windows_;
+  }
+
+ private:
+  std::map<WindowNumber, UsageCounts> windows_;
+};
+
+// The window that contains `wall_time`, the time since the start of 1970.
+WindowNumber WindowAt(Millis wall_time, Millis window_length);
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_DUTIES_USAGE_LEDGER_H_
--- /dev/null
+++ b/src/gateway/duties/usage_seal.cc
@@ -0,0 +1,94 @@
+#include "gateway/duties/usage_seal.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "gateway/duties/usage_ledger.h"
+
+namespace bamboomount {
+namespace {
+
+using Json = nlohmann::json;
+
+}  // namespace
+
+std::string EncodeSeal(const UsageSeal& seal) {
+  Json counts = Json::object();
+  for (const auto& [customer, count] : seal.counts)
+    counts[customer.value()] = count;
+  return Json{{"window", seal.window.value()},
+              {"counts", counts},
+              {"reported_through", seal.reported_through.value()}}
+      .dump();
+}
+
+Result<UsageSeal> DecodeSeal(const std::string& text) {
+  try {
+    const Json json = Json::parse(text);
+    UsageSeal seal;
+    seal.window = WindowNumber(json.at("window").get<std::int64_t>());
+    seal.reported_through =
+        WindowNumber(json.at("reported_through").get<std::int64_t>());
+    for (const auto& [customer, count] : json.at("counts").items())
+      seal.counts[CustomerId(customer)] = count.get<std::int64_t>();
+    return seal;
+  } catch (const std::exception& error) {
+    return Error{ErrorCode::kInternal,
+                 RunVerdict::kNotRun,
+                 std::string("usage row cannot be read: ") + error.what(),
+                 {}};
+  }
+}
+
+void UsageSchedule::Load(const std::vector<UsageSeal>& seals) {
+  seals_.clear();
+  reported_through_ = WindowNumber();
+  for (const UsageSeal& seal : seals) {
+    seals_[seal.window] = seal;
+    reported_through_ = std::max(reported_through_, seal.reported_through);
+  }
+}
+
+std::optional<WindowNumber> UsageSchedule::NextToSeal(Millis wall_time) const {
+  const WindowNumber last =
+      WindowAt(wall_time - kSettleTime, length_) - WindowNumber(1);
+  for (int back = kReportedWindows - 1; back >= 0; --back) {
+    const WindowNumber window = last - WindowNumber(back);
+    if (!seals_.contains(window))
+      return window;
+  }
+  return std::nullopt;
+}
+
+void UsageSchedule::NoteSealed(const UsageSeal& seal) {
+  seals_[seal.window] = seal;
+}
+
+const UsageSeal* UsageSchedule::NextToReport() const {
+  for (const auto& [window, seal] : seals_) {
+    const bool old =
+        window + WindowNumber(kReportedWindows) < seals_.rbegin()->first;
+    if (window <= reported_through_ || old || seal.counts.empty())
+      continue;
+    return &seal;
+  }
+  return nullptr;
+}
+
+void UsageSchedule::NoteReported(WindowNumber window) {
+  reported_through_ = std::max(reported_through_, window);
+}
+
+std::vector<WindowNumber> UsageSchedule::OutdatedSeals() const {
+  std::vector<WindowNumber> outdated;
+  if (seals_.empty())
+    return outdated;
+  const WindowNumber newest = seals_.rbegin()->first;
+  for (const auto& [window, seal] : seals_) {
+    if (window + WindowNumber(2 * kReportedWindows) < newest)
+      outdated.push_back(window);
+  }
+  return outdated;
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/entry_calls.h
@@ -0,0 +1,39 @@
+#ifndef GATEWAY_ENTRY_CALLS_H_
+#define GATEWAY_ENTRY_CALLS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+
+namespace bamboomount {
+
+// A caller asks which addresses to use.
+struct AddressQuery {
+  ZoneId zone;
+  RegionId region;
+};
+
+struct AddressAnswer {
+  std::vector<std::string> addresses;
+  // How long callers may keep the answer.
+  Millis lifetime{2000};
+};
+
+// The calls by which callers find an instance and the platform checks it.
+class EntryCalls {
+ public:
+  virtual ~EntryCalls() = default;
+
+  virtual bool IsReadinessCall(const std::string& target) const = 0;
+  // Empty if the target is another call.
+  virtual std::optional<AddressQuery> DecodeAddressQuery(
+      const std::string& target) const = 0;
+  // The JSON body of an answer.
+  virtual std::string EncodeAddresses(const AddressAnswer& answer) const = 0;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_ENTRY_CALLS_H_
--- /dev/null
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -0,0 +1,227 @@
+#include "gateway/forwarding/backend_attempt.h"
+
+#include <limits>
+#include <utility>
+
+#include "gateway/forwarding/endpoint.h"
+
+namespace bamboomount {
+namespace {
+
+// Long enough for a lost packet inside a region to be noticed, short enough to
+// leave time for another server.
+constexpr Millis kConnectTimeout{500};
+constexpr std::uint32_t kMaxReplyHeaderBytes = 65536;
+// Servers that do not say how long they keep a connection close it early.
+constexpr Millis kDefaultIdleTimeout{1000};
+// More replies to other requests than this mean a broken server.
+constexpr int kMaxForeignReplies = 2;
+
+}  // namespace
+
+BackendAttempt::BackendAttempt(const AttemptEnvironment& environment,
+                               const BackendServer& server,
+                               Options options,
+                               AttemptObserver& observer)
+    : environment_(environment),
+      server_(server),
+      options_(std::move(options)),
+      observer_(&observer),
+      connect_timer_(environment.context) {}
+
+BackendAttempt::~BackendAttempt() {
+  CloseConnection();
+}
+
+void BackendAttempt::Start() {
+  connection_ = environment_.connections.Take(
+      server_.id, options_.fresh_connection, BootClock::now());
+  if (connection_)
+    SendRequest();
+  else
+    Connect();
+}
+
+void BackendAttempt::Connect() {
+  const auto endpoint = ParseIpEndpoint(server_.address);
+  if (!endpoint) {
+    End(AttemptEnd::kNotSent);
+    return;
+  }
+  connection_ = std::make_unique<BackendConnection>(environment_.context);
+  environment_.connections.NoteOpened(server_.id);
+  connect_timer_.expires_after(kConnectTimeout);
+  connect_timer_.async_wait(
+      [self = shared_from_this()](const error_code& error) {
+        if (error || self->sent_ || !self->observer_)
+          return;
+        self->End(AttemptEnd::kNotSent);
+      });
+  connection_->socket.async_connect(
+      *endpoint, [self = shared_from_this()](const error_code& error) {
+        if (!self->observer_)
+          return;
+        self->connect_timer_.cancel();
+        if (error) {
+          self->End(AttemptEnd::kNotSent);
+          return;
+        }
+        error_code ignored;
+        self->connection_->socket.set_option(tcp::no_delay(true), ignored);
+        self->connection_->socket.non_blocking(true, ignored);
+        self->SendRequest();
+      });
+}
+
+void BackendAttempt::SendRequest() {
+  std::optional<std::string> head = observer_->PrepareHead();
+  if (!head) {
+    End(AttemptEnd::kNotSent);
+    return;
+  }
+  request_head_ = std::move(*head);
+  // Set before the write: one that fails in part may have reached the server.
+  sent_ = true;
+  const std::array<asio::const_buffer, 2> buffers{
+      asio::buffer(request_head_), asio::buffer(observer_->request_body())};
+  asio::async_write(
+      connection_->socket, buffers,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        // A failed write also ends the read, which may still find a reply that
+        // the server sent before it closed.
+        self->write_done_ = !error;
+      });
+  ReadHead();
+}
+
+void BackendAttempt::ReadHead() {
+  parser_.emplace();
+  parser_->header_limit(kMaxReplyHeaderBytes);
+  // Bounded where the body is collected; boost::none does not lift the limit.
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  if (options_.head_request)
+    parser_->skip(true);
+  http::async_read_header(
+      connection_->socket, connection_->buffer, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (!self->observer_)
+          return;
+        if (error)
+          self->End(AttemptEnd::kInterrupted);
+        else
+          self->OnHead();
+      });
+}
+
+void BackendAttempt::OnHead() {
+  const auto& header = parser_->get().base();
+  if (header.result_int() / 100 == 1) {
+    ReadHead();
+    return;
+  }
+  const ReplyHead head = environment_.protocol.DecodeReplyHead(header);
+  idle_timeout_ = head.idle_timeout.value_or(kDefaultIdleTimeout);
+  foreign_reply_ = head.request_id != options_.id;
+  if (foreign_reply_) {
+    ++foreign_replies_;
+    const bool bounded = parser_->content_length() || parser_->chunked();
+    if (foreign_replies_ > kMaxForeignReplies || head.request_id.empty() ||
+        !bounded) {
+      End(AttemptEnd::kInterrupted);
+      return;
+    }
+  } else {
+    std::optional<std::uint64_t> length;
+    if (parser_->content_length())
+      length = *parser_->content_length();
+    observer_->OnReplyHead(header, head, length);
+    if (!observer_)
+      return;
+  }
+  if (parser_->is_done())
+    Finish();
+  else
+    ReadBody();
+}
+
+void BackendAttempt::ReadBody() {
+  auto& body = parser_->get().body();
+  body.data = chunk_.data();
+  body.size = chunk_.size();
+  body.more = true;
+  http::async_read_some(
+      connection_->socket, connection_->buffer, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (self->observer_)
+          self->OnBodyRead(error);
+      });
+}
+
+void BackendAttempt::OnBodyRead(const error_code& error) {
+  const std::size_t size = chunk_.size() - parser_->get().body().size;
+  bool read_on = true;
+  if (size > 0 && !foreign_reply_) {
+    read_on = observer_->OnReplyBody(std::string_view(chunk_.data(), size));
+    if (!observer_)
+      return;
+  }
+  if (error && error != http::error::need_buffer) {
+    End(AttemptEnd::kInterrupted);
+    return;
+  }
+  if (parser_->is_done())
+    Finish();
+  else if (read_on)
+    ReadBody();
+}
+
+void BackendAttempt::Resume() {
+  if (observer_ && connection_)
+    ReadBody();
+}
+
+void BackendAttempt::Finish() {
+  if (foreign_reply_) {
+    ReadHead();
+    return;
+  }
+  // Surplus bytes, or a body that is still being sent, would be taken for the
+  // next exchange.
+  const bool reusable = parser_->get().keep_alive() && write_done_ &&
+                        connection_->buffer.size() == 0;
+  if (reusable) {
+    connection_->idle_timeout = idle_timeout_;
+    environment_.connections.Keep(server_.id, std::move(connection_),
+                                  BootClock::now());
+  }
+  End(AttemptEnd::kComplete);
+}
+
+void BackendAttempt::End(AttemptEnd end) {
+  AttemptObserver* observer = std::exchange(observer_, nullptr);
+  const auto self = shared_from_this();
+  CloseConnection();
+  if (observer)
+    observer->OnAttemptEnd(end);
+}
+
+void BackendAttempt::Cancel() {
+  observer_ = nullptr;
+  CloseConnection();
+}
+
+void BackendAttempt::CloseConnection() {
+  connect_timer_.cancel();
+  if (!connection_)
+    return;
+  error_code ignored;
+  connection_->socket.close(ignored);
+  // Operations that were in progress still refer to the buffer and the parser;
+  // their handlers keep this object alive.
+  if (!closed_counted_) {
+    closed_counted_ = true;
+    environment_.connections.NoteClosed(server_.id);
+  }
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/forwarding/caller_connection.cc
@@ -0,0 +1,370 @@
+#include "gateway/forwarding/caller_connection.h"
+
+#include <array>
+#include <sstream>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+// Bounds how long a connection that is done waits for the caller's close.
+constexpr Millis kLingerTimeout{1000};
+// A caller that takes no bytes for this time is given up.
+constexpr Millis kWriteStall{20000};
+constexpr unsigned kHttp11 = 11;
+
+template <typename Body>
+std::string Serialize(const http::response<Body>& response) {
+  std::ostringstream text;
+  text << response.base();
+  return text.str();
+}
+
+std::string ChunkHead(std::size_t size) {
+  std::ostringstream text;
+  text << std::hex << size << "\r\n";
+  return text.str();
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(tcp::socket socket,
+                                   CallerConnectionOwner& owner)
+    : socket_(std::move(socket)), owner_(owner), since_(BootClock::now()) {
+  error_code ignored;
+  // Events are small; waiting to fill a segment would delay them.
+  socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+}
+
+void CallerConnection::Start() {
+  ReadNext();
+}
+
+void CallerConnection::ReadNext() {
+  phase_ = Phase::kIdle;
+  since_ = BootClock::now();
+  answer_ended_ = false;
+  ++request_number_;
+  const CallerLimits limits = owner_.limits();
+  parser_.emplace();
+  parser_->header_limit(limits.header_bytes);
+  parser_->body_limit(limits.body_bytes);
+  if (buffer_.size() > 0) {
+    ReadHeader();
+    return;
+  }
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](const error_code& error) {
+                       if (self->phase_ != Phase::kIdle)
+                         return;
+                       if (error)
+                         self->Close();
+                       else
+                         self->ReadHeader();
+                     });
+}
+
+void CallerConnection::ReadHeader() {
+  phase_ = Phase::kReadingHeader;
+  since_ = BootClock::now();
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (self->phase_ != Phase::kReadingHeader)
+          return;
+        if (error)
+          self->OnReadError(error);
+        else
+          self->ReadBody();
+      });
+}
+
+void CallerConnection::ReadBody() {
+  const std::size_t expected =
+      static_cast<std::size_t>(parser_->content_length().value_or(kReadBytes));
+  if (!owner_.TryReserve(expected)) {
+    Refuse(http::status::service_unavailable);
+    return;
+  }
+  reserved_bytes_ = expected;
+  if (parser_->is_done()) {
+    DeliverRequest();
+    return;
+  }
+  phase_ = Phase::kReadingBody;
+  if (beast::iequals(parser_->get()[http::field::expect], "100-continue"))
+    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (self->phase_ != Phase::kReadingBody)
+          return;
+        if (error)
+          self->OnReadError(error);
+        else
+          self->DeliverRequest();
+      });
+}
+
+void CallerConnection::DeliverRequest() {
+  phase_ = Phase::kAnswering;
+  IncomingRequest request{parser_->release(), since_};
+  keep_alive_ = request.message.keep_alive();
+  head_request_ = request.message.method() == http::verb::head;
+  parser_.reset();
+  WatchForClose();
+  owner_.OnRequest(std::move(request), shared_from_this());
+}
+
+void CallerConnection::OnReadError(const error_code& error) {
+  if (error == http::error::header_limit)
+    Refuse(http::status::request_header_fields_too_large);
+  else if (error == http::error::body_limit)
+    Refuse(http::status::payload_too_large);
+  else if (error.category() ==
+               http::make_error_code(http::error::bad_method).category() &&
+           error != http::error::end_of_stream &&
+           error != http::error::partial_message)
+    Refuse(http::status::bad_request);
+  else
+    Close();
+}
+
+void CallerConnection::Refuse(http::status status) {
+  phase_ = Phase::kAnswering;
+  keep_alive_ = false;
+  head_request_ = false;
+  http::response<http::string_body> response(status, kHttp11);
+  Send(std::move(response));
+}
+
+void CallerConnection::RefuseSlowCaller() {
+  // Ends the read in progress, which uses the same buffer as lingering.
+  error_code ignored;
+  socket_.cancel(ignored);
+  Refuse(http::status::request_timeout);
+}
+
+void CallerConnection::WatchForClose() {
+  socket_.async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), number = request_number_](const error_code&) {
+        if (self->phase_ != Phase::kAnswering ||
+            self->request_number_ != number || !self->PeerHasClosed())
+          return;
+        self->Close();
+      });
+}
+
+bool CallerConnection::PeerHasClosed() {
+  std::array<char, 1> probe{};
+  error_code error;
+  const std::size_t size =
+      socket_.receive(asio::buffer(probe), tcp::socket::message_peek, error);
+  if (error)
+    return error != asio::error::would_block;
+  return size == 0;
+}
+
+void CallerConnection::FillConnectionHeader(
+    http::response_header<>& head) const {
+  if (!keep_alive_ || owner_.leaving())
+    head.set(http::field::connection, "close");
+}
+
+void CallerConnection::Send(http::response<http::string_body> response) {
+  if (phase_ != Phase::kAnswering)
+    return;
+  response.version(kHttp11);
+  response.set(http::field::content_length,
+               std::to_string(response.body().size()));
+  if (owner_.leaving())
+    keep_alive_ = false;
+  FillConnectionHeader(response.base());
+  std::string bytes = Serialize(response);
+  if (!head_request_)
+    bytes += response.body();
+  answer_ended_ = true;
+  Queue(std::move(bytes));
+}
+
+void CallerConnection::Begin(http::response_header<> head,
+                             std::optional<std::uint64_t> content_length) {
+  if (phase_ != Phase::kAnswering)
+    return;
+  head.version(kHttp11);
+  chunked_ = !content_length;
+  if (content_length)
+    head.set(http::field::content_length, std::to_string(*content_length));
+  else
+    head.set(http::field::transfer_encoding, "chunked");
+  if (owner_.leaving())
+    keep_alive_ = false;
+  FillConnectionHeader(head);
+  std::ostringstream text;
+  text << head;
+  Queue(text.str());
+}
+
+void CallerConnection::Write(std::string piece) {
+  if (phase_ != Phase::kAnswering || piece.empty() || head_request_)
+    return;
+  if (chunked_)
+    piece = ChunkHead(piece.size()) + piece + "\r\n";
+  Queue(std::move(piece));
+}
+
+void CallerConnection::WhenDrained(std::function<void()> drained) {
+  drained_ = std::move(drained);
+}
+
+void CallerConnection::Finish() {
+  if (phase_ != Phase::kAnswering)
+    return;
+  answer_ended_ = true;
+  if (chunked_ && !head_request_)
+    Queue("0\r\n\r\n");
+  else if (!write_in_progress_)
+    EndAnswer();
+}
+
+void CallerConnection::Abort() {
+  gone_ = nullptr;
+  Close();
+}
+
+void CallerConnection::OnCallerGone(std::function<void()> gone) {
+  gone_ = std::move(gone);
+}
+
+void CallerConnection::Queue(std::string bytes) {
+  pending_bytes_ += bytes.size();
+  if (queued_.empty())
+    queued_ = std::move(bytes);
+  else
+    queued_ += bytes;
+  if (!write_in_progress_)
+    WriteQueued();
+}
+
+void CallerConnection::WriteQueued() {
+  writing_ = std::exchange(queued_, {});
+  write_in_progress_ = true;
+  asio::async_write(
+      socket_, asio::buffer(writing_),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnWritten(error);
+      });
+}
+
+void CallerConnection::OnWritten(const error_code& error) {
+  write_in_progress_ = false;
+  pending_bytes_ -= writing_.size();
+  if (phase_ == Phase::kClosed)
+    return;
+  if (error) {
+    Close();
+    return;
+  }
+  if (phase_ == Phase::kAnswering)
+    since_ = BootClock::now();
+  if (!queued_.empty()) {
+    WriteQueued();
+    return;
+  }
+  if (drained_)
+    std::exchange(drained_, nullptr)();
+  if (answer_ended_ && !write_in_progress_ && phase_ == Phase::kAnswering)
+    EndAnswer();
+}
+
+void CallerConnection::EndAnswer() {
+  gone_ = nullptr;
+  drained_ = nullptr;
+  ReleaseBody();
+  if (keep_alive_) {
+    ReadNext();
+    return;
+  }
+  Linger();
+}
+
+void CallerConnection::Linger() {
+  // Closing a socket with unread input resets the connection, and the caller
+  // could lose the answer.
+  phase_ = Phase::kLingering;
+  since_ = BootClock::now();
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  DiscardInput();
+}
+
+void CallerConnection::DiscardInput() {
+  buffer_.clear();
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (self->phase_ != Phase::kLingering)
+          return;
+        if (error)
+          self->Close();
+        else
+          self->DiscardInput();
+      });
+}
+
+void CallerConnection::CheckTimeouts(Instant now) {
+  const CallerLimits limits = owner_.limits();
+  switch (phase_) {
+    case Phase::kIdle:
+      if (now - since_ > limits.idle_timeout)
+        Close();
+      return;
+    case Phase::kReadingHeader:
+      if (now - since_ > limits.header_timeout)
+        RefuseSlowCaller();
+      return;
+    case Phase::kReadingBody:
+      if (now - since_ > limits.header_timeout + limits.idle_timeout)
+        RefuseSlowCaller();
+      return;
+    case Phase::kAnswering:
+      if (write_in_progress_ && now - since_ > kWriteStall)
+        Close();
+      return;
+    case Phase::kLingering:
+      if (now - since_ > kLingerTimeout)
+        Close();
+      return;
+    case Phase::kClosed:
+      return;
+  }
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (phase_ != Phase::kIdle)
+    return;
+  error_code error;
+  if (socket_.available(error) == 0)
+    Linger();
+}
+
+void CallerConnection::Close() {
+  if (phase_ == Phase::kClosed)
+    return;
+  phase_ = Phase::kClosed;
+  error_code ignored;
+  socket_.close(ignored);
+  ReleaseBody();
+  drained_ = nullptr;
+  if (gone_)
+    std::exchange(gone_, nullptr)();
+}
+
+void CallerConnection::ReleaseBody() {
+  owner_.Unreserve(std::exchange(reserved_bytes_, 0));
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/forwarding/exchange.cc
@@ -0,0 +1,587 @@
+#include "gateway/forwarding/exchange.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+#include "gateway/admission_rules.h"
+#include "gateway/events.h"
+#include "gateway/forwarding/hop_headers.h"
+#include "telemetry/log.h"
+
+namespace bamboomount {
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+// A caller's clock starts when it sends; the way here takes about this long.
+constexpr Millis kCallerDelay{3};
+// Whole answers up to this size are kept until they are complete.
+constexpr std::size_t kMaxCollectedBytes = 262144;
+// More unsent bytes than this stop the reading from the backend server.
+constexpr std::size_t kMaxUnsentBytes = 65536;
+// An idempotent request whose server is silent for this part of its target is
+// sent to another one.
+constexpr double kSilencePart = 0.7;
+
+unsigned StatusClass(unsigned status) {
+  return status / 100;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string Seconds(Millis time) {
+  std::ostringstream text;
+  text << static_cast<double>(time.count()) / 1000;
+  return text.str();
+}
+
+}  // namespace
+
+Exchange::Exchange(Dispatcher& dispatcher,
+                   IncomingRequest request,
+                   std::shared_ptr<CallerReply> reply)
+    : dispatcher_(dispatcher),
+      request_(std::move(request)),
+      reply_(std::move(reply)),
+      deadline_timer_(dispatcher.context()),
+      step_timer_(dispatcher.context()) {}
+
+Exchange::~Exchange() = default;
+
+void Exchange::Start() {
+  if (!DecodeHead() || !FindRoute() || !Authenticate())
+    return;
+  pool_ = route_->ChoosePool(dispatcher_.Random());
+  const Pool* pool = policy_->FindPool(pool_);
+  is_engine_ = pool && pool->engine;
+  Millis limit = route_->timeout;
+  if (head_.time_limit)
+    limit = std::min(limit, *head_.time_limit - kCallerDelay);
+  deadline_ = request_.received + limit;
+  dispatcher_.CountRequest(pool_);
+  reply_->OnCallerGone([self = shared_from_this()] { self->OnCallerGone(); });
+  deadline_timer_.expires_after(
+      std::max(Millis(0), TimeLeft(BootClock::now())));
+  deadline_timer_.async_wait(
+      [self = shared_from_this()](const error_code& error) {
+        if (!error && !self->ended_)
+          self->OnDeadline();
+      });
+  Place();
+}
+
+bool Exchange::DecodeHead() {
+  auto head = dispatcher_.protocol().DecodeCallerHead(request_.message);
+  if (!head || head.value().id.empty()) {
+    Refuse(http::status::bad_request, "the request has no usable id");
+    return false;
+  }
+  head_ = std::move(head.value());
+  return true;
+}
+
+bool Exchange::FindRoute() {
+  policy_ = dispatcher_.state().policy();
+  if (!policy_) {
+    RefuseForNow("no configuration has been read");
+    return false;
+  }
+  const std::string host(request_.message[http::field::host]);
+  const auto target = request_.message.target();
+  route_ = policy_->FindRoute(
+      host, PathOf(std::string_view(target.data(), target.size())));
+  if (route_ && !route_->shares.empty()) {
+    tier_ = route_->tier;
+    return true;
+  }
+  if (dispatcher_.state().RefusalsAreCurrent(BootClock::now()))
+    Refuse(http::status::not_found, "no route");
+  else
+    RefuseForNow("no route, but the configuration may be old");
+  return false;
+}
+
+bool Exchange::Authenticate() {
+  if (route_->open_to_all || !policy_->has_customers())
+    return true;
+  const Instant now = BootClock::now();
+  if (!dispatcher_.state().KeysAreCurrent(now)) {
+    RefuseForNow("withdrawn keys may be unknown here");
+    return false;
+  }
+  const KeyGrant* grant = policy_->FindKey(head_.key);
+  if (grant) {
+    customer_ = grant->customer;
+    tier_ = grant->tier.value_or(route_->tier);
+    return true;
+  }
+  if (dispatcher_.state().RefusalsAreCurrent(now))
+    Refuse(http::status::unauthorized, "unknown key");
+  else
+    RefuseForNow("unknown key, but the configuration may be old");
+  return false;
+}
+
+void Exchange::Place() {
+  if (ended_)
+    return;
+  const Instant now = BootClock::now();
+  const auto candidates = dispatcher_.Candidates(pool_, tried_);
+  const BackendServer* server = dispatcher_.state().selector().Choose(
+      candidates,
+      {head_.prompt, is_engine_, dispatcher_.state().settings().zone}, now);
+  if (server)
+    SendTo(*server);
+  else
+    WaitForRoom();
+}
+
+void Exchange::SendTo(const BackendServer& server) {
+  const Instant now = BootClock::now();
+  GatewayState& state = dispatcher_.state();
+  unread_ = state.selector().ExpectedRead(server, head_.prompt, now);
+  generating_ = false;
+  sent_at_ = now;
+  body_mode_ = BodyMode::kCollect;
+  collected_.clear();
+  reply_head_ = {};
+  state.loads().AddRequest(server.id, unread_);
+  state.selector().NoteRead(server, head_.prompt, now);
+  Log(gateway_events::kRequestPlaced,
+      {{"request", head_.id.value()},
+       {"route", route_->name},
+       {"backend", server.id.value()},
+       {"load", std::to_string(state.loads().Total(server.id).requests)},
+       {"unread_tokens", std::to_string(unread_.value())},
+       {"config", std::to_string(policy_->version().value())},
+       {"config_age_ms",
+        std::to_string(
+            state.freshness().Age(now).value_or(Millis(-1)).count())}});
+  attempt_ = std::make_shared<BackendAttempt>(
+      dispatcher_.environment(), server,
+      BackendAttempt::Options{head_.id,
+                              request_.message.method() == http::verb::head,
+                              !MayRepeat(route_->kind)},
+      *this);
+  ArmTimers();
+  // A copy: the attempt may end at once and release the member.
+  const auto attempt = attempt_;
+  attempt->Start();
+}
+
+void Exchange::ArmTimers() {
+  step_timer_.cancel();
+  if (route_->kind != RequestKind::kIdempotent)
+    return;
+  const auto silence =
+      std::chrono::duration_cast<Millis>(route_->target_latency * kSilencePart);
+  step_timer_.expires_after(silence);
+  step_timer_.async_wait(
+      [self = shared_from_this(), attempt = attempt_](const error_code& error) {
+        if (!error && !self->ended_ && self->attempt_ == attempt)
+          self->OnSilence();
+      });
+}
+
+void Exchange::WaitForRoom() {
+  const Instant now = BootClock::now();
+  const Millis limit = WaitLimit(route_->target_latency, TimeLeft(now));
+  const Millis waited = ToMillis(now - request_.received);
+  if (waited >= limit) {
+    FailWithoutAnswer("no room at any backend server");
+    return;
+  }
+  ticket_ = dispatcher_.Wait(pool_, tier_, [self = shared_from_this()] {
+    self->ticket_.reset();
+    self->step_timer_.cancel();
+    self->Place();
+  });
+  step_timer_.expires_after(limit - waited);
+  step_timer_.async_wait([self = shared_from_this()](const error_code& error) {
+    if (error || self->ended_ || !self->ticket_)
+      return;
+    self->StopWaiting();
+    self->FailWithoutAnswer("no room at any backend server in time");
+  });
+}
+
+void Exchange::StopWaiting() {
+  if (!ticket_)
+    return;
+  dispatcher_.StopWaiting(pool_, *ticket_);
+  ticket_.reset();
+}
+
+std::optional<std::string> Exchange::PrepareHead() {
+  const Instant now = BootClock::now();
+  const Millis left = TimeLeft(now);
+  if (ended_ || left <= Millis(0))
+    return std::nullopt;
+  GatewayState& state = dispatcher_.state();
+  const BackendServer& server = attempt_->server();
+  // The server may have begun to leave while the connection was set up.
+  if (!state.backends().FindUsable(server.id))
+    return std::nullopt;
+  if (!customer_.empty() && !state.KeysAreCurrent(now)) {
+    keys_were_stale_ = true;
+    return std::nullopt;
+  }
+  http::request_header<> header(request_.message.base());
+  header.version(kHttp11);
+  RemoveHopHeaders(header);
+  ForwardingHead forwarding{left, server.id, customer_, std::nullopt,
+                            events_.last_event_id()};
+  if (is_engine_)
+    forwarding.urgency = tier_;
+  dispatcher_.protocol().EncodeForwardingHead(forwarding, header);
+  const bool has_body = !request_.message.body().empty() ||
+                        request_.message.find(http::field::content_length) !=
+                            request_.message.end() ||
+                        request_.message.chunked();
+  if (has_body)
+    header.set(http::field::content_length,
+               std::to_string(request_.message.body().size()));
+  std::ostringstream text;
+  text << header;
+  return text.str();
+}
+
+void Exchange::OnReplyHead(const http::response_header<>& header,
+                           const ReplyHead& head,
+                           std::optional<std::uint64_t> content_length) {
+  step_timer_.cancel();
+  reply_head_ = head;
+  if (head.not_run || head.status == 421) {
+    body_mode_ = BodyMode::kDiscard;
+    return;
+  }
+  NoteRunBegan();
+  const bool success = StatusClass(head.status) == 2;
+  if (success && !head.sealed) {
+    // A success without a seal is not the answer of the service.
+    body_mode_ = BodyMode::kDiscard;
+    return;
+  }
+  if (history_.passed_on) {
+    // The answer keeps the header of the first server.
+    body_mode_ = success ? BodyMode::kPassOn : BodyMode::kDiscard;
+    return;
+  }
+  reply_header_ = header;
+  reply_length_ = content_length;
+  const bool large = content_length.value_or(0) > kMaxCollectedBytes;
+  body_mode_ = success && (IsStream(route_->kind) || large)
+                   ? BodyMode::kPassOn
+                   : BodyMode::kCollect;
+}
+
+bool Exchange::OnReplyBody(std::string_view piece) {
+  switch (body_mode_) {
+    case BodyMode::kDiscard:
+      return true;
+    case BodyMode::kCollect:
+      collected_.append(piece);
+      if (collected_.size() <= kMaxCollectedBytes)
+        return true;
+      body_mode_ = BodyMode::kPassOn;
+      return PassOn(std::exchange(collected_, {}));
+    case BodyMode::kPassOn:
+      NoteFirstBytes();
+      return PassOn(piece);
+  }
+  return true;
+}
+
+bool Exchange::PassOn(std::string_view piece) {
+  std::string bytes =
+      IsStream(route_->kind) ? events_.Add(piece) : std::string(piece);
+  if (bytes.empty())
+    return true;
+  if (!history_.passed_on)
+    BeginPassing();
+  reply_->Write(std::move(bytes));
+  if (ended_)
+    return false;
+  if (reply_->pending_bytes() <= kMaxUnsentBytes)
+    return true;
+  reply_->WhenDrained([self = shared_from_this(), attempt = attempt_] {
+    if (!self->ended_ && self->attempt_ == attempt)
+      attempt->Resume();
+  });
+  return false;
+}
+
+void Exchange::BeginPassing() {
+  history_.passed_on = true;
+  http::response_header<> header(reply_header_);
+  RemoveHopHeaders(header);
+  reply_->Begin(std::move(header),
+                IsStream(route_->kind) ? std::nullopt : reply_length_);
+}
+
+void Exchange::NoteRunBegan() {
+  if (counted_ || customer_.empty())
+    return;
+  counted_ = true;
+  GatewayState& state = dispatcher_.state();
+  const Millis wall = state.WallTime(BootClock::now());
+  state.usage().Count(WindowAt(wall, state.settings().usage_window), customer_);
+}
+
+void Exchange::NoteFirstBytes() {
+  if (generating_)
+    return;
+  generating_ = true;
+  const Instant now = BootClock::now();
+  GatewayState& state = dispatcher_.state();
+  const BackendId& server = attempt_->server().id;
+  state.loads().NoteFirstToken(server, unread_);
+  state.loads().NoteSuccess(server, ToMillis(now - sent_at_),
+                            route_->target_latency);
+  dispatcher_.metrics().Observe("bamboomount_first_bytes_seconds",
+                                {{"route", route_->name}},
+                                now - request_.received);
+}
+
+void Exchange::OnAttemptEnd(AttemptEnd end) {
+  const auto self = shared_from_this();
+  if (ended_)
+    return;
+  step_timer_.cancel();
+  switch (end) {
+    case AttemptEnd::kNotSent:
+      OnNotSent();
+      return;
+    case AttemptEnd::kInterrupted:
+      OnInterrupted();
+      return;
+    case AttemptEnd::kComplete:
+      if (reply_head_.not_run || reply_head_.status == 421)
+        OnRefusedByServer();
+      else
+        OnComplete();
+      return;
+  }
+}
+
+void Exchange::OnNotSent() {
+  const BackendId server = attempt_->server().id;
+  const bool still_usable =
+      dispatcher_.state().backends().FindUsable(server) != nullptr;
+  ReleaseAttempt();
+  if (keys_were_stale_) {
+    FailWithoutAnswer("withdrawn keys may be unknown here");
+    return;
+  }
+  if (still_usable && TimeLeft(BootClock::now()) > Millis(0)) {
+    ++history_.failed_connects;
+    dispatcher_.state().loads().NoteFailure(server, BootClock::now());
+    Log(gateway_events::kAttemptFailed, {{"request", head_.id.value()},
+                                         {"backend", server.value()},
+                                         {"cause", "no connection"},
+                                         {"ran", "no"}});
+  }
+  tried_.push_back(server);
+  if (!TryAnotherServer())
+    FailWithoutAnswer("no connection to a backend server");
+}
+
+void Exchange::OnInterrupted() {
+  const BackendId server = attempt_->server().id;
+  ReleaseAttempt();
+  ++history_.runs;
+  tried_.push_back(server);
+  dispatcher_.state().loads().NoteFailure(server, BootClock::now());
+  Log(gateway_events::kAttemptFailed,
+      {{"request", head_.id.value()},
+       {"backend", server.value()},
+       {"cause", "the answer was interrupted"},
+       {"ran", "unknown"},
+       {"status", std::to_string(reply_head_.status)}});
+  events_.DropPartialEvent();
+  if (!TryAnotherServer())
+    FailWithoutAnswer("the backend server broke off its answer");
+}
+
+void Exchange::OnRefusedByServer() {
+  const BackendId server = attempt_->server().id;
+  ReleaseAttempt();
+  ++history_.refusals;
+  tried_.push_back(server);
+  Log(gateway_events::kAttemptFailed,
+      {{"request", head_.id.value()},
+       {"backend", server.value()},
+       {"cause", "refused"},
+       {"ran", "no"},
+       {"status", std::to_string(reply_head_.status)}});
+  if (!TryAnotherServer())
+    FailWithoutAnswer("all backend servers that were asked refused");
+}
+
+void Exchange::OnComplete() {
+  const BackendId server = attempt_->server().id;
+  const bool success = StatusClass(reply_head_.status) == 2;
+  if (body_mode_ == BodyMode::kDiscard ||
+      (body_mode_ == BodyMode::kPassOn && !events_.at_boundary())) {
+    OnInterrupted();
+    return;
+  }
+  if (!generating_)
+    dispatcher_.state().loads().NoteSuccess(
+        server, ToMillis(BootClock::now() - sent_at_), route_->target_latency);
+  ReleaseAttempt();
+  ++history_.runs;
+  tried_.push_back(server);
+  const bool failed = StatusClass(reply_head_.status) == 5;
+  if (failed && !history_.passed_on && TryAnotherServer())
+    return;
+  if (history_.passed_on) {
+    EndRequest("passed on");
+    reply_->Finish();
+    return;
+  }
+  http::response<http::string_body> response;
+  RemoveHopHeaders(reply_header_);
+  response.base() = reply_header_;
+  response.body() = std::move(collected_);
+  EndRequest(success ? "passed on" : "failure passed on");
+  reply_->Send(std::move(response));
+}
+
+bool Exchange::TryAnotherServer() {
+  if (ended_ || !MaySendAgain(*route_, history_) ||
+      TimeLeft(BootClock::now()) <= Millis(0))
+    return false;
+  const bool repeats = history_.runs + history_.refusals > 0;
+  if (repeats && !dispatcher_.TryRetry(pool_))
+    return false;
+  // Posted: the attempt that ended is still on the stack.
+  asio::post(dispatcher_.context(),
+             [self = shared_from_this()] { self->Place(); });
+  return true;
+}
+
+void Exchange::FailWithoutAnswer(std::string_view reason) {
+  if (history_.passed_on) {
+    EndRequest("broken off");
+    reply_->Abort();
+    return;
+  }
+  if (history_.runs == 0)
+    RefuseForNow(reason);
+  else
+    Refuse(http::status::bad_gateway, reason);
+}
+
+void Exchange::OnDeadline() {
+  const bool sent = attempt_ && attempt_->sent();
+  if (attempt_) {
+    attempt_->Cancel();
+    ReleaseAttempt();
+  }
+  if (sent)
+    ++history_.runs;
+  if (history_.passed_on)
+    FailWithoutAnswer("the time limit has passed");
+  else if (history_.runs > 0)
+    Refuse(http::status::gateway_timeout, "the time limit has passed");
+  else
+    RefuseForNow("the time limit has passed");
+}
+
+void Exchange::OnSilence() {
+  SendHistory after = history_;
+  ++after.runs;
+  if (!MaySendAgain(*route_, after) || !dispatcher_.TryRetry(pool_))
+    return;
+  const BackendId server = attempt_->server().id;
+  attempt_->Cancel();
+  ReleaseAttempt();
+  history_ = after;
+  tried_.push_back(server);
+  dispatcher_.state().loads().NoteFailure(server, BootClock::now());
+  Log(gateway_events::kAttemptFailed, {{"request", head_.id.value()},
+                                       {"backend", server.value()},
+                                       {"cause", "silence"},
+                                       {"ran", "unknown"}});
+  Place();
+}
+
+void Exchange::OnCallerGone() {
+  if (ended_)
+    return;
+  if (attempt_) {
+    attempt_->Cancel();
+    ReleaseAttempt();
+  }
+  EndRequest("the caller left");
+}
+
+void Exchange::ReleaseAttempt() {
+  if (!attempt_)
+    return;
+  dispatcher_.state().loads().EndRequest(attempt_->server().id, unread_,
+                                         generating_);
+  attempt_.reset();
+  dispatcher_.WakeOne(pool_);
+}
+
+void Exchange::Refuse(http::status status, std::string_view reason) {
+  http::response<http::string_body> response(status, kHttp11);
+  Log(gateway_events::kRequestRefused,
+      {{"request", head_.id.value()},
+       {"route", route_ ? route_->name : ""},
+       {"status", std::to_string(response.result_int())},
+       {"reason", std::string(reason)},
+       {"runs", std::to_string(history_.runs)},
+       {"refusals", std::to_string(history_.refusals)}});
+  EndRequest("refused");
+  reply_->Send(std::move(response));
+}
+
+void Exchange::RefuseForNow(std::string_view reason) {
+  const Instant now = BootClock::now();
+  const Millis left =
+      head_.time_limit ? *head_.time_limit - ToMillis(now - request_.received)
+                       : Millis(1000);
+  http::response<http::string_body> response(http::status::service_unavailable,
+                                             kHttp11);
+  const Millis retry_after = RetryAfter(left, dispatcher_.Random());
+  response.set(http::field::retry_after, Seconds(retry_after));
+  Log(gateway_events::kRequestRefused,
+      {{"request", head_.id.value()},
+       {"route", route_ ? route_->name : ""},
+       {"status", "503"},
+       {"reason", std::string(reason)},
+       {"retry_after_ms", std::to_string(retry_after.count())},
+       {"refusals", std::to_string(history_.refusals)}});
+  EndRequest("refused");
+  reply_->Send(std::move(response));
+}
+
+void Exchange::EndRequest(std::string_view outcome) {
+  ended_ = true;
+  StopWaiting();
+  deadline_timer_.cancel();
+  step_timer_.cancel();
+  reply_->OnCallerGone(nullptr);
+  dispatcher_.metrics().Increment("bamboomount_requests_total",
+                                  {{"route", route_ ? route_->name : ""},
+                                   {"outcome", std::string(outcome)}});
+  if (outcome != "refused")
+    Log(gateway_events::kRequestEnded,
+        {{"request", head_.id.value()},
+         {"outcome", std::string(outcome)},
+         {"status", std::to_string(reply_head_.status)},
+         {"took_ms",
+          std::to_string(
+              ToMillis(BootClock::now() - request_.received).count())}});
+}
+
+Millis Exchange::TimeLeft(Instant now) const {
+  return ToMillis(deadline_ - now);
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/forwarding/exchange.h
@@ -0,0 +1,121 @@
+#ifndef GATEWAY_FORWARDING_EXCHANGE_H_
+#define GATEWAY_FORWARDING_EXCHANGE_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/forwarding/backend_attempt.h"
+#include "gateway/forwarding/caller_connection.h"
+#include "gateway/forwarding/dispatcher.h"
+#include "gateway/forwarding/event_boundary.h"
+#include "gateway/forwarding/retry_rules.h"
+
+namespace bamboomount {
+
+// Serves one request of a caller: finds its route and customer, sends it to a
+// backend server, to another one where that is allowed, and passes the answer
+// on. The caller gets exactly one final answer.
+class Exchange : public AttemptObserver,
+                 public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(Dispatcher& dispatcher,
+           IncomingRequest request,
+           std::shared_ptr<CallerReply> reply);
+  ~Exchange() override;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  void Start();
+
+  std::optional<std::string> PrepareHead() override;
+  const std::string& request_body() const override {
+    return request_.message.body();
+  }
+  void OnReplyHead(const http::response_header<>& header,
+                   const ReplyHead& head,
+                   std::optional<std::uint64_t> content_length) override;
+  bool OnReplyBody(std::string_view piece) override;
+  void OnAttemptEnd(AttemptEnd end) override;
+
+ private:
+  // What happens to the body of the reply that is being read.
+  enum class BodyMode {
+    // Kept until it is complete; another server may still be asked.
+    kCollect,
+    // Passed on as it comes.
+    kPassOn,
+    kDiscard,
+  };
+
+  // Each returns false if the request got its final answer.
+  bool DecodeHead();
+  bool FindRoute();
+  bool Authenticate();
+
+  void Place();
+  void SendTo(const BackendServer& server);
+  void WaitForRoom();
+  void StopWaiting();
+  void ArmTimers();
+  void OnDeadline();
+  void OnSilence();
+  void OnCallerGone();
+
+  void OnNotSent();
+  void OnInterrupted();
+  void OnRefusedByServer();
+  void OnComplete();
+  bool TryAnotherServer();
+  void FailWithoutAnswer(std::string_view reason);
+
+  void NoteRunBegan();
+  void NoteFirstBytes();
+  void ReleaseAttempt();
+  bool PassOn(std::string_view piece);
+  void BeginPassing();
+
+  void Refuse(http::status status, std::string_view reason);
+  void RefuseForNow(std::string_view reason);
+  void EndRequest(std::string_view outcome);
+  Millis TimeLeft(Instant now) const;
+
+  Dispatcher& dispatcher_;
+  IncomingRequest request_;
+  std::shared_ptr<CallerReply> reply_;
+  // Keeps the route alive when a newer configuration is applied.
+  std::shared_ptr<const TrafficPolicy> policy_;
+  const Route* route_ = nullptr;
+  CallerHead head_;
+  CustomerId customer_;
+  Tier tier_;
+  PoolId pool_;
+  bool is_engine_ = false;
+  Instant deadline_;
+  bool ended_ = false;
+  bool counted_ = false;
+
+  std::shared_ptr<BackendAttempt> attempt_;
+  SendHistory history_;
+  std::vector<BackendId> tried_;
+  Tokens unread_;
+  Instant sent_at_;
+  bool generating_ = false;
+  bool keys_were_stale_ = false;
+
+  ReplyHead reply_head_;
+  http::response_header<> reply_header_;
+  std::optional<std::uint64_t> reply_length_;
+  BodyMode body_mode_ = BodyMode::kCollect;
+  std::string collected_;
+  EventBoundary events_;
+
+  std::optional<Dispatcher::WaitTicket> ticket_;
+  asio::steady_timer deadline_timer_;
+  asio::steady_timer step_timer_;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_FORWARDING_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,23 @@
+// Public header of the gateway library: an entry instance that serves callers
+// over HTTP and shares its state through the platform's store.
+#ifndef GATEWAY_GATEWAY_H_
+#define GATEWAY_GATEWAY_H_
+
+#include "gateway/control/async_table_store.h"
+#include "gateway/control/backend_observer.h"
+#include "gateway/control/config_observer.h"
+#include "gateway/control/coordinator.h"
+#include "gateway/control/duty_client.h"
+#include "gateway/control/duty_runner.h"
+#include "gateway/control/state_decoder.h"
+#include "gateway/control/table_follower.h"
+#include "gateway/entry_calls.h"
+#include "gateway/events.h"
+#include "gateway/forwarding/dispatcher.h"
+#include "gateway/forwarding/endpoint.h"
+#include "gateway/forwarding/message_protocol.h"
+#include "gateway/gateway_server.h"
+#include "gateway/gateway_state.h"
+#include "gateway/instance_settings.h"
+
+#endif  // GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/gateway_server.cc
@@ -0,0 +1,271 @@
+#include "gateway/gateway_server.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "gateway/events.h"
+#include "gateway/forwarding/endpoint.h"
+#include "gateway/forwarding/exchange.h"
+#include "telemetry/log.h"
+
+namespace bamboomount {
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+constexpr Millis kSweepInterval{250};
+constexpr int kListenBacklog = 512;
+constexpr std::size_t kMaxAddresses = 64;
+constexpr Millis kAddressLifetime{2000};
+// Part of the memory limit that callers' request bodies may take.
+constexpr double kBodyMemoryPart = 0.3;
+constexpr std::size_t kDefaultBodyMemory = 33'554'432;
+// Callers keep an old list of addresses for this time after a stop begins.
+constexpr Millis kNewCallersTime{3300};
+// Left for the last answers before the process is killed.
+constexpr Millis kStopMargin{700};
+
+http::response<http::string_body> TextReply(http::status status,
+                                            const char* type,
+                                            std::string body) {
+  http::response<http::string_body> response(status, kHttp11);
+  if (!body.empty())
+    response.set(http::field::content_type, type);
+  response.body() = std::move(body);
+  return response;
+}
+
+std::string TargetOf(const IncomingRequest& request) {
+  return std::string(request.message.target());
+}
+
+}  // namespace
+
+// One listening address and its connections.
+class GatewayServer::Listener : public CallerConnectionOwner {
+ public:
+  using Handler =
+      std::function<void(IncomingRequest, std::shared_ptr<CallerReply>)>;
+
+  Listener(GatewayServer& server, const std::string& address, Handler handler)
+      : server_(server),
+        handler_(std::move(handler)),
+        acceptor_(server.dispatcher_.context()) {
+    const auto endpoint = ParseIpEndpoint(address);
+    if (!endpoint)
+      throw std::runtime_error("not an address: " + address);
+    acceptor_.open(endpoint->protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(*endpoint);
+    acceptor_.listen(kListenBacklog);
+    Accept();
+  }
+
+  void OnRequest(IncomingRequest request,
+                 std::shared_ptr<CallerReply> reply) override {
+    handler_(std::move(request), std::move(reply));
+  }
+  CallerLimits limits() const override { return server_.limits(); }
+  bool leaving() const override { return server_.leaving(); }
+  bool TryReserve(std::size_t bytes) override {
+    return server_.TryReserve(bytes);
+  }
+  void Unreserve(std::size_t bytes) override { server_.Unreserve(bytes); }
+
+  void CheckTimeouts(Instant now) {
+    for (auto connection = connections_.begin();
+         connection != connections_.end();) {
+      (*connection)->CheckTimeouts(now);
+      if ((*connection)->closed())
+        connection = connections_.erase(connection);
+      else
+        ++connection;
+    }
+  }
+
+  void StopAccepting() {
+    error_code ignored;
+    acceptor_.close(ignored);
+  }
+
+  void CloseIdle() {
+    for (const auto& connection : connections_)
+      connection->CloseIfIdle();
+  }
+
+  bool IsBusy() const {
+    return std::any_of(
+        connections_.begin(), connections_.end(),
+        [](const auto& connection) { return connection->busy(); });
+  }
+
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+      if (error == asio::error::operation_aborted || !acceptor_.is_open())
+        return;
+      if (!error) {
+        connections_.push_back(
+            std::make_shared<CallerConnection>(std::move(socket), *this));
+        connections_.back()->Start();
+      }
+      Accept();
+    });
+  }
+
+  GatewayServer& server_;
+  const Handler handler_;
+  tcp::acceptor acceptor_;
+  std::list<std::shared_ptr<CallerConnection>> connections_;
+};
+
+GatewayServer::GatewayServer(Dispatcher& dispatcher, const EntryCalls& calls)
+    : dispatcher_(dispatcher),
+      calls_(calls),
+      sweep_timer_(dispatcher.context()) {}
+
+GatewayServer::~GatewayServer() = default;
+
+void GatewayServer::Listen() {
+  const InstanceSettings& settings = dispatcher_.state().settings();
+  listeners_.push_back(std::make_unique<Listener>(
+      *this, settings.caller_address,
+      [this](IncomingRequest request, std::shared_ptr<CallerReply> reply) {
+        ServeCaller(std::move(request), std::move(reply));
+      }));
+  callers_ = listeners_.back().get();
+  listeners_.push_back(std::make_unique<Listener>(
+      *this, settings.readiness_address,
+      [this](const IncomingRequest& request,
+             const std::shared_ptr<CallerReply>& reply) {
+        ServeReadiness(request, *reply);
+      }));
+  listeners_.push_back(std::make_unique<Listener>(
+      *this, settings.directory_address,
+      [this](const IncomingRequest& request,
+             const std::shared_ptr<CallerReply>& reply) {
+        ServeAddresses(request, *reply);
+      }));
+  directory_ = listeners_.back().get();
+  if (!settings.metrics_address.empty()) {
+    listeners_.push_back(std::make_unique<Listener>(
+        *this, settings.metrics_address,
+        [this](const IncomingRequest&,
+               const std::shared_ptr<CallerReply>& reply) {
+          ServeMetrics(*reply);
+        }));
+  }
+  Log(gateway_events::kStarted,
+      {{"callers", settings.caller_address}, {"zone", settings.zone.value()}});
+  Sweep();
+}
+
+std::uint16_t GatewayServer::caller_port() const {
+  return callers_->port();
+}
+
+std::uint16_t GatewayServer::directory_port() const {
+  return directory_->port();
+}
+
+void GatewayServer::ServeCaller(IncomingRequest request,
+                                std::shared_ptr<CallerReply> reply) {
+  std::make_shared<Exchange>(dispatcher_, std::move(request), std::move(reply))
+      ->Start();
+}
+
+void GatewayServer::ServeReadiness(const IncomingRequest& request,
+                                   CallerReply& reply) {
+  if (!calls_.IsReadinessCall(TargetOf(request))) {
+    reply.Send(TextReply(http::status::not_found, "text/plain", ""));
+    return;
+  }
+  const bool ready = dispatcher_.state().IsReady() && !leaving();
+  reply.Send(
+      TextReply(ready ? http::status::ok : http::status::service_unavailable,
+                "text/plain", ""));
+}
+
+void GatewayServer::ServeAddresses(const IncomingRequest& request,
+                                   CallerReply& reply) {
+  const auto query = calls_.DecodeAddressQuery(TargetOf(request));
+  if (!query) {
+    reply.Send(TextReply(http::status::not_found, "text/plain", ""));
+    return;
+  }
+  const InstanceSettings& settings = dispatcher_.state().settings();
+  AddressAnswer answer;
+  answer.addresses = dispatcher_.state().members().AddressesFor(
+      query->zone, query->region, kMaxAddresses);
+  // Before the first heartbeat round this instance knows only itself.
+  if (answer.addresses.empty() && dispatcher_.state().IsReady() && !leaving())
+    answer.addresses.push_back(settings.caller_address);
+  if (answer.addresses.empty()) {
+    reply.Send(TextReply(http::status::service_unavailable, "text/plain", ""));
+    return;
+  }
+  answer.lifetime = std::min(kAddressLifetime, settings.max_address_lifetime);
+  reply.Send(TextReply(http::status::ok, "application/json",
+                       calls_.EncodeAddresses(answer)));
+}
+
+void GatewayServer::ServeMetrics(CallerReply& reply) {
+  reply.Send(TextReply(http::status::ok, "text/plain; version=0.0.4",
+                       dispatcher_.metrics().ToPrometheusText()));
+}
+
+void GatewayServer::Sweep() {
+  const Instant now = BootClock::now();
+  for (const auto& listener : listeners_)
+    listener->CheckTimeouts(now);
+  dispatcher_.connections().Sweep(now);
+  BackendRegistry& backends = dispatcher_.state().backends();
+  backends.Expire(now);
+  if (leaving_since_)
+    ContinueStop(now);
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait([this](const error_code& error) {
+    if (!error)
+      Sweep();
+  });
+}
+
+void GatewayServer::BeginStop(std::function<void()> done) {
+  if (leaving_since_)
+    return;
+  leaving_since_ = BootClock::now();
+  stopped_ = std::move(done);
+}
+
+void GatewayServer::ContinueStop(Instant now) {
+  const Millis stopping = ToMillis(now - *leaving_since_);
+  if (stopping < kNewCallersTime)
+    return;
+  callers_->StopAccepting();
+  callers_->CloseIdle();
+  const Millis limit =
+      dispatcher_.state().settings().stop_deadline - kStopMargin;
+  if ((!callers_->IsBusy() || stopping > limit) && stopped_)
+    std::exchange(stopped_, nullptr)();
+}
+
+bool GatewayServer::TryReserve(std::size_t bytes) {
+  const std::uint64_t memory = dispatcher_.state().settings().memory_bytes;
+  const std::size_t limit =
+      memory == 0 ? kDefaultBodyMemory
+                  : static_cast<std::size_t>(static_cast<double>(memory) *
+                                             kBodyMemoryPart);
+  if (reserved_bytes_ + bytes > limit)
+    return false;
+  reserved_bytes_ += bytes;
+  return true;
+}
+
+CallerLimits GatewayServer::limits() const {
+  const auto& policy = dispatcher_.state().policy();
+  return policy ? policy->limits() : CallerLimits();
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/gateway_state.h
@@ -0,0 +1,75 @@
+#ifndef GATEWAY_GATEWAY_STATE_H_
+#define GATEWAY_GATEWAY_STATE_H_
+
+#include <memory>
+#include <optional>
+
+#include "gateway/boot_clock.h"
+#include "gateway/duties/usage_ledger.h"
+#include "gateway/instance_settings.h"
+#include "gateway/membership/backend_registry.h"
+#include "gateway/membership/member_registry.h"
+#include "gateway/membership/state_freshness.h"
+#include "gateway/placement/backend_loads.h"
+#include "gateway/placement/backend_selector.h"
+#include "gateway/traffic/traffic_policy.h"
+
+namespace bamboomount {
+
+// What one instance knows: the configuration, the backend servers, the other
+// instances, and how fresh that is. Used from one thread.
+class GatewayState {
+ public:
+  explicit GatewayState(const InstanceSettings& settings)
+      : settings_(settings) {}
+  GatewayState(const GatewayState&) = delete;
+  GatewayState& operator=(const GatewayState&) = delete;
+
+  const InstanceSettings& settings() const { return settings_; }
+  // Applies bounds that changed. Addresses and names stay as they were at the
+  // start.
+  void Reload(const InstanceSettings& settings);
+  // Null before the first configuration was read.
+  const std::shared_ptr<const TrafficPolicy>& policy() const { return policy_; }
+  // Applies a configuration unless a newer one is in force. Returns whether it
+  // was applied.
+  bool Apply(std::shared_ptr<const TrafficPolicy> policy);
+
+  StateFreshness& freshness() { return freshness_; }
+  const StateFreshness& freshness() const { return freshness_; }
+  BackendRegistry& backends() { return backends_; }
+  const BackendRegistry& backends() const { return backends_; }
+  MemberRegistry& members() { return members_; }
+  const MemberRegistry& members() const { return members_; }
+  BackendLoads& loads() { return loads_; }
+  BackendSelector& selector() { return selector_; }
+  UsageLedger& usage() { return usage_; }
+
+  // Whether a request with a customer's key may be served: a key that was
+  // withdrawn longer ago than the deadline must not work.
+  bool KeysAreCurrent(Instant now) const;
+  // Whether an unknown route or key is surely not a new one.
+  bool RefusalsAreCurrent(Instant now) const;
+  // The configuration and the backend servers have been read.
+  bool IsReady() const { return policy_ && backends_read_; }
+  void NoteBackendsRead() { backends_read_ = true; }
+
+  // Time since the start of 1970 by the median clock of the instances, so that
+  // a clock that is wrong here does not move usage to other windows.
+  Millis WallTime(Instant now) const;
+
+ private:
+  InstanceSettings settings_;
+  std::shared_ptr<const TrafficPolicy> policy_;
+  StateFreshness freshness_;
+  BackendRegistry backends_;
+  MemberRegistry members_;
+  BackendLoads loads_;
+  BackendSelector selector_{loads_};
+  UsageLedger usage_;
+  bool backends_read_ = false;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_GATEWAY_STATE_H_
--- /dev/null
+++ b/src/gateway/instance_settings.cc
@@ -0,0 +1,153 @@
+#include "gateway/instance_settings.h"
+
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace bamboomount {
+namespace {
+
+using Json = nlohmann::json;
+// Stores a value in the settings; throws on a value of another type.
+using Setter = std::function<void(InstanceSettings&, const Json&)>;
+
+constexpr double kBytesPerMegabyte = 1'000'000;
+constexpr double kMillisPerSecond = 1000;
+
+Setter Text(std::string InstanceSettings::*member) {
+  return [member](InstanceSettings& settings, const Json& value) {
+    settings.*member = value.get<std::string>();
+  };
+}
+
+template <typename Tag>
+Setter Id(StrongId<Tag> InstanceSettings::*member) {
+  return [member](InstanceSettings& settings, const Json& value) {
+    settings.*member = StrongId<Tag>(value.get<std::string>());
+  };
+}
+
+Setter Flag(bool InstanceSettings::*member) {
+  return [member](InstanceSettings& settings, const Json& value) {
+    settings.*member = value.get<bool>();
+  };
+}
+
+Setter MillisValue(Millis InstanceSettings::*member) {
+  return [member](InstanceSettings& settings, const Json& value) {
+    settings.*member = Millis(static_cast<Millis::rep>(value.get<double>()));
+  };
+}
+
+Setter SecondsValue(Millis InstanceSettings::*member) {
+  return [member](InstanceSettings& settings, const Json& value) {
+    settings.*member = Millis(
+        static_cast<Millis::rep>(value.get<double>() * kMillisPerSecond));
+  };
+}
+
+// What the platform leaves to the holder of the lease; other duties are not
+// this program's.
+void ReadDuties(InstanceSettings& settings, const Json& value) {
+  for (const Json& duty : value) {
+    const auto name = duty.get<std::string>();
+    settings.reports_usage |= name == "usage_reporting";
+    settings.orders_backends |= name == "scaling";
+  }
+}
+
+const std::map<std::string, Setter>& Setters() {
+  static const std::map<std::string, Setter> setters{
+      {"instance", Id(&InstanceSettings::instance)},
+      {"zone", Id(&InstanceSettings::zone)},
+      {"region", Id(&InstanceSettings::region)},
+      {"capacity",
+       [](InstanceSettings& settings, const Json& value) {
+         settings.capacity = value.get<double>();
+       }},
+      {"memory_mb",
+       [](InstanceSettings& settings, const Json& value) {
+         settings.memory_bytes = static_cast<std::uint64_t>(
+             value.get<double>() * kBytesPerMegabyte);
+       }},
+      {"caller_address", Text(&InstanceSettings::caller_address)},
+      {"readiness_address", Text(&InstanceSettings::readiness_address)},
+      {"directory_address", Text(&InstanceSettings::directory_address)},
+      {"metrics_address", Text(&InstanceSettings::metrics_address)},
+      {"store_address", Text(&InstanceSettings::store_address)},
+      {"orders_address", Text(&InstanceSettings::orders_address)},
+      {"duties", ReadDuties},
+      {"config_deadline_ms", MillisValue(&InstanceSettings::config_deadline)},
+      {"key_withdrawal_deadline_ms",
+       MillisValue(&InstanceSettings::key_withdrawal_deadline)},
+      {"refuse_keys_when_stale",
+       Flag(&InstanceSettings::refuse_keys_when_stale)},
+      {"stop_deadline_s", SecondsValue(&InstanceSettings::stop_deadline)},
+      {"lease_ms", MillisValue(&InstanceSettings::lease_duration)},
+      {"usage_window_s", SecondsValue(&InstanceSettings::usage_window)},
+      {"max_address_lifetime_s",
+       SecondsValue(&InstanceSettings::max_address_lifetime)},
+      {"retry_ratio",
+       [](InstanceSettings& settings, const Json& value) {
+         settings.retry_limits.ratio = value.get<double>();
+       }},
+      {"retry_slack",
+       [](InstanceSettings& settings, const Json& value) {
+         settings.retry_limits.slack = value.get<double>();
+       }},
+      {"retry_window_s",
+       [](InstanceSettings& settings, const Json& value) {
+         settings.retry_limits.window = Millis(
+             static_cast<Millis::rep>(value.get<double>() * kMillisPerSecond));
+       }},
+  };
+  return setters;
+}
+
+const std::set<std::string>& Required() {
+  static const std::set<std::string> names{
+      "instance",          "zone",
+      "caller_address",    "readiness_address",
+      "directory_address", "store_address"};
+  return names;
+}
+
+void ReadField(const std::string& name,
+               const Json& value,
+               SettingsReading& reading) {
+  const auto setter = Setters().find(name);
+  if (setter == Setters().end()) {
+    reading.errors.push_back(name + " is not a known setting");
+    return;
+  }
+  // Null stands for a value that the deployment does not have.
+  if (value.is_null())
+    return;
+  try {
+    setter->second(reading.settings, value);
+  } catch (const Json::exception&) {
+    reading.errors.push_back(name + " has a value of the wrong type");
+  }
+}
+
+}  // namespace
+
+SettingsReading ReadInstanceSettings(const std::string& text) {
+  SettingsReading reading;
+  const Json fields = Json::parse(text, nullptr, /*allow_exceptions=*/false,
+                                  /*ignore_comments=*/true);
+  if (!fields.is_object()) {
+    reading.errors.emplace_back("the settings are not a JSON object");
+    return reading;
+  }
+  for (const auto& [name, value] : fields.items())
+    ReadField(name, value, reading);
+  for (const std::string& name : Required()) {
+    if (!fields.contains(name) || fields[name].is_null())
+      reading.errors.push_back(name + " is missing");
+  }
+  return reading;
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/membership/backend_registry.cc
@@ -0,0 +1,104 @@
+#include "gateway/membership/backend_registry.h"
+
+#include <set>
+
+namespace bamboomount {
+
+void BackendRegistry::Update(const BackendServer& server) {
+  servers_.insert_or_assign(server.id, Entry{server, std::nullopt});
+  ++revision_;
+}
+
+void BackendRegistry::Remove(const BackendId& id, Instant now) {
+  const auto entry = servers_.find(id);
+  if (entry == servers_.end())
+    return;
+  ++revision_;
+  if (InRestoreTime(now) && !entry->second.server.draining) {
+    if (!entry->second.usable_until)
+      entry->second.usable_until = restore_until_.value_or(now + kRestoreTime);
+    return;
+  }
+  servers_.erase(entry);
+}
+
+void BackendRegistry::Replace(const std::vector<BackendServer>& servers,
+                              Instant now) {
+  std::set<BackendId> listed;
+  for (const BackendServer& server : servers) {
+    listed.insert(server.id);
+    Update(server);
+  }
+  std::vector<BackendId> missing;
+  for (const auto& [id, entry] : servers_) {
+    if (!listed.contains(id))
+      missing.push_back(id);
+  }
+  for (const BackendId& id : missing)
+    Remove(id, now);
+}
+
+void BackendRegistry::Forget(const BackendId& id) {
+  if (servers_.erase(id) > 0)
+    ++revision_;
+}
+
+void BackendRegistry::NoteStoreAway() {
+  store_away_ = true;
+}
+
+void BackendRegistry::NoteStoreBack(Instant now) {
+  if (!store_away_)
+    return;
+  store_away_ = false;
+  restore_until_ = now + kRestoreTime;
+}
+
+void BackendRegistry::Expire(Instant now) {
+  for (auto entry = servers_.begin(); entry != servers_.end();) {
+    const auto& until = entry->second.usable_until;
+    if (until && now >= *until) {
+      entry = servers_.erase(entry);
+      ++revision_;
+    } else {
+      ++entry;
+    }
+  }
+}
+
+std::vector<const BackendServer*> BackendRegistry::Usable(
+    const PoolId& pool) const {
+  std::vector<const BackendServer*> usable;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.server.pool != pool || entry.server.draining)
+      continue;
+    usable.push_back(&entry.server);
+  }
+  return usable;
+}
+
+const BackendServer* BackendRegistry::Find(const BackendId& id) const {
+  const auto entry = servers_.find(id);
+  return entry == servers_.end() ? nullptr : &entry->second.server;
+}
+
+const BackendServer* BackendRegistry::FindUsable(const BackendId& id) const {
+  const BackendServer* server = Find(id);
+  return server && !server->draining ? server : nullptr;
+}
+
+std::vector<const BackendServer*> BackendRegistry::Listed(
+    const PoolId& pool) const {
+  std::vector<const BackendServer*> listed;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.server.pool == pool)
+      listed.push_back(&entry.server);
+  }
+  return listed;
+}
+
+bool BackendRegistry::InRestoreTime(Instant now) const {
+  return store_away_ || (restore_until_ && now < *restore_until_);
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/membership/backend_server.h
@@ -0,0 +1,32 @@
+#ifndef GATEWAY_MEMBERSHIP_BACKEND_SERVER_H_
+#define GATEWAY_MEMBERSHIP_BACKEND_SERVER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/base.h"
+
+namespace bamboomount {
+
+// What a backend server says of itself in the store.
+struct BackendServer {
+  BackendId id;
+  PoolId pool;
+  // "ip:port".
+  std::string address;
+  ZoneId zone;
+  // Requests that it serves at the same time.
+  int slots = 1;
+  // It takes no new requests and ends soon.
+  bool draining = false;
+  // The zone may take it away on short notice.
+  bool reclaimable = false;
+  // Start of the process in Unix milliseconds, if it tells; a process that
+  // starts again under the same id is another server.
+  std::int64_t started_at_ms = 0;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_MEMBERSHIP_BACKEND_SERVER_H_
--- /dev/null
+++ b/src/gateway/membership/member_registry.cc
@@ -0,0 +1,117 @@
+#include "gateway/membership/member_registry.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+// Callers that know a single address have nowhere to go when it fails.
+constexpr std::size_t kMinAddresses = 2;
+
+using Filter = bool (*)(const Member&, const ZoneId&, const RegionId&);
+
+// From near to far.
+constexpr Filter kNearToFar[] = {
+    [](const Member& member, const ZoneId& zone, const RegionId&) {
+      return member.zone == zone;
+    },
+    [](const Member& member, const ZoneId&, const RegionId& region) {
+      return member.region == region;
+    },
+    [](const Member&, const ZoneId&, const RegionId&) { return true; },
+};
+
+}  // namespace
+
+void MemberRegistry::Update(const std::string& row_key, Member member) {
+  rows_.insert_or_assign(row_key, std::move(member));
+}
+
+void MemberRegistry::Remove(const std::string& row_key) {
+  rows_.erase(row_key);
+}
+
+void MemberRegistry::Keep(const std::vector<std::string>& row_keys) {
+  const std::set<std::string> kept(row_keys.begin(), row_keys.end());
+  std::erase_if(rows_,
+                [&kept](const auto& row) { return !kept.contains(row.first); });
+}
+
+std::vector<const Member*> MemberRegistry::Alive() const {
+  std::map<InstanceId, const Member*> newest;
+  for (const auto& [key, member] : rows_) {
+    if (!IsAlive(member))
+      continue;
+    const Member*& known = newest[member.instance];
+    if (!known || known->store_time < member.store_time)
+      known = &member;
+  }
+  std::vector<const Member*> alive;
+  alive.reserve(newest.size());
+  for (const auto& [instance, member] : newest)
+    alive.push_back(member);
+  return alive;
+}
+
+std::vector<std::string> MemberRegistry::AddressesFor(const ZoneId& zone,
+                                                      const RegionId& region,
+                                                      std::size_t limit) const {
+  const std::vector<const Member*> alive = Alive();
+  std::vector<std::string> addresses;
+  for (const Filter filter : kNearToFar) {
+    addresses.clear();
+    for (const Member* member : alive) {
+      if (!member->leaving && filter(*member, zone, region) &&
+          addresses.size() < limit)
+        addresses.push_back(member->caller_address);
+    }
+    if (addresses.size() >= kMinAddresses)
+      break;
+  }
+  return addresses;
+}
+
+int MemberRegistry::AliveCount() const {
+  return std::max<int>(1, static_cast<int>(Alive().size()));
+}
+
+UsageCounts MemberRegistry::UsageOf(WindowNumber window) const {
+  UsageCounts sum;
+  for (const auto& [key, member] : rows_) {
+    const auto counts = member.usage.find(window);
+    if (counts == member.usage.end())
+      continue;
+    for (const auto& [customer, count] : counts->second)
+      sum[customer] += count;
+  }
+  return sum;
+}
+
+std::optional<Millis> MemberRegistry::WallOffset() const {
+  std::vector<Millis> offsets;
+  for (const Member* member : Alive())
+    offsets.push_back(member->wall_offset);
+  if (offsets.empty())
+    return std::nullopt;
+  const auto middle =
+      offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+  std::nth_element(offsets.begin(), middle, offsets.end());
+  return *middle;
+}
+
+std::vector<std::string> MemberRegistry::OutdatedRows() const {
+  std::vector<std::string> outdated;
+  for (const auto& [key, member] : rows_) {
+    if (store_time_ - member.store_time > kRowLifetime)
+      outdated.push_back(key);
+  }
+  return outdated;
+}
+
+bool MemberRegistry::IsAlive(const Member& member) const {
+  return store_time_ - member.store_time < kExpiry;
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/membership/state_freshness.h
@@ -0,0 +1,53 @@
+#ifndef GATEWAY_MEMBERSHIP_STATE_FRESHNESS_H_
+#define GATEWAY_MEMBERSHIP_STATE_FRESHNESS_H_
+
+#include <optional>
+
+#include "gateway/boot_clock.h"
+
+namespace bamboomount {
+
+// The moment at which the configuration in force was last known to be the
+// store's newest.
+//
+// An answer of the store was made at some moment between the call and its
+// arrival; for a call that waits for news that is a long time. The store's
+// steady clock in each answer narrows it: an earlier answer with store time s0,
+// whose call was sent at t0, shows that the store's clock read s0 at t0 or
+// later, so that an answer with store time s was made at t0 + (s - s0) or
+// later.
+class StateFreshness {
+ public:
+  // Notes the store's steady clock in an answer to a call that was sent at
+  // `sent`.
+  void NoteStoreTime(Instant sent, Millis store_time);
+  // Notes an answer that shows the state to be the newest.
+  void Confirm(Instant sent, Millis store_time);
+
+  // Time since the last moment for which the state is confirmed; empty if it
+  // never was.
+  std::optional<Millis> Age(Instant now) const;
+  // Whether the state was confirmed within `limit`.
+  bool IsWithin(Millis limit, Instant now) const;
+  // The store's steady clock at `now`, at most one call's duration ahead; empty
+  // before the first answer.
+  std::optional<Millis> StoreTimeAt(Instant now) const;
+
+ private:
+  struct Anchor {
+    Instant sent;
+    Millis store_time;
+  };
+
+  // The earliest moment at which the store's clock can have read `store_time`.
+  // Needs an anchor.
+  Instant TimeOf(Millis store_time) const;
+
+  // The answer that bounds the store's clock most tightly.
+  std::optional<Anchor> anchor_;
+  std::optional<Instant> confirmed_;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_MEMBERSHIP_STATE_FRESHNESS_H_
--- /dev/null
+++ b/src/gateway/placement/backend_loads.h
@@ -0,0 +1,73 @@
+#ifndef GATEWAY_PLACEMENT_BACKEND_LOADS_H_
+#define GATEWAY_PLACEMENT_BACKEND_LOADS_H_
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "gateway/boot_clock.h"
+
+namespace bamboomount {
+
+// Work that instances have at one backend server.
+struct BackendLoad {
+  // Requests that were sent and have not ended.
+  int requests = 0;
+  // Prompt tokens of requests without a first token yet.
+  std::int64_t unread_tokens = 0;
+  // Requests that are generating tokens.
+  int generating = 0;
+
+  BackendLoad& operator+=(const BackendLoad& other);
+};
+
+// What this instance knows of the load and the health of backend servers:
+// its own requests as they happen, and what the other instances last told.
+//
+// Health answers failures that the servers' own reports hide: refused
+// connections, interrupted answers and silence. A failing server is left out
+// for a time that doubles with each failure in a row.
+class BackendLoads {
+ public:
+  void AddRequest(const BackendId& server, Tokens unread);
+  void NoteFirstToken(const BackendId& server, Tokens unread);
+  // `generating`: the first token had arrived.
+  void EndRequest(const BackendId& server, Tokens unread, bool generating);
+
+  void NoteSuccess(const BackendId& server, Millis latency, Millis expected);
+  void NoteFailure(const BackendId& server, Instant now);
+  // Another instance's requests at all servers, in place of what it last told.
+  void SetRemote(const InstanceId& instance,
+                 std::map<BackendId, BackendLoad> loads);
+  // Drops what instances that are not in `alive` told.
+  void KeepRemotes(const std::vector<InstanceId>& alive);
+  // Drops what is kept of a server that is gone.
+  void Forget(const BackendId& server);
+
+  // The load of all instances together.
+  BackendLoad Total(const BackendId& server) const;
+  std::map<BackendId, BackendLoad> OwnLoads() const;
+  int OwnRequests(const BackendId& server) const;
+  bool IsEjected(const BackendId& server, Instant now) const;
+  // Observed against expected latency; 1 is as expected.
+  double Slowness(const BackendId& server) const;
+
+ private:
+  void ForgetRemote(const InstanceId& instance);
+
+  struct Record {
+    BackendLoad own;
+    BackendLoad remote;
+    int failures_in_row = 0;
+    Instant ejected_until;
+    double slowness = 1;
+  };
+
+  std::unordered_map<BackendId, Record> records_;
+  std::map<InstanceId, std::map<BackendId, BackendLoad>> remote_;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_PLACEMENT_BACKEND_LOADS_H_
--- a/src/router/internal/error_reply.cc
+++ b/src/router/internal/error_reply.cc
@@ -43,6 +43,7 @@
     case ErrorCode::kStaleState:
     case ErrorCode::kNoBackend:
     case ErrorCode::kStoreUnavailable:
+    case ErrorCode::kHistoryLost:
     case ErrorCode::kLeaving:
     case ErrorCode::kNotLeaseHolder:
       return 503;
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -1,5 +1,6 @@
 #include "telemetry/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/fmt/chrono.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -11,11 +12,21 @@
 namespace bamboomount {
 namespace {
 
+// Lines that may wait for the reader of standard output.
+constexpr std::size_t kQueuedLines = 1024;
+constexpr int kMaxInfoLinesPerSecond = 200;
+
 struct LogTarget {
   std::mutex mutex;
   std::string process = "bamboomount";
   std::shared_ptr<spdlog::logger> logger = MakeLogger();
 
+  // Bounds informational lines; used with asynchronous output.
+  bool bounded = false;
+  std::chrono::steady_clock::time_point second_began;
+  int info_lines = 0;
+  int dropped_lines = 0;
+
   static std::shared_ptr<spdlog::logger> MakeLogger() {
     auto logger = std::make_shared<spdlog::logger>(
         "events", std::make_shared<spdlog::sinks::stderr_sink_mt>());
@@ -52,8 +63,38 @@
                      millis % 1000);
 }
 
+// Whether one more line may be written in this second; `dropped` receives the
+// number of lines that the last second left out. The caller holds the lock.
+bool TakeLine(LogTarget& target, Severity severity, int& dropped) {
+  if (!target.bounded)
+    return true;
+  const auto now = std::chrono::steady_clock::now();
+  if (now - target.second_began >= std::chrono::seconds(1)) {
+    target.second_began = now;
+    target.info_lines = 0;
+    dropped = std::exchange(target.dropped_lines, 0);
+  }
+  if (severity != Severity::kInfo ||
+      ++target.info_lines <= kMaxInfoLinesPerSecond)
+    return true;
+  ++target.dropped_lines;
+  return false;
+}
+
 }  // namespace
 
+void UseAsyncStandardOutputForLogs() {
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  auto logger = std::make_shared<spdlog::async_logger>(
+      "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+      spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+  logger->set_pattern("%v");
+  logger->flush_on(spdlog::level::info);
+  const std::lock_guard lock(Target().mutex);
+  Target().logger = std::move(logger);
+  Target().bounded = true;
+}
+
 void SetLogProcess(std::string process) {
   const std::lock_guard lock(Target().mutex);
   Target().process = std::move(process);
@@ -61,6 +102,12 @@
 
 void Log(const LogEvent& event, std::initializer_list<LogField> fields) {
   const auto level = ToLevel(event.severity);
+  int dropped = 0;
+  {
+    const std::lock_guard lock(Target().mutex);
+    if (!TakeLine(Target(), event.severity, dropped))
+      return;
+  }
   nlohmann::ordered_json line;
   line["time"] = UtcNow();
   {
@@ -72,6 +119,8 @@
   line["name"] = event.name;
   for (const LogField& field : fields)
     line[std::string(field.name)] = field.value;
+  if (dropped > 0)
+    line["lines_dropped_before"] = dropped;
   Target().logger->log(
       level,
       line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -18,6 +18,11 @@
 // name and the fields. Thread-safe. Keys of customers must not be passed.
 void Log(const LogEvent& event, std::initializer_list<LogField> fields = {});
 
+// Writes the lines to standard output from a thread of its own. A reader that
+// is slow delays nobody: the oldest lines that wait are dropped, and so are
+// informational lines beyond a bound for each second.
+void UseAsyncStandardOutputForLogs();
+
 // Sets the process name that each line carries, for example "router/r1".
 void SetLogProcess(std::string process);
 
