Keep live conversations away from long prompts, and share loads by datagrams

The pauses fall on engines that read several long prompts at once, since an engine reads prompts between the tokens that it generates. Loads of other instances were up to 2 s old, so that instances sent prompts to the same engine together.

Change: a few engines, as many as the conversations need, are kept quiet, the same ones on all instances and spread over zones. The planner orders firm servers where reclaimable ones are not to be had, remembers where there were none until an order succeeds, and releases firm ones that take the room of reclaimable ones.

--- a/apps/bamboomount_entry/entry_process.cc
+++ b/apps/bamboomount_entry/entry_process.cc
@@ -58,6 +58,7 @@
                      state_,
                      duties_,
                      NewIncarnation()),
+        load_exchange_(context_, state_),
         stop_signals_(context_, SIGTERM, SIGINT),
         reload_signal_(context_, SIGHUP),
         settings_timer_(context_) {}
@@ -67,6 +68,7 @@
     config_follower_.Start();
     backend_follower_.Start();
     coordinator_.Start();
+    load_exchange_.Start();
     WaitForStop();
     WaitForReload();
     CheckSettingsLater();
@@ -142,6 +144,7 @@
   TableFollower backend_follower_;
   DutyRunner duties_;
   Coordinator coordinator_;
+  LoadExchange load_exchange_;
   asio::signal_set stop_signals_;
   asio::signal_set reload_signal_;
   asio::steady_timer settings_timer_;
--- a/src/gateway/control/coordinator.cc
+++ b/src/gateway/control/coordinator.cc
@@ -72,7 +72,6 @@
   state_.members().NoteStoreTime(moment.store_time);
   for (const TableRow& row : rows)
     ApplyRow(row, now);
-  SettleLoads();
 }
 
 void Coordinator::ApplyRow(const TableRow& row, Instant now) {
@@ -104,17 +103,6 @@
   state_.members().Update(row.key, std::move(member.value()));
 }
 
-void Coordinator::SettleLoads() {
-  std::vector<InstanceId> alive;
-  for (const Member* member : state_.members().Alive()) {
-    if (member->instance == state_.settings().instance)
-      continue;
-    alive.push_back(member->instance);
-    state_.loads().SetRemote(member->instance, member->loads);
-  }
-  state_.loads().KeepRemotes(alive);
-}
-
 void Coordinator::Heartbeat() {
   if (commit_open_) {
     ScheduleHeartbeat();
@@ -187,6 +175,7 @@
   member.instance = settings.instance;
   member.incarnation = incarnation_;
   member.caller_address = settings.caller_address;
+  member.peer_address = settings.peer_address;
   member.zone = settings.zone;
   member.region = settings.region;
   member.capacity = settings.capacity;
@@ -195,7 +184,6 @@
   const Millis wall = std::chrono::duration_cast<Millis>(
       std::chrono::system_clock::now().time_since_epoch());
   member.wall_offset = wall - member.store_time;
-  member.loads = state_.loads().OwnLoads();
   member.usage = state_.usage().windows();
   return member;
 }
--- a/src/gateway/control/coordinator.h
+++ b/src/gateway/control/coordinator.h
@@ -46,7 +46,6 @@
                    Instant sent,
                    Result<CommitAnswer> answer);
   void ApplyRow(const TableRow& row, Instant now);
-  void SettleLoads();
   Member DescribeSelf(Instant now) const;
   Millis Interval() const;
   std::string RowKey() const;
--- a/src/gateway/duties/fleet_planner.cc
+++ b/src/gateway/duties/fleet_planner.cc
@@ -18,6 +18,8 @@
 constexpr Millis kPeakTime{30000};
 // Servers beyond the demand.
 constexpr double kHeadroom = 1.25;
+// Part of the pool's size that is kept even if it takes firm servers.
+constexpr double kLeastPart = 0.7;
 // A level that was ordered and not reached is ordered again after this time.
 constexpr Millis kRepeatTime{6000};
 constexpr Millis kUnavailableTime{2500};
@@ -65,7 +67,7 @@
 
 PoolDemand MeasureDemand(const Pool& pool,
                          const std::vector<const BackendServer*>& listed,
-                         const MemberRegistry& members) {
+                         const BackendLoads& loads) {
   PoolDemand demand;
   std::set<BackendId> ids;
   for (const BackendServer* server : listed) {
@@ -75,13 +77,10 @@
     ++(server->draining ? count.draining : count.ready);
   }
   demand.slots_per_server = pool.engine ? pool.engine->slots : 1;
-  for (const Member* member : members.Alive()) {
-    for (const auto& [server, load] : member->loads) {
-      if (!ids.contains(server))
-        continue;
-      demand.generating += load.generating;
-      demand.unread_tokens += load.unread_tokens;
-    }
+  for (const BackendId& id : ids) {
+    const BackendLoad load = loads.Total(id);
+    demand.generating += load.generating;
+    demand.unread_tokens += load.unread_tokens;
   }
   return demand;
 }
@@ -110,20 +109,27 @@
   // Reclaimable ones go first: without any one zone, the others carry all that
   // is wanted.
   std::map<ZoneId, int> reclaimable;
+  // What is asked for where there were none, to learn when there are some.
+  std::map<ZoneId, int> probes;
   const int each =
       DivideUp(wanted, std::max(1, static_cast<int>(zones.size()) - 1));
   for (const ZoneId& zone : zones) {
     const int here = ReadyIn(demand.reclaimable, zone);
     const int room = rule.maximum - ReadyIn(demand.firm, zone);
-    reclaimable[zone] =
-        rule.reclaimable_price ? std::max(here, std::min(each, room)) : 0;
+    const bool available =
+        rule.reclaimable_price.has_value() &&
+        !unavailable_since_.contains({pool.id, {zone, true}});
+    reclaimable[zone] = available ? std::max(here, std::min(each, room)) : here;
+    probes[zone] = std::max(here, std::min(each, room));
   }
-  const auto firm =
-      FirmLevels(rule, zones, demand, reclaimable, {wanted, needed});
+  const int least =
+      static_cast<int>(std::ceil(sizes_[pool.id].servers * kLeastPart));
+  const Target target{wanted, std::max(needed, least), each};
+  const auto firm = FirmLevels(rule, zones, demand, reclaimable, target);
   for (const ZoneId& zone : zones) {
     if (rule.reclaimable_price)
       OrderLevel(pool, zone, true, ReadyIn(demand.reclaimable, zone),
-                 reclaimable.at(zone), now, orders);
+                 probes.at(zone), now, orders);
     OrderLevel(pool, zone, false, ReadyIn(demand.firm, zone), firm.at(zone),
                now, orders);
   }
@@ -156,19 +162,28 @@
     const Target& target) {
   const int ready = Sum(demand.firm);
   int left = target.wanted;
+  bool replaceable = false;
   if (rule.reclaimable_price) {
+    const int cheap = Sum(demand.reclaimable);
     // What reclaimable ones carry if any one zone is taken away.
-    const int safe = Sum(demand.reclaimable) - LargestZone(demand.reclaimable);
+    const int safe = cheap - LargestZone(demand.reclaimable);
     const int replaced = std::max(0, target.wanted - safe);
-    const int short_of = std::max(0, target.needed - safe);
+    const int short_of = std::max(0, target.least - cheap);
     left = ready > replaced ? replaced : std::max(ready, short_of);
+    replaceable = safe >= target.least;
   }
   std::map<ZoneId, int> levels;
-  // Those that are there stay where they are, the cheapest first.
+  // Those that are there stay where they are, the cheapest first, unless they
+  // take the room of reclaimable ones that could stand in for them.
   for (const ZoneId& zone : zones) {
-    levels[zone] = std::min(left, ReadyIn(demand.firm, zone));
+    const int kept = replaceable
+                         ? std::max(0, rule.maximum - target.reclaimable_each)
+                         : rule.maximum;
+    levels[zone] = std::min({left, ReadyIn(demand.firm, zone), kept});
     left -= levels[zone];
   }
+  if (replaceable)
+    return levels;
   const int most = DivideUp(target.wanted, static_cast<int>(zones.size()));
   for (const ZoneId& zone : zones) {
     const int room =
@@ -188,7 +203,7 @@
                               Instant now,
                               std::vector<BackendOrder>& orders) {
   const Slot slot{pool.id, {zone, reclaimable}};
-  if (wanted > present && IsUnavailable(slot, now))
+  if (wanted > present && WaitsForServers(slot, now))
     return;
   const auto ordered = ordered_.find(slot);
   const bool same =
@@ -205,8 +220,10 @@
                                DutyOutcome outcome,
                                Instant now) {
   const Slot slot{order.pool, {order.zone, order.reclaimable}};
-  if (outcome == DutyOutcome::kAccepted)
+  if (outcome == DutyOutcome::kAccepted) {
+    unavailable_since_.erase(slot);
     return;
+  }
   ordered_.erase(slot);
   if (outcome == DutyOutcome::kUnavailable)
     unavailable_since_[slot] = now;
@@ -233,7 +250,7 @@
   return history.peak;
 }
 
-bool FleetPlanner::IsUnavailable(const Slot& slot, Instant now) const {
+bool FleetPlanner::WaitsForServers(const Slot& slot, Instant now) const {
   const auto since = unavailable_since_.find(slot);
   return since != unavailable_since_.end() &&
          now - since->second < kUnavailableTime;
--- a/src/gateway/duties/fleet_planner.h
+++ b/src/gateway/duties/fleet_planner.h
@@ -9,7 +9,7 @@
 #include "gateway/boot_clock.h"
 #include "gateway/control/duty_client.h"
 #include "gateway/membership/backend_server.h"
-#include "gateway/membership/member_registry.h"
+#include "gateway/placement/backend_loads.h"
 #include "gateway/traffic/pool.h"
 
 namespace bamboomount {
@@ -32,7 +32,7 @@
 
 PoolDemand MeasureDemand(const Pool& pool,
                          const std::vector<const BackendServer*>& listed,
-                         const MemberRegistry& members);
+                         const BackendLoads& loads);
 
 // Plans how many backend servers of a pool to order in each zone.
 //
@@ -62,10 +62,13 @@
     int peak = 0;
     Instant peak_at;
   };
-  // Servers that the pool should have, and those that it cannot do without.
   struct Target {
+    // Servers that the pool should have.
     int wanted = 0;
-    int needed = 0;
+    // Servers that it cannot do without.
+    int least = 0;
+    // Reclaimable ones in each zone.
+    int reclaimable_each = 0;
   };
 
   // How many servers a pool has when nothing is ordered or taken away.
@@ -88,7 +91,7 @@
       const std::map<ZoneId, int>& reclaimable,
       const Target& target);
   int SustainedNeeded(const PoolId& pool, int needed, Instant now);
-  bool IsUnavailable(const Slot& slot, Instant now) const;
+  bool WaitsForServers(const Slot& slot, Instant now) const;
   void OrderLevel(const Pool& pool,
                   const ZoneId& zone,
                   bool reclaimable,
@@ -103,6 +106,7 @@
     Instant at;
   };
   std::map<Slot, Ordered> ordered_;
+  // Kinds and zones of which there were none when they were last asked for.
   std::map<Slot, Instant> unavailable_since_;
   std::map<PoolId, NeedHistory> needs_;
   std::map<PoolId, Size> sizes_;
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -130,31 +130,37 @@
   const Instant now = BootClock::now();
   const auto candidates = dispatcher_.Candidates(pool_, tried_);
   const BackendServer* server = dispatcher_.state().selector().Choose(
-      candidates,
-      {head_.prompt, is_engine_, dispatcher_.state().settings().zone}, now);
+      candidates, MakePlacementRequest(), now);
   if (server)
     SendTo(*server);
   else
     WaitForRoom();
 }
 
+PlacementRequest Exchange::MakePlacementRequest() const {
+  const GatewayState& state = dispatcher_.state();
+  return {head_.prompt, is_engine_, state.settings().zone,
+          state.backends().Usable(pool_)};
+}
+
 void Exchange::SendTo(const BackendServer& server) {
   const Instant now = BootClock::now();
   GatewayState& state = dispatcher_.state();
-  unread_ = state.selector().ExpectedRead(server, head_.prompt, now);
+  load_ = {state.selector().ExpectedRead(server, MakePlacementRequest(), now),
+           is_engine_ && head_.prompt.HasLongAnswer()};
   generating_ = false;
   sent_at_ = now;
   body_mode_ = BodyMode::kCollect;
   collected_.clear();
   reply_head_ = {};
-  state.loads().AddRequest(server.id, unread_);
+  state.loads().AddRequest(server.id, load_);
   state.selector().NoteRead(server, head_.prompt, now);
   Log(gateway_events::kRequestPlaced,
       {{"request", head_.id.value()},
        {"route", route_->name},
        {"backend", server.id.value()},
        {"load", std::to_string(state.loads().Total(server.id).requests)},
-       {"unread_tokens", std::to_string(unread_.value())},
+       {"unread_tokens", std::to_string(load_.unread.value())},
        {"config", std::to_string(policy_->version().value())},
        {"config_age_ms",
         std::to_string(
@@ -299,6 +305,7 @@
       IsStream(route_->kind) ? events_.Add(piece) : std::string(piece);
   if (bytes.empty())
     return true;
+  NotePause();
   if (!history_.passed_on)
     BeginPassing();
   reply_->Write(std::move(bytes));
@@ -313,6 +320,15 @@
   return false;
 }
 
+void Exchange::NotePause() {
+  const Instant now = BootClock::now();
+  if (history_.passed_on)
+    longest_pause_ = std::max(longest_pause_, ToMillis(now - passed_at_));
+  else
+    first_bytes_after_ = ToMillis(now - request_.received);
+  passed_at_ = now;
+}
+
 void Exchange::BeginPassing() {
   history_.passed_on = true;
   http::response_header<> header(reply_header_);
@@ -337,7 +353,7 @@
   const Instant now = BootClock::now();
   GatewayState& state = dispatcher_.state();
   const BackendId& server = attempt_->server().id;
-  state.loads().NoteFirstToken(server, unread_);
+  state.loads().NoteFirstToken(server, load_);
   state.loads().NoteSuccess(server, ToMillis(now - sent_at_),
                             route_->target_latency);
   dispatcher_.metrics().Observe("bamboomount_first_bytes_seconds",
@@ -522,7 +538,7 @@
 void Exchange::ReleaseAttempt() {
   if (!attempt_)
     return;
-  dispatcher_.state().loads().EndRequest(attempt_->server().id, unread_,
+  dispatcher_.state().loads().EndRequest(attempt_->server().id, load_,
                                          generating_);
   attempt_.reset();
   dispatcher_.WakeOne(pool_);
@@ -575,6 +591,8 @@
         {{"request", head_.id.value()},
          {"outcome", std::string(outcome)},
          {"status", std::to_string(reply_head_.status)},
+         {"first_ms", std::to_string(first_bytes_after_.count())},
+         {"longest_pause_ms", std::to_string(longest_pause_.count())},
          {"took_ms",
           std::to_string(
               ToMillis(BootClock::now() - request_.received).count())}});
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -55,6 +55,7 @@
   bool Authenticate();
 
   void Place();
+  PlacementRequest MakePlacementRequest() const;
   void SendTo(const BackendServer& server);
   void WaitForRoom();
   void StopWaiting();
@@ -72,6 +73,7 @@
 
   void NoteRunBegan();
   void NoteFirstBytes();
+  void NotePause();
   void ReleaseAttempt();
   bool PassOn(std::string_view piece);
   void BeginPassing();
@@ -99,9 +101,15 @@
   std::shared_ptr<BackendAttempt> attempt_;
   SendHistory history_;
   std::vector<BackendId> tried_;
-  Tokens unread_;
+  // What this request adds to the load of the server that it was sent to.
+  RequestLoad load_;
   Instant sent_at_;
   bool generating_ = false;
+  // When the last bytes of the answer were passed on, for the pauses between
+  // them.
+  Instant passed_at_;
+  Millis first_bytes_after_{0};
+  Millis longest_pause_{0};
   bool keys_were_stale_ = false;
 
   ReplyHead reply_head_;
--- a/src/gateway/forwarding/prompt_shape.h
+++ b/src/gateway/forwarding/prompt_shape.h
@@ -16,6 +16,10 @@
 
 // What a request asks of a model engine.
 struct PromptShape {
+  // Prompt tokens that an engine reads in the time of one generated token.
+  static constexpr std::int64_t kReadPerGenerated = 300;
+  static constexpr std::int64_t kLongAnswerFactor = 30;
+
   Tokens input;
   // The most tokens that may be generated.
   Tokens output_limit;
@@ -23,6 +27,12 @@
   std::vector<PromptPart> parts;
 
   bool empty() const { return parts.empty() && input.value() == 0; }
+  // Whether generating takes much longer than reading: a live conversation,
+  // which the reading of other prompts would interrupt again and again.
+  bool HasLongAnswer() const {
+    return output_limit.value() * kReadPerGenerated >
+           input.value() * kLongAnswerFactor;
+  }
   // Tokens of the parts that other requests may have in common.
   Tokens SharedTokens() const {
     Tokens shared;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/control/coordinator.h"
 #include "gateway/control/duty_client.h"
 #include "gateway/control/duty_runner.h"
+#include "gateway/control/load_exchange.h"
 #include "gateway/control/state_decoder.h"
 #include "gateway/control/table_follower.h"
 #include "gateway/entry_calls.h"
--- a/src/gateway/instance_settings.cc
+++ b/src/gateway/instance_settings.cc
@@ -74,6 +74,7 @@
       {"caller_address", Text(&InstanceSettings::caller_address)},
       {"readiness_address", Text(&InstanceSettings::readiness_address)},
       {"directory_address", Text(&InstanceSettings::directory_address)},
+      {"peer_address", Text(&InstanceSettings::peer_address)},
       {"metrics_address", Text(&InstanceSettings::metrics_address)},
       {"store_address", Text(&InstanceSettings::store_address)},
       {"orders_address", Text(&InstanceSettings::orders_address)},
--- a/src/gateway/instance_settings.h
+++ b/src/gateway/instance_settings.h
@@ -25,6 +25,8 @@
   std::string readiness_address;
   // Where callers ask for addresses.
   std::string directory_address;
+  // Where other instances send news of loads (UDP); empty if they do not.
+  std::string peer_address;
   // Where counters and histograms are served; empty if they are not.
   std::string metrics_address;
 
--- a/src/gateway/membership/member.cc
+++ b/src/gateway/membership/member.cc
@@ -7,13 +7,6 @@
 
 using Json = nlohmann::json;
 
-Json EncodeLoads(const std::map<BackendId, BackendLoad>& loads) {
-  Json list = Json::object();
-  for (const auto& [server, load] : loads)
-    list[server.value()] = {load.requests, load.unread_tokens, load.generating};
-  return list;
-}
-
 Json EncodeUsage(const std::map<WindowNumber, UsageCounts>& usage) {
   Json windows = Json::object();
   for (const auto& [window, counts] : usage) {
@@ -24,16 +17,6 @@
   return windows;
 }
 
-std::map<BackendId, BackendLoad> DecodeLoads(const Json& list) {
-  std::map<BackendId, BackendLoad> loads;
-  for (const auto& [server, load] : list.items()) {
-    loads[BackendId(server)] = {load.at(0).get<int>(),
-                                load.at(1).get<std::int64_t>(),
-                                load.at(2).get<int>()};
-  }
-  return loads;
-}
-
 std::map<WindowNumber, UsageCounts> DecodeUsage(const Json& windows) {
   std::map<WindowNumber, UsageCounts> usage;
   for (const auto& [window, counts] : windows.items()) {
@@ -50,13 +33,13 @@
   const Json row{{"instance", member.instance.value()},
                  {"incarnation", member.incarnation.value()},
                  {"caller_address", member.caller_address},
+                 {"peer_address", member.peer_address},
                  {"zone", member.zone.value()},
                  {"region", member.region.value()},
                  {"capacity", member.capacity},
                  {"leaving", member.leaving},
                  {"store_time_ms", member.store_time.count()},
                  {"wall_offset_ms", member.wall_offset.count()},
-                 {"loads", EncodeLoads(member.loads)},
                  {"usage", EncodeUsage(member.usage)}};
   return row.dump();
 }
@@ -68,13 +51,13 @@
     member.instance = InstanceId(row.at("instance").get<std::string>());
     member.incarnation = Incarnation(row.at("incarnation").get<std::string>());
     member.caller_address = row.at("caller_address").get<std::string>();
+    member.peer_address = row.at("peer_address").get<std::string>();
     member.zone = ZoneId(row.at("zone").get<std::string>());
     member.region = RegionId(row.at("region").get<std::string>());
     member.capacity = row.at("capacity").get<double>();
     member.leaving = row.at("leaving").get<bool>();
     member.store_time = Millis(row.at("store_time_ms").get<std::int64_t>());
     member.wall_offset = Millis(row.at("wall_offset_ms").get<std::int64_t>());
-    member.loads = DecodeLoads(row.at("loads"));
     member.usage = DecodeUsage(row.at("usage"));
     return member;
   } catch (const std::exception& error) {
--- a/src/gateway/membership/member.h
+++ b/src/gateway/membership/member.h
@@ -7,7 +7,6 @@
 #include <string>
 
 #include "base/base.h"
-#include "gateway/placement/backend_loads.h"
 
 namespace bamboomount {
 
@@ -24,6 +23,8 @@
   Incarnation incarnation;
   // Where callers connect, "ip:port".
   std::string caller_address;
+  // Where other instances send news of loads; empty if there is none.
+  std::string peer_address;
   ZoneId zone;
   RegionId region;
   // Part of a core that the instance may use; callers are spread by it.
@@ -34,7 +35,6 @@
   Millis store_time{0};
   // The time of day less the store's steady clock.
   Millis wall_offset{0};
-  std::map<BackendId, BackendLoad> loads;
   std::map<WindowNumber, UsageCounts> usage;
 };
 
--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -55,6 +55,17 @@
   return alive;
 }
 
+const Member* MemberRegistry::FindAlive(const InstanceId& instance) const {
+  const Member* newest = nullptr;
+  for (const auto& [key, member] : rows_) {
+    if (member.instance != instance || !IsAlive(member))
+      continue;
+    if (!newest || newest->store_time < member.store_time)
+      newest = &member;
+  }
+  return newest;
+}
+
 std::vector<std::string> MemberRegistry::AddressesFor(const ZoneId& zone,
                                                       const RegionId& region,
                                                       std::size_t limit) const {
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -30,6 +30,8 @@
 
   // The newest incarnation of each instance that is alive.
   std::vector<const Member*> Alive() const;
+  // Null if the instance is not alive.
+  const Member* FindAlive(const InstanceId& instance) const;
   // Addresses for callers in `zone`: instances of the zone, or of the region
   // and then everywhere if there are too few. At most `limit`.
   std::vector<std::string> AddressesFor(const ZoneId& zone,
--- a/src/gateway/placement/backend_loads.cc
+++ b/src/gateway/placement/backend_loads.cc
@@ -19,30 +19,35 @@
   requests += other.requests;
   unread_tokens += other.unread_tokens;
   generating += other.generating;
+  long_answers += other.long_answers;
   return *this;
 }
 
-void BackendLoads::AddRequest(const BackendId& server, Tokens unread) {
+void BackendLoads::AddRequest(const BackendId& server,
+                              const RequestLoad& request) {
   BackendLoad& load = records_[server].own;
   ++load.requests;
-  load.unread_tokens += unread.value();
+  load.unread_tokens += request.unread.value();
+  load.long_answers += request.long_answer ? 1 : 0;
 }
 
-void BackendLoads::NoteFirstToken(const BackendId& server, Tokens unread) {
+void BackendLoads::NoteFirstToken(const BackendId& server,
+                                  const RequestLoad& request) {
   BackendLoad& load = records_[server].own;
-  load.unread_tokens -= unread.value();
+  load.unread_tokens -= request.unread.value();
   ++load.generating;
 }
 
 void BackendLoads::EndRequest(const BackendId& server,
-                              Tokens unread,
+                              const RequestLoad& request,
                               bool generating) {
   BackendLoad& load = records_[server].own;
   --load.requests;
+  load.long_answers -= request.long_answer ? 1 : 0;
   if (generating)
     --load.generating;
   else
-    load.unread_tokens -= unread.value();
+    load.unread_tokens -= request.unread.value();
 }
 
 void BackendLoads::NoteSuccess(const BackendId& server,
@@ -85,6 +90,7 @@
     remote.requests -= load.requests;
     remote.unread_tokens -= load.unread_tokens;
     remote.generating -= load.generating;
+    remote.long_answers -= load.long_answers;
   }
   remote_.erase(told);
 }
--- a/src/gateway/placement/backend_loads.h
+++ b/src/gateway/placement/backend_loads.h
@@ -18,10 +18,19 @@
   std::int64_t unread_tokens = 0;
   // Requests that are generating tokens.
   int generating = 0;
+  // Requests that generate for much longer than their prompt takes to read.
+  int long_answers = 0;
 
   BackendLoad& operator+=(const BackendLoad& other);
 };
 
+// What one request adds to the load of its server.
+struct RequestLoad {
+  // Prompt tokens that the server has to read.
+  Tokens unread;
+  bool long_answer = false;
+};
+
 // What this instance knows of the load and the health of backend servers:
 // its own requests as they happen, and what the other instances last told.
 //
@@ -30,10 +39,12 @@
 // for a time that doubles with each failure in a row.
 class BackendLoads {
  public:
-  void AddRequest(const BackendId& server, Tokens unread);
-  void NoteFirstToken(const BackendId& server, Tokens unread);
+  void AddRequest(const BackendId& server, const RequestLoad& request);
+  void NoteFirstToken(const BackendId& server, const RequestLoad& request);
   // `generating`: the first token had arrived.
-  void EndRequest(const BackendId& server, Tokens unread, bool generating);
+  void EndRequest(const BackendId& server,
+                  const RequestLoad& request,
+                  bool generating);
 
   void NoteSuccess(const BackendId& server, Millis latency, Millis expected);
   void NoteFailure(const BackendId& server, Instant now);
--- a/src/gateway/placement/backend_selector.cc
+++ b/src/gateway/placement/backend_selector.cc
@@ -1,6 +1,8 @@
 #include "gateway/placement/backend_selector.h"
 
-#include <functional>
+#include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace bamboomount {
 namespace {
@@ -18,6 +20,17 @@
 constexpr Millis kReadLifetime{20000};
 constexpr Millis kPruneInterval{5000};
 
+// What a conversation costs on an engine that also reads long prompts, and a
+// long prompt on a quiet engine, in prompt tokens.
+constexpr double kBusyEngineTokens = 6000;
+constexpr double kQuietEngineTokens = 50000;
+// Part of a quiet engine's slots that conversations are planned for.
+constexpr double kQuietSlotPart = 0.3;
+// At most one in so many engines is kept quiet.
+constexpr std::size_t kMinEnginesPerQuietOne = 3;
+constexpr Millis kQuietUpdateInterval{500};
+constexpr Millis kPeakLifetime{10000};
+
 std::uint64_t Mix(std::uint64_t value) {
   // Finalizer of SplitMix64 (Steele, Lea, Flood 2014).
   value += 0x9e3779b97f4a7c15;
@@ -39,6 +52,8 @@
 const BackendServer* Preferred(
     const std::vector<const BackendServer*>& candidates,
     std::uint64_t subject) {
+  if (subject == 0)
+    return nullptr;
   const BackendServer* best = nullptr;
   std::uint64_t best_weight = 0;
   for (const BackendServer* server : candidates) {
@@ -51,6 +66,34 @@
   return best;
 }
 
+// The first `count` servers in an order that is equal on all instances and goes
+// through the zones by turns, so that the loss of a zone leaves some.
+std::vector<const BackendServer*> SpreadOverZones(
+    const std::vector<const BackendServer*>& pool,
+    std::size_t count) {
+  std::map<ZoneId, std::vector<const BackendServer*>> zones;
+  for (const BackendServer* server : pool)
+    zones[server->zone].push_back(server);
+  std::vector<std::pair<std::size_t, const BackendServer*>> order;
+  for (auto& [zone, servers] : zones) {
+    std::sort(servers.begin(), servers.end(),
+              [](const BackendServer* a, const BackendServer* b) {
+                return HashText(a->id.value()) < HashText(b->id.value());
+              });
+    for (std::size_t turn = 0; turn < servers.size(); ++turn)
+      order.emplace_back(turn, servers[turn]);
+  }
+  std::stable_sort(
+      order.begin(), order.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<const BackendServer*> first;
+  for (const auto& [turn, server] : order) {
+    if (first.size() < count)
+      first.push_back(server);
+  }
+  return first;
+}
+
 }  // namespace
 
 const BackendServer* BackendSelector::Choose(
@@ -63,9 +106,9 @@
       sound.push_back(server);
   }
   const auto& pool = sound.empty() ? candidates : sound;
-  const std::uint64_t subject = request.prompt.Subject();
-  const BackendServer* preferred =
-      subject == 0 ? nullptr : Preferred(pool, subject);
+  if (request.is_engine)
+    UpdateQuiet(request.pool, now);
+  const BackendServer* preferred = Preferred(pool, request.prompt.Subject());
   const BackendServer* best = nullptr;
   double best_cost = 0;
   for (const BackendServer* server : pool) {
@@ -82,21 +125,64 @@
                              const BackendServer* preferred,
                              const PlacementRequest& request,
                              Instant now) const {
-  const BackendLoad load = loads_.Total(server.id);
-  const double slowness = loads_.Slowness(server.id);
+  if (request.is_engine)
+    return EngineCost(server, preferred, request, now);
+  const double served = loads_.Total(server.id).requests + 1.0;
   const bool other_zone = server.zone != request.zone;
-  if (!request.is_engine) {
-    const double served = load.requests + 1.0;
-    return served * slowness + (other_zone ? kOtherZoneRequests : 0);
-  }
+  return served * loads_.Slowness(server.id) +
+         (other_zone ? kOtherZoneRequests : 0);
+}
+
+double BackendSelector::EngineCost(const BackendServer& server,
+                                   const BackendServer* preferred,
+                                   const PlacementRequest& request,
+                                   Instant now) const {
+  const BackendLoad load = loads_.Total(server.id);
+  const bool long_answer = request.prompt.HasLongAnswer();
   const bool expects_hit =
       preferred == &server || HasRead(server.id, request.prompt.Subject(), now);
   const auto shared =
       static_cast<double>(request.prompt.SharedTokens().value());
-  const double repeated = expects_hit ? 0 : shared * kRepeatedReadWeight;
-  const double waiting = static_cast<double>(load.unread_tokens) +
-                         load.requests * kTokensPerServedRequest;
-  return waiting * slowness + repeated + (other_zone ? kOtherZoneTokens : 0);
+  const auto unread = static_cast<double>(load.unread_tokens);
+  double cost = (unread + load.requests * kTokensPerServedRequest) *
+                loads_.Slowness(server.id);
+  if (!expects_hit)
+    cost += shared * kRepeatedReadWeight;
+  if (server.zone != request.zone)
+    cost += kOtherZoneTokens;
+  const auto quiet = quiet_.find(server.pool);
+  const bool is_quiet =
+      quiet != quiet_.end() && quiet->second.members.contains(server.id);
+  if (is_quiet != long_answer)
+    cost += long_answer ? kBusyEngineTokens + unread : kQuietEngineTokens;
+  return cost;
+}
+
+void BackendSelector::UpdateQuiet(const std::vector<const BackendServer*>& pool,
+                                  Instant now) {
+  if (pool.empty())
+    return;
+  QuietEngines& quiet = quiet_[pool.front()->pool];
+  if (now - quiet.updated < kQuietUpdateInterval &&
+      quiet.pool_size == pool.size())
+    return;
+  quiet.updated = now;
+  quiet.pool_size = pool.size();
+  int answers = 0;
+  for (const BackendServer* server : pool)
+    answers += loads_.Total(server->id).long_answers;
+  if (answers >= quiet.peak_answers || now - quiet.peak_at > kPeakLifetime) {
+    quiet.peak_answers = answers;
+    quiet.peak_at = now;
+  }
+  const double per_engine = pool.front()->slots * kQuietSlotPart;
+  const auto needed = static_cast<std::size_t>(
+      std::ceil(quiet.peak_answers / std::max(per_engine, 1.0)));
+  const std::size_t most = pool.size() / kMinEnginesPerQuietOne;
+  quiet.members.clear();
+  for (const BackendServer* server :
+       SpreadOverZones(pool, std::min(most, std::max<std::size_t>(1, needed))))
+    quiet.members.insert(server->id);
 }
 
 void BackendSelector::NoteRead(const BackendServer& server,
@@ -110,9 +196,11 @@
 }
 
 Tokens BackendSelector::ExpectedRead(const BackendServer& server,
-                                     const PromptShape& prompt,
+                                     const PlacementRequest& request,
                                      Instant now) const {
-  if (prompt.Subject() != 0 && HasRead(server.id, prompt.Subject(), now))
+  const PromptShape& prompt = request.prompt;
+  if (Preferred(request.pool, prompt.Subject()) == &server ||
+      HasRead(server.id, prompt.Subject(), now))
     return prompt.input - prompt.SharedTokens();
   return prompt.input;
 }
--- a/src/gateway/placement/backend_selector.h
+++ b/src/gateway/placement/backend_selector.h
@@ -2,6 +2,8 @@
 #define GATEWAY_PLACEMENT_BACKEND_SELECTOR_H_
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -19,6 +21,8 @@
   bool is_engine = false;
   // The zone of this instance; bytes to other zones cost money.
   ZoneId zone;
+  // All usable servers of the pool, also those that cannot be chosen now.
+  std::vector<const BackendServer*> pool;
 };
 
 // Chooses the backend server with the least expected cost, in prompt tokens
@@ -29,6 +33,12 @@
 // Rendezvous hashing gives all instances the same preferred server for each
 // subject without a shared table; load moves requests to others only once
 // waiting costs more than reading the shared parts again.
+//
+// An engine reads prompts between the tokens that it generates, so that long
+// prompts stall the live conversations beside them. A few engines, as many as
+// the conversations need, are kept quiet: conversations go there and long
+// prompts elsewhere, as long as the others have room. All instances keep the
+// same ones quiet, by rendezvous hashing.
 class BackendSelector {
  public:
   explicit BackendSelector(const BackendLoads& loads) : loads_(loads) {}
@@ -45,7 +55,7 @@
                 Instant now);
   // Tokens that the server is expected to read for the prompt.
   Tokens ExpectedRead(const BackendServer& server,
-                      const PromptShape& prompt,
+                      const PlacementRequest& request,
                       Instant now) const;
 
  private:
@@ -53,6 +63,12 @@
               const BackendServer* preferred,
               const PlacementRequest& request,
               Instant now) const;
+  double EngineCost(const BackendServer& server,
+                    const BackendServer* preferred,
+                    const PlacementRequest& request,
+                    Instant now) const;
+  // Chooses the engines of the pool that are kept quiet.
+  void UpdateQuiet(const std::vector<const BackendServer*>& pool, Instant now);
   bool HasRead(const BackendId& server,
                std::uint64_t subject,
                Instant now) const;
@@ -63,6 +79,17 @@
   std::unordered_map<std::uint64_t, std::unordered_map<BackendId, Instant>>
       reads_;
   Instant last_prune_;
+
+  // The engines that are kept quiet, of the pools that were last seen.
+  struct QuietEngines {
+    std::set<BackendId> members;
+    // The largest number of long answers in the last seconds, and when.
+    int peak_answers = 0;
+    Instant peak_at;
+    Instant updated;
+    std::size_t pool_size = 0;
+  };
+  std::map<PoolId, QuietEngines> quiet_;
 };
 
 }  // namespace bamboomount
--- a/tests/gateway/fleet_planner_test.cc
+++ b/tests/gateway/fleet_planner_test.cc
@@ -128,6 +128,33 @@
   }
 }
 
+// Pattern: loss of a zone. Guards against a fleet that stays at a third of its
+// size while cheap servers are not to be had in two of three zones (seen on the
+// platform: a third of the conversations was late).
+BOOST_AUTO_TEST_CASE(firm_servers_replace_zones_that_were_taken_away) {
+  FleetPlanner planner;
+  OrderedFleet fleet;
+  fleet.Run(planner, 10);
+  std::map<ZoneId, int> firm;
+  for (int second = 0; second < 8; ++second) {
+    fleet.demand().reclaimable[kZoneA].ready = 0;
+    fleet.demand().reclaimable[kZoneC].ready = 0;
+    for (const BackendOrder& order : planner.Plan(fleet.pool(), fleet.demand(),
+                                                  At(100000 + second * 1000))) {
+      if (order.reclaimable)
+        planner.NoteOutcome(order, DutyOutcome::kUnavailable,
+                            At(100000 + second * 1000));
+      else
+        firm[order.zone] = order.count;
+    }
+  }
+  int sum = 0;
+  for (const auto& [zone, count] : firm)
+    sum += count;
+  // 3 reclaimable ones are left of a pool of 6.
+  BOOST_TEST(sum >= 2);
+}
+
 // Guards against a demand that is not met because cheap servers are not to be
 // had.
 BOOST_AUTO_TEST_CASE(firm_servers_fill_the_gap_when_cheap_ones_are_gone) {
--- /dev/null
+++ b/tests/gateway/load_news_test.cc
@@ -0,0 +1,34 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/control/load_exchange.h"
+
+namespace bamboomount {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(load_news)
+
+// Guards against figures that change their meaning on the way.
+BOOST_AUTO_TEST_CASE(news_reads_back_as_it_was_written) {
+  const LoadNews news{InstanceId("a"), 7, {{BackendId("e"), {1, 2000, 3, 4}}}};
+  const auto bytes = EncodeLoadNews(news);
+  const auto read = DecodeLoadNews(bytes.data(), bytes.size());
+  BOOST_TEST(read.value().instance == news.instance);
+  BOOST_TEST(read.value().sequence == 7U);
+  const BackendLoad& load = read.value().loads.at(BackendId("e"));
+  BOOST_TEST(load.requests == 1);
+  BOOST_TEST(load.unread_tokens == 2000);
+  BOOST_TEST(load.generating == 3);
+  BOOST_TEST(load.long_answers == 4);
+}
+
+// Guards against an instance that ends on bytes of a foreign program.
+BOOST_AUTO_TEST_CASE(foreign_bytes_are_refused) {
+  const auto bytes = EncodeLoadNews({InstanceId("a"), 7, {}});
+  for (std::size_t size = 0; size < bytes.size(); ++size)
+    BOOST_TEST(!DecodeLoadNews(bytes.data(), size));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
--- a/tests/gateway/member_registry_test.cc
+++ b/tests/gateway/member_registry_test.cc
@@ -91,11 +91,11 @@
 BOOST_AUTO_TEST_CASE(a_member_reads_back_as_it_was_written) {
   Member member = MakeMember("a", "z", 123);
   member.leaving = true;
-  member.loads[BackendId("e-1")] = {3, 4000, 2};
+  member.peer_address = "10.0.0.1:7";
   member.usage[WindowNumber(9)][CustomerId("mill")] = 5;
   const auto read = DecodeMember(EncodeMember(member));
   BOOST_TEST(read.value().leaving);
-  BOOST_TEST(read.value().loads.at(BackendId("e-1")).unread_tokens == 4000);
+  BOOST_TEST(read.value().peer_address == "10.0.0.1:7");
   BOOST_TEST((read.value().usage == member.usage));
   BOOST_TEST(!DecodeMember("[]"));
 }
