Let the planner count servers that are starting, and ask the store less often

The planner forgot what it had ordered until the servers were listed and moved firm ones from zone to zone each second; an order for a zone that was then taken away counted as present for 7 s; prompts that waited in the overload counted as a need for more than twice the pool. Each instance also called the store about five times a second.

Ruled out: keeping firm servers at all times (each costs as much as four to six reclaimable ones).

Change: levels include orders that are younger than the boot time unless ready servers were lost since; what is planned for is bounded by the pool's size; reclaimable servers are ordered while the pool is still being listed. Instances write their row every 2 s, the holder every second; reads of instances every 1.5 s, calls that wait for changes 2 s.

--- a/apps/bamboomount_entry/entry_process.cc
+++ b/apps/bamboomount_entry/entry_process.cc
@@ -15,8 +15,8 @@
 constexpr Millis kSettingsCheckInterval{2000};
 // How long the store waits for changes of the configuration. Silence is noticed
 // a little later, well within the time in which keys must be confirmed.
-constexpr Millis kConfigWait{1500};
-constexpr Millis kBackendWait{1000};
+constexpr Millis kConfigWait{2000};
+constexpr Millis kBackendWait{2000};
 // Changes of backend servers that come close together are read together.
 constexpr Millis kBackendPause{150};
 
--- a/src/gateway/control/coordinator.cc
+++ b/src/gateway/control/coordinator.cc
@@ -32,7 +32,7 @@
              state.settings().lease_duration),
       follower_(context,
                 store,
-                {tables::kInstances, Millis(0), kMinInterval},
+                {tables::kInstances, Millis(0), kReadInterval},
                 *this),
       timer_(context) {}
 
@@ -134,7 +134,7 @@
 }
 
 void Coordinator::ScheduleHeartbeat() {
-  timer_.expires_after(commit_open_ ? Interval() : Interval() / 4);
+  timer_.expires_after(Interval());
   timer_.async_wait([this](const error_code& error) {
     if (!error && !stopped_)
       Heartbeat();
@@ -189,6 +189,8 @@
 }
 
 Millis Coordinator::Interval() const {
+  if (held_)
+    return kHolderInterval;
   const double by_rate =
       1000.0 * state_.members().AliveCount() / kFleetWritesPerSecond;
   return std::max(kMinInterval, Millis(static_cast<Millis::rep>(by_rate)));
--- a/src/gateway/control/coordinator.h
+++ b/src/gateway/control/coordinator.h
@@ -19,9 +19,13 @@
 // the lease while it is held, and one read of what changed.
 class Coordinator : private TableObserver {
  public:
-  // The shortest interval; it grows with the fleet, so that all instances
-  // together stay within the store's rate.
-  static constexpr Millis kMinInterval{1000};
+  // The shortest interval between two writes; it grows with the fleet, so that
+  // all instances together stay within the store's rate.
+  static constexpr Millis kMinInterval{2000};
+  // The holder of the lease renews it several times within its duration.
+  static constexpr Millis kHolderInterval{1000};
+  // Pause between two reads of what the others wrote.
+  static constexpr Millis kReadInterval{1500};
 
   Coordinator(asio::io_context& context,
               AsyncTableStore& store,
--- a/src/gateway/duties/fleet_planner.cc
+++ b/src/gateway/duties/fleet_planner.cc
@@ -20,8 +20,10 @@
 constexpr double kHeadroom = 1.25;
 // Part of the pool's size that is kept even if it takes firm servers.
 constexpr double kLeastPart = 0.7;
-// A level that was ordered and not reached is ordered again after this time.
-constexpr Millis kRepeatTime{6000};
+// The most servers that are planned for, as a part of the pool's size.
+constexpr double kMostPart = 1.35;
+// Time from the end of a server's start until it is surely listed.
+constexpr Millis kStartMargin{3000};
 constexpr Millis kUnavailableTime{2500};
 // Servers that start together are listed one after the other; until their
 // number stays the same for this time, it says nothing about the pool's size.
@@ -36,6 +38,12 @@
       [](int sum, const auto& zone) { return sum + zone.second.ready; });
 }
 
+int Sum(const std::map<ZoneId, int>& levels) {
+  return std::accumulate(
+      levels.begin(), levels.end(), 0,
+      [](int sum, const auto& zone) { return sum + zone.second; });
+}
+
 int LargestZone(const std::map<ZoneId, ZoneCount>& counts) {
   int largest = 0;
   for (const auto& [zone, count] : counts)
@@ -101,41 +109,61 @@
     return orders;
   const ScalingRule& rule = *pool.scaling;
   const std::vector<ZoneId> zones = ZonesByPrice(rule);
-  if (!NoteSize(pool.id, demand, static_cast<int>(zones.size()), now))
-    return orders;
-  const int needed = SustainedNeeded(pool.id, Needed(demand), now);
-  const int wanted = std::max(sizes_[pool.id].servers,
-                              static_cast<int>(std::ceil(needed * kHeadroom)));
-  // Reclaimable ones go first: without any one zone, the others carry all that
-  // is wanted.
-  std::map<ZoneId, int> reclaimable;
-  // What is asked for where there were none, to learn when there are some.
-  std::map<ZoneId, int> probes;
-  const int each =
-      DivideUp(wanted, std::max(1, static_cast<int>(zones.size()) - 1));
+  const int zone_count = static_cast<int>(zones.size());
+  const bool settled = NoteSize(pool.id, demand, zone_count, now);
+  const int size = sizes_[pool.id].servers;
+  // Prompts that wait in an overload say how far behind the pool is, not how
+  // many servers it needs.
+  const int most = static_cast<int>(std::ceil(size * kMostPart));
+  const int needed =
+      SustainedNeeded(pool.id, std::min(Needed(demand), most), now);
+  Target target;
+  target.wanted =
+      std::max(size, static_cast<int>(std::ceil(needed * kHeadroom)));
+  target.least =
+      std::max(needed, static_cast<int>(std::ceil(size * kLeastPart)));
+  // Without any one zone, the others carry all that is wanted.
+  target.reclaimable_each =
+      DivideUp(target.wanted, std::max(1, zone_count - 1));
+  Levels levels;
   for (const ZoneId& zone : zones) {
-    const int here = ReadyIn(demand.reclaimable, zone);
-    const int room = rule.maximum - ReadyIn(demand.firm, zone);
-    const bool available =
-        rule.reclaimable_price.has_value() &&
-        !unavailable_since_.contains({pool.id, {zone, true}});
-    reclaimable[zone] = available ? std::max(here, std::min(each, room)) : here;
-    probes[zone] = std::max(here, std::min(each, room));
+    levels.firm[zone] = Level(pool, zone, false, demand.firm, now);
+    levels.reclaimable[zone] = Level(pool, zone, true, demand.reclaimable, now);
   }
-  const int least =
-      static_cast<int>(std::ceil(sizes_[pool.id].servers * kLeastPart));
-  const Target target{wanted, std::max(needed, least), each};
-  const auto firm = FirmLevels(rule, zones, demand, reclaimable, target);
+  const auto firm = FirmLevels(rule, zones, demand, levels, target);
   for (const ZoneId& zone : zones) {
-    if (rule.reclaimable_price)
+    if (rule.reclaimable_price) {
+      const int room = rule.maximum - levels.firm.at(zone);
+      const int wanted = std::max(levels.reclaimable.at(zone),
+                                  std::min(target.reclaimable_each, room));
       OrderLevel(pool, zone, true, ReadyIn(demand.reclaimable, zone),
-                 probes.at(zone), now, orders);
-    OrderLevel(pool, zone, false, ReadyIn(demand.firm, zone), firm.at(zone),
-               now, orders);
+                 levels.reclaimable.at(zone), wanted, now, orders);
+    }
+    // Servers that are still starting must not be taken for a small pool.
+    if (settled)
+      OrderLevel(pool, zone, false, ReadyIn(demand.firm, zone),
+                 levels.firm.at(zone), firm.at(zone), now, orders);
   }
   return orders;
 }
 
+int FleetPlanner::Level(const Pool& pool,
+                        const ZoneId& zone,
+                        bool reclaimable,
+                        const std::map<ZoneId, ZoneCount>& counts,
+                        Instant now) const {
+  const int ready = ReadyIn(counts, zone);
+  const auto ordered = ordered_.find({pool.id, {zone, reclaimable}});
+  if (ordered == ordered_.end() ||
+      now - ordered->second.at >= pool.scaling->boot_time + kStartMargin)
+    return ready;
+  // Some were taken away since: the order is void.
+  const bool grows = ordered->second.count >= ordered->second.ready;
+  if (grows && ready < ordered->second.ready)
+    return ready;
+  return ordered->second.count;
+}
+
 bool FleetPlanner::NoteSize(const PoolId& pool,
                             const PoolDemand& demand,
                             int zone_count,
@@ -154,50 +182,61 @@
   return size.settled;
 }
 
-std::map<ZoneId, int> FleetPlanner::FirmLevels(
-    const ScalingRule& rule,
-    const std::vector<ZoneId>& zones,
-    const PoolDemand& demand,
-    const std::map<ZoneId, int>& reclaimable,
-    const Target& target) {
-  const int ready = Sum(demand.firm);
-  int left = target.wanted;
-  bool replaceable = false;
-  if (rule.reclaimable_price) {
-    const int cheap = Sum(demand.reclaimable);
-    // What reclaimable ones carry if any one zone is taken away.
-    const int safe = cheap - LargestZone(demand.reclaimable);
-    const int replaced = std::max(0, target.wanted - safe);
-    const int short_of = std::max(0, target.least - cheap);
-    left = ready > replaced ? replaced : std::max(ready, short_of);
-    replaceable = safe >= target.least;
+std::map<ZoneId, int> FleetPlanner::FirmLevels(const ScalingRule& rule,
+                                               const std::vector<ZoneId>& zones,
+                                               const PoolDemand& demand,
+                                               const Levels& levels,
+                                               const Target& target) {
+  std::map<ZoneId, int> firm = levels.firm;
+  const int have = Sum(firm);
+  // What reclaimable ones that are ready carry if any one zone is taken away.
+  const int safe = Sum(demand.reclaimable) - LargestZone(demand.reclaimable);
+  const int replaced = rule.reclaimable_price
+                           ? std::max(0, target.wanted - safe)
+                           : target.wanted;
+  const int missing = target.least - have - Sum(levels.reclaimable);
+  if (missing > 0) {
+    AddFirm(rule, zones, levels.reclaimable, missing, firm);
+    return firm;
   }
-  std::map<ZoneId, int> levels;
-  // Those that are there stay where they are, the cheapest first, unless they
-  // take the room of reclaimable ones that could stand in for them.
-  for (const ZoneId& zone : zones) {
-    const int kept = replaceable
-                         ? std::max(0, rule.maximum - target.reclaimable_each)
-                         : rule.maximum;
-    levels[zone] = std::min({left, ReadyIn(demand.firm, zone), kept});
-    left -= levels[zone];
+  // The most expensive ones go first.
+  int surplus = have - replaced;
+  for (auto zone = zones.rbegin(); zone != zones.rend(); ++zone) {
+    const int given_back = std::clamp(surplus, 0, firm[*zone]);
+    firm[*zone] -= given_back;
+    surplus -= given_back;
+    // Firm ones must not keep the room of reclaimable ones that could stand in
+    // for them.
+    const int kept = std::max(0, rule.maximum - target.reclaimable_each);
+    if (rule.reclaimable_price && safe >= target.least)
+      firm[*zone] = std::min(firm[*zone], kept);
   }
-  if (replaceable)
-    return levels;
-  const int most = DivideUp(target.wanted, static_cast<int>(zones.size()));
-  for (const ZoneId& zone : zones) {
-    const int room =
-        std::min(rule.maximum - reclaimable.at(zone), most) - levels[zone];
-    const int added = std::clamp(left, 0, std::max(0, room));
-    levels[zone] += added;
-    left -= added;
+  return firm;
+}
+
+void FleetPlanner::AddFirm(const ScalingRule& rule,
+                           const std::vector<ZoneId>& zones,
+                           const std::map<ZoneId, int>& reclaimable,
+                           int missing,
+                           std::map<ZoneId, int>& firm) {
+  const int zone_count = static_cast<int>(zones.size());
+  const int most = DivideUp(missing + Sum(firm), zone_count);
+  // First an equal part for each zone, then where there is room.
+  for (const int bound : {most, rule.maximum}) {
+    for (const ZoneId& zone : zones) {
+      const int room =
+          std::min(bound, rule.maximum - reclaimable.at(zone)) - firm[zone];
+      const int added = std::clamp(missing, 0, std::max(0, room));
+      firm[zone] += added;
+      missing -= added;
+    }
   }
-  return levels;
 }
 
 void FleetPlanner::OrderLevel(const Pool& pool,
                               const ZoneId& zone,
                               bool reclaimable,
+                              int ready,
                               int present,
                               int wanted,
                               Instant now,
@@ -205,14 +244,9 @@
   const Slot slot{pool.id, {zone, reclaimable}};
   if (wanted > present && WaitsForServers(slot, now))
     return;
-  const auto ordered = ordered_.find(slot);
-  const bool same =
-      ordered != ordered_.end() && ordered->second.count == wanted;
-  if (same && (present == wanted || now - ordered->second.at < kRepeatTime))
-    return;
-  if (ordered == ordered_.end() && present == wanted)
+  if (wanted == present)
     return;
-  ordered_[slot] = {wanted, now};
+  ordered_[slot] = {wanted, ready, now};
   orders.push_back({pool.id, zone, wanted, reclaimable});
 }
 
--- a/src/gateway/duties/fleet_planner.h
+++ b/src/gateway/duties/fleet_planner.h
@@ -62,6 +62,11 @@
     int peak = 0;
     Instant peak_at;
   };
+  // Servers in each zone, starting ones included.
+  struct Levels {
+    std::map<ZoneId, int> firm;
+    std::map<ZoneId, int> reclaimable;
+  };
   struct Target {
     // Servers that the pool should have.
     int wanted = 0;
@@ -84,17 +89,30 @@
                 const PoolDemand& demand,
                 int zone_count,
                 Instant now);
-  static std::map<ZoneId, int> FirmLevels(
-      const ScalingRule& rule,
-      const std::vector<ZoneId>& zones,
-      const PoolDemand& demand,
-      const std::map<ZoneId, int>& reclaimable,
-      const Target& target);
+  // Servers of one kind in a zone, those that were ordered and are starting
+  // included.
+  int Level(const Pool& pool,
+            const ZoneId& zone,
+            bool reclaimable,
+            const std::map<ZoneId, ZoneCount>& counts,
+            Instant now) const;
+  static std::map<ZoneId, int> FirmLevels(const ScalingRule& rule,
+                                          const std::vector<ZoneId>& zones,
+                                          const PoolDemand& demand,
+                                          const Levels& levels,
+                                          const Target& target);
+  static void AddFirm(const ScalingRule& rule,
+                      const std::vector<ZoneId>& zones,
+                      const std::map<ZoneId, int>& reclaimable,
+                      int missing,
+                      std::map<ZoneId, int>& firm);
   int SustainedNeeded(const PoolId& pool, int needed, Instant now);
   bool WaitsForServers(const Slot& slot, Instant now) const;
+  // `ready` are listed as ready; `present` are ready or starting.
   void OrderLevel(const Pool& pool,
                   const ZoneId& zone,
                   bool reclaimable,
+                  int ready,
                   int present,
                   int wanted,
                   Instant now,
@@ -103,6 +121,8 @@
   // The level last ordered, and when.
   struct Ordered {
     int count = 0;
+    // Ready ones at that time.
+    int ready = 0;
     Instant at;
   };
   std::map<Slot, Ordered> ordered_;
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -17,7 +17,7 @@
 class MemberRegistry {
  public:
   // A row that is older than this belongs to an instance that failed.
-  static constexpr Millis kExpiry{4000};
+  static constexpr Millis kExpiry{6000};
   // Rows of ended incarnations are kept for the usage figures in them.
   static constexpr Millis kRowLifetime{60000};
 
