Test entry instances against stand-ins, and keep retries for servers that exist

Cause: the new test a_resumable_stream_goes_on_at_another_server failed: a request that the only backend server refused took a retry from the allowance and was then sent to the same server again, so that nothing was left for a stream that could go on elsewhere.

Ruled out: the cut of the stream at an event boundary (the events that were passed on were right), a larger allowance.

Change: a server that was tried is not asked again by the same request, and a retry is taken only if there is another server. A request with two hosts is refused. tests/entry runs the real program against a stand-in of the store and of backend servers: whole path, keys, bad bytes, truthful refusals, crossed and truncated answers, streams, outages and gaps of the store, leaving servers, addresses, planned stop.

--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -22,20 +22,25 @@
       metrics_(metrics),
       random_(std::random_device{}()) {}
 
-std::vector<const BackendServer*> Dispatcher::Candidates(
+std::vector<const BackendServer*> Dispatcher::Untried(
     const PoolId& pool,
     const std::vector<BackendId>& tried) const {
-  const int limit = ConnectionLimit(pool);
   std::vector<const BackendServer*> untried;
-  std::vector<const BackendServer*> all;
   for (const BackendServer* server : state_.backends().Usable(pool)) {
-    if (static_cast<int>(state_.loads().OwnRequests(server->id)) >= limit)
-      continue;
-    all.push_back(server);
     if (std::find(tried.begin(), tried.end(), server->id) == tried.end())
       untried.push_back(server);
   }
-  return untried.empty() ? all : untried;
+  return untried;
+}
+
+std::vector<const BackendServer*> Dispatcher::WithRoom(
+    std::vector<const BackendServer*> servers,
+    const PoolId& pool) const {
+  const int limit = ConnectionLimit(pool);
+  std::erase_if(servers, [this, limit](const BackendServer* server) {
+    return state_.loads().OwnRequests(server->id) >= limit;
+  });
+  return servers;
 }
 
 int Dispatcher::ConnectionLimit(const PoolId& pool) const {
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -37,11 +37,14 @@
   }
   BackendConnections& connections() { return connections_; }
 
-  // Backend servers of the pool that may get a request now, without `tried`
-  // unless no other is left.
-  std::vector<const BackendServer*> Candidates(
+  // Usable backend servers of the pool that are not in `tried`.
+  std::vector<const BackendServer*> Untried(
       const PoolId& pool,
       const std::vector<BackendId>& tried) const;
+  // Those of `servers` that this instance may send another request to now.
+  std::vector<const BackendServer*> WithRoom(
+      std::vector<const BackendServer*> servers,
+      const PoolId& pool) const;
   // Takes one retry for the pool from this instance's part of the bound.
   bool TryRetry(const PoolId& pool);
   void CountRequest(const PoolId& pool);
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -79,6 +79,11 @@
     return false;
   }
   head_ = std::move(head.value());
+  // RFC 9112, 3.2: two readers could take different ones.
+  if (request_.message.count(http::field::host) != 1) {
+    Refuse(http::status::bad_request, "the request does not have one host");
+    return false;
+  }
   return true;
 }
 
@@ -128,7 +133,12 @@
   if (ended_)
     return;
   const Instant now = BootClock::now();
-  const auto candidates = dispatcher_.Candidates(pool_, tried_);
+  const auto untried = dispatcher_.Untried(pool_, tried_);
+  if (untried.empty() && !tried_.empty()) {
+    FailWithoutAnswer("no other backend server");
+    return;
+  }
+  const auto candidates = dispatcher_.WithRoom(untried, pool_);
   const BackendServer* server = dispatcher_.state().selector().Choose(
       candidates, MakePlacementRequest(), now);
   if (server)
@@ -468,7 +478,8 @@
 
 bool Exchange::TryAnotherServer() {
   if (ended_ || !MaySendAgain(*route_, history_) ||
-      TimeLeft(BootClock::now()) <= Millis(0))
+      TimeLeft(BootClock::now()) <= Millis(0) ||
+      dispatcher_.Untried(pool_, tried_).empty())
     return false;
   const bool repeats = history_.runs + history_.refusals > 0;
   if (repeats && !dispatcher_.TryRetry(pool_))
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway_server.h"
 
 #include <algorithm>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -99,7 +100,12 @@
         [](const auto& connection) { return connection->busy(); });
   }
 
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  // "ip:port" with the port that is really in use.
+  std::string address() const {
+    std::ostringstream text;
+    text << acceptor_.local_endpoint();
+    return text.str();
+  }
 
  private:
   void Accept() {
@@ -142,13 +148,14 @@
              const std::shared_ptr<CallerReply>& reply) {
         ServeReadiness(request, *reply);
       }));
+  const std::string readiness = listeners_.back()->address();
   listeners_.push_back(std::make_unique<Listener>(
       *this, settings.directory_address,
       [this](const IncomingRequest& request,
              const std::shared_ptr<CallerReply>& reply) {
         ServeAddresses(request, *reply);
       }));
-  directory_ = listeners_.back().get();
+  const std::string directory = listeners_.back()->address();
   if (!settings.metrics_address.empty()) {
     listeners_.push_back(std::make_unique<Listener>(
         *this, settings.metrics_address,
@@ -157,19 +164,14 @@
           ServeMetrics(*reply);
         }));
   }
-  Log(gateway_events::kStarted,
-      {{"callers", settings.caller_address}, {"zone", settings.zone.value()}});
+  dispatcher_.state().SetCallerAddress(callers_->address());
+  Log(gateway_events::kStarted, {{"callers", callers_->address()},
+                                 {"readiness", readiness},
+                                 {"directory", directory},
+                                 {"zone", settings.zone.value()}});
   Sweep();
 }
 
-std::uint16_t GatewayServer::caller_port() const {
-  return callers_->port();
-}
-
-std::uint16_t GatewayServer::directory_port() const {
-  return directory_->port();
-}
-
 void GatewayServer::ServeCaller(IncomingRequest request,
                                 std::shared_ptr<CallerReply> reply) {
   std::make_shared<Exchange>(dispatcher_, std::move(request), std::move(reply))
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -29,8 +29,6 @@
   // more may be waited for.
   void BeginStop(std::function<void()> done);
   bool leaving() const { return leaving_since_.has_value(); }
-  std::uint16_t caller_port() const;
-  std::uint16_t directory_port() const;
 
  private:
   class Listener;
@@ -49,7 +47,6 @@
   const EntryCalls& calls_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   Listener* callers_ = nullptr;
-  Listener* directory_ = nullptr;
   asio::steady_timer sweep_timer_;
   std::size_t reserved_bytes_ = 0;
   std::optional<Instant> leaving_since_;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -29,6 +29,10 @@
   // Applies bounds that changed. Addresses and names stay as they were at the
   // start.
   void Reload(const InstanceSettings& settings);
+  // The address that callers are told, with the port that is really in use.
+  void SetCallerAddress(const std::string& address) {
+    settings_.caller_address = address;
+  }
   // Null before the first configuration was read.
   const std::shared_ptr<const TrafficPolicy>& policy() const { return policy_; }
   // Applies a configuration unless a newer one is in force. Returns whether it
--- /dev/null
+++ b/tests/entry/backend_standin.cc
@@ -0,0 +1,133 @@
+#include "entry/backend_standin.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bamboomount::entry_test {
+namespace {
+
+using standin::HttpReply;
+using standin::HttpRequest;
+
+constexpr std::int64_t kPollMs = 5;
+constexpr int kServiceUnavailable = 503;
+constexpr int kMisdirected = 421;
+constexpr int kEventBeforeCut = 2;
+
+std::string EventText(int number) {
+  const std::string id = std::to_string(number);
+  return "id: " + id + "\ndata: piece " + id + "\n\n";
+}
+
+}  // namespace
+
+BackendStandin::BackendStandin(std::string id)
+    : id_(std::move(id)), server_([this](standin::Exchange& exchange) {
+        return Handle(exchange);
+      }) {}
+
+std::string BackendStandin::RowValue(const std::string& pool,
+                                     bool draining) const {
+  return nlohmann::json{{"service", pool},
+                        {"address", address()},
+                        {"zone", "z"},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", draining ? "draining" : "ready"},
+                        {"cold_remaining_ms", 0},
+                        {"sequence", 1}}
+      .dump();
+}
+
+void BackendStandin::SetMode(BackendMode mode) {
+  server_.Run([&] { mode_ = mode; });
+}
+
+std::vector<HttpRequest> BackendStandin::Ran() {
+  return server_.Run([&] { return ran_; });
+}
+
+int BackendStandin::Arrived() {
+  return server_.Run([&] { return arrived_; });
+}
+
+int BackendStandin::Abandoned() {
+  return server_.Run([&] { return abandoned_; });
+}
+
+HttpReply BackendStandin::Answer(const std::string& request_id) const {
+  HttpReply reply;
+  reply.headers = {{"X-Bamboomount-Request-Id", request_id},
+                   {"X-Bamboomount-Response-Seal", "seal-" + request_id},
+                   {"Keep-Alive", "timeout=5"}};
+  reply.body = R"({"answer to":")" + request_id + R"("})";
+  return reply;
+}
+
+boost::asio::awaitable<void> BackendStandin::Handle(
+    standin::Exchange& exchange) {
+  ++arrived_;
+  const HttpRequest request = exchange.request();
+  const std::string request_id = request.header("X-Bamboomount-Request-Id");
+  HttpReply reply = Answer(request_id);
+  const bool meant = request.header("X-Bamboomount-Expected-Instance") == id_ &&
+                     mode_ != BackendMode::kWrongServer;
+  if (!meant || mode_ == BackendMode::kRefuse) {
+    reply.status = meant ? kServiceUnavailable : kMisdirected;
+    reply.headers = {{"X-Bamboomount-Request-Id", request_id},
+                     {"X-Bamboomount-Not-Executed", "1"}};
+    co_await exchange.Reply(std::move(reply));
+    co_return;
+  }
+  ran_.push_back(request);
+  while (mode_ == BackendMode::kHold) {
+    if (exchange.is_abandoned()) {
+      ++abandoned_;
+      co_return;
+    }
+    co_await exchange.Wait(kPollMs);
+  }
+  standin::Faults faults;
+  switch (mode_) {
+    case BackendMode::kLoseAnswer:
+      exchange.Close(false);
+      co_return;
+    case BackendMode::kTruncate:
+      faults.close_after_tokens = 1;
+      break;
+    case BackendMode::kUnsealed:
+      reply.headers = {{"X-Bamboomount-Request-Id", request_id}};
+      break;
+    case BackendMode::kForeignAnswerFirst: {
+      const HttpReply foreign = Answer("another-request");
+      co_await exchange.Reply(foreign);
+      break;
+    }
+    default:
+      break;
+  }
+  if (request.path().ends_with("stream"))
+    co_await Stream(exchange, std::move(reply));
+  else
+    co_await exchange.ReplyWithFaults(std::move(reply), faults);
+}
+
+boost::asio::awaitable<void> BackendStandin::Stream(standin::Exchange& exchange,
+                                                    HttpReply head) {
+  const std::string last = exchange.request().header("Last-Event-Id");
+  const int first = last.empty() ? 1 : std::stoi(last) + 1;
+  head.content_type = "text/event-stream";
+  co_await exchange.StartStream(std::move(head));
+  for (int number = first; number <= kStreamEvents; ++number) {
+    const std::string event = EventText(number);
+    if (mode_ == BackendMode::kCutInEvent && number > kEventBeforeCut) {
+      const std::string half = event.substr(0, event.size() / 2);
+      co_await exchange.WriteChunk(half);
+      exchange.Close(false);
+      co_return;
+    }
+    co_await exchange.WriteChunk(event);
+  }
+  co_await exchange.EndStream();
+}
+
+}  // namespace bamboomount::entry_test
--- /dev/null
+++ b/tests/entry/entry_fleet.h
@@ -0,0 +1,87 @@
+#ifndef TESTS_ENTRY_ENTRY_FLEET_H_
+#define TESTS_ENTRY_ENTRY_FLEET_H_
+
+#include <atomic>
+#include <filesystem>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "entry/backend_standin.h"
+#include "entry/store_standin.h"
+#include "support/child_process.h"
+#include "support/http_client.h"
+
+namespace bamboomount::entry_test {
+
+// A running entry instance and its addresses.
+class EntryInstance {
+ public:
+  // `settings` are added to those that every instance needs.
+  EntryInstance(const std::string& name,
+                const std::string& store_address,
+                const std::filesystem::path& folder,
+                const nlohmann::json& settings);
+  ~EntryInstance();
+  EntryInstance(const EntryInstance&) = delete;
+  EntryInstance& operator=(const EntryInstance&) = delete;
+
+  const std::string& callers() const { return callers_; }
+  const std::string& directory() const { return directory_; }
+  support::ChildProcess& process() { return process_; }
+  bool IsReady() const;
+  void WaitUntilReady() const;
+  // The lines that the process wrote since its start.
+  std::vector<nlohmann::json> LogLines();
+
+ private:
+  void ReadLog();
+
+  support::ChildProcess process_;
+  std::string callers_;
+  std::string readiness_;
+  std::string directory_;
+  std::mutex mutex_;
+  std::vector<nlohmann::json> lines_;
+  std::thread reader_;
+};
+
+// The programs and stand-ins of one test.
+class EntryFleet {
+ public:
+  EntryFleet();
+  ~EntryFleet();
+  EntryFleet(const EntryFleet&) = delete;
+  EntryFleet& operator=(const EntryFleet&) = delete;
+
+  StoreStandin& store() { return store_; }
+  BackendStandin& AddBackend(const std::string& id,
+                             const std::string& pool = "pool");
+  EntryInstance& AddInstance(
+      const std::string& name = "i-1",
+      const nlohmann::json& settings = nlohmann::json::object());
+  // Writes a configuration with the usual routes; `customers` has the form of
+  // the operator's.
+  void Configure(int version, const nlohmann::json& customers);
+  nlohmann::json DefaultCustomers() const;
+
+ private:
+  const std::filesystem::path folder_;
+  StoreStandin store_;
+  std::vector<std::unique_ptr<BackendStandin>> backends_;
+  std::vector<std::unique_ptr<EntryInstance>> instances_;
+};
+
+// A request with an id of its own and the usual key.
+support::ClientRequest MakeRequest(const std::string& method,
+                                   const std::string& target,
+                                   const std::string& key = "key-mill");
+// Sends the request on a connection of its own.
+support::ClientAnswer Call(const EntryInstance& instance,
+                           const support::ClientRequest& request);
+
+}  // namespace bamboomount::entry_test
+
+#endif  // TESTS_ENTRY_ENTRY_FLEET_H_
--- /dev/null
+++ b/tests/entry/forwarding_test.cc
@@ -0,0 +1,265 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "entry/entry_fleet.h"
+#include "support/wait_until.h"
+
+namespace bamboomount::entry_test {
+namespace {
+
+using support::ClientAnswer;
+using support::ClientRequest;
+using support::HttpClient;
+using support::WaitUntil;
+
+// One instance, a configuration, and the backend servers of the test.
+class ServingFleet : public EntryFleet {
+ public:
+  ServingFleet() {
+    Configure(1, DefaultCustomers());
+    first_ = &AddBackend("e-1");
+    instance_ = &AddInstance();
+    instance_->WaitUntilReady();
+  }
+
+  BackendStandin& first() { return *first_; }
+  EntryInstance& instance() { return *instance_; }
+  // Waits until the instance has heard of a second server, which it uses when
+  // the first one refuses.
+  BackendStandin& AddSecond() {
+    BackendStandin& second = AddBackend("e-2");
+    first().SetMode(BackendMode::kRefuse);
+    WaitUntil([&] {
+      return Call(instance(), MakeRequest("GET", "/lookup/x")).status == 200;
+    });
+    first().SetMode(BackendMode::kAnswer);
+    return second;
+  }
+
+ private:
+  BackendStandin* first_ = nullptr;
+  EntryInstance* instance_ = nullptr;
+};
+
+std::string HeaderOf(const ClientRequest& request, const std::string& name) {
+  for (const auto& [header, value] : request.headers) {
+    if (header == name)
+      return value;
+  }
+  return {};
+}
+
+std::string IdOf(const ClientRequest& request) {
+  return HeaderOf(request, "X-Bamboomount-Request-Id");
+}
+
+BOOST_FIXTURE_TEST_SUITE(forwarding, ServingFleet)
+
+// Guards against an answer without its seal or to another request, against a
+// key that reaches a backend server, and against a customer that a caller made
+// up.
+BOOST_AUTO_TEST_CASE(a_request_is_served_for_its_customer) {
+  ClientRequest request = MakeRequest("POST", "/book/a?b=c");
+  request.body = "four drums of feed";
+  request.headers.emplace_back("X-Bamboomount-Tenant", "kennel");
+  request.headers.emplace_back("X-Bamboomount-Hold", "h");
+  request.headers.emplace_back("Connection", "X-Hop");
+  request.headers.emplace_back("X-Hop", "1");
+  const ClientAnswer answer = Call(instance(), request);
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.complete);
+  BOOST_TEST(answer.header("X-Bamboomount-Response-Seal") ==
+             "seal-" + IdOf(request));
+  const auto ran = first().Ran();
+  BOOST_TEST(ran.size() == 1U);
+  BOOST_TEST(ran[0].method == "POST");
+  BOOST_TEST(ran[0].target == "/book/a?b=c");
+  BOOST_TEST(ran[0].body == request.body);
+  BOOST_TEST(ran[0].header("X-Bamboomount-Tenant") == "mill");
+  BOOST_TEST(ran[0].header("X-Api-Key").empty());
+  BOOST_TEST(ran[0].header("X-Bamboomount-Hold").empty());
+  BOOST_TEST(ran[0].header("X-Hop").empty());
+  const int left =
+      std::stoi(ran[0].header("X-Bamboomount-Deadline-Milliseconds"));
+  BOOST_TEST(left > 0);
+  BOOST_TEST(left <= 15000);
+}
+
+// Guards against requests without a right to run.
+BOOST_AUTO_TEST_CASE(keys_and_routes_are_required) {
+  BOOST_TEST(Call(instance(), MakeRequest("GET", "/lookup/x", "")).status ==
+             401);
+  BOOST_TEST(Call(instance(), MakeRequest("GET", "/lookup/x", "no")).status ==
+             401);
+  BOOST_TEST(Call(instance(), MakeRequest("GET", "/nowhere/x")).status == 404);
+  BOOST_TEST(Call(instance(), MakeRequest("GET", "/open/x", "")).status == 200);
+  BOOST_TEST(first().Ran().size() == 1U);
+  BOOST_TEST(first().Ran()[0].header("X-Bamboomount-Tenant").empty());
+}
+
+// Guards against several requests on one connection that get each other's
+// answers.
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_order) {
+  HttpClient client(instance().callers());
+  const ClientRequest one = MakeRequest("GET", "/lookup/1");
+  const ClientRequest two = MakeRequest("GET", "/lookup/2");
+  client.Send(one);
+  client.Send(two);
+  BOOST_TEST(client.ReadAnswer().header("X-Bamboomount-Request-Id") ==
+             IdOf(one));
+  BOOST_TEST(client.ReadAnswer().header("X-Bamboomount-Request-Id") ==
+             IdOf(two));
+}
+
+// Guards against a request inside another one, and against a caller that is
+// left without an answer.
+BOOST_AUTO_TEST_CASE(bad_bytes_get_a_defined_end) {
+  for (const std::string bytes :
+       {"nonsense\r\n\r\n",
+        "POST /book/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: "
+        "5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /lookup/x HTTP/1.1\r\nHost: h.example\r\n\r\n",
+        "GET /lookup/x HTTP/1.1\r\nHost: h.example\r\nHost: other\r\n"
+        "X-Bamboomount-Request-Id: r\r\n\r\n"}) {
+    HttpClient client(instance().callers());
+    client.SendRaw(bytes);
+    BOOST_TEST(client.ReadAnswer().status == 400);
+  }
+  ClientRequest large = MakeRequest("POST", "/book/x");
+  large.body = std::string(200000, 'x');
+  BOOST_TEST(Call(instance(), large).status == 413);
+  ClientRequest long_header = MakeRequest("GET", "/lookup/x");
+  long_header.headers.emplace_back("X-Long", std::string(20000, 'x'));
+  BOOST_TEST(Call(instance(), long_header).status == 431);
+  BOOST_TEST(first().Ran().empty());
+}
+
+// Guards against a refusal that says "not run" of a request that may have run,
+// and against a booking that runs twice.
+BOOST_AUTO_TEST_CASE(a_booking_whose_answer_is_lost_is_not_refused) {
+  AddSecond();
+  for (const BackendMode mode :
+       {BackendMode::kLoseAnswer, BackendMode::kTruncate,
+        BackendMode::kUnsealed}) {
+    first().SetMode(mode);
+    const ClientRequest request = MakeRequest("POST", "/book/x");
+    int ran = 0;
+    // Another server may have been chosen; then the booking simply succeeds.
+    const ClientAnswer answer = Call(instance(), request);
+    for (const auto& seen : first().Ran())
+      ran += seen.header("X-Bamboomount-Request-Id") == IdOf(request) ? 1 : 0;
+    if (ran > 0)
+      BOOST_TEST(answer.status == 502);
+    BOOST_TEST(ran <= 1);
+  }
+}
+
+// Guards against a look-up that fails although another server can answer it.
+BOOST_AUTO_TEST_CASE(a_lookup_goes_to_another_server) {
+  AddSecond();
+  for (const BackendMode mode :
+       {BackendMode::kRefuse, BackendMode::kWrongServer,
+        BackendMode::kLoseAnswer, BackendMode::kTruncate,
+        BackendMode::kUnsealed}) {
+    first().SetMode(mode);
+    const ClientAnswer answer =
+        Call(instance(), MakeRequest("GET", "/lookup/x"));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.complete);
+  }
+}
+
+// Guards against an answer to another request that arrives first on the
+// connection.
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_skipped) {
+  first().SetMode(BackendMode::kForeignAnswerFirst);
+  const ClientRequest request = MakeRequest("POST", "/book/x");
+  const ClientAnswer answer = Call(instance(), request);
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.header("X-Bamboomount-Request-Id") == IdOf(request));
+  BOOST_TEST(answer.body.find(IdOf(request)) != std::string::npos);
+}
+
+// Guards against callers that are refused without a time to come back.
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_to_come_back) {
+  first().SetMode(BackendMode::kRefuse);
+  const ClientAnswer answer = Call(instance(), MakeRequest("POST", "/book/x"));
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(std::stod(answer.header("Retry-After")) > 0);
+  BOOST_TEST(first().Ran().empty());
+}
+
+// Guards against work that goes on for a caller that left.
+BOOST_AUTO_TEST_CASE(work_is_cancelled_when_the_caller_leaves) {
+  first().SetMode(BackendMode::kHold);
+  {
+    HttpClient client(instance().callers());
+    client.Send(MakeRequest("POST", "/book/x"));
+    BOOST_TEST(WaitUntil([this] { return first().Ran().size() == 1U; }));
+  }
+  BOOST_TEST(WaitUntil([this] { return first().Abandoned() == 1; }));
+}
+
+std::vector<std::string> ReadStream(EntryInstance& instance,
+                                    const std::string& target,
+                                    bool& clean) {
+  HttpClient client(instance.callers());
+  client.Send(MakeRequest("POST", target));
+  std::vector<std::string> events;
+  if (client.ReadHead().status == 200) {
+    while (const auto event = client.ReadEvent())
+      events.push_back(*event);
+    clean = client.ended_cleanly();
+  }
+  return events;
+}
+
+// Guards against events that are lost or doubled.
+BOOST_AUTO_TEST_CASE(a_stream_is_passed_on_whole) {
+  bool clean = false;
+  BOOST_TEST(ReadStream(instance(), "/talk/stream", clean).size() ==
+             static_cast<std::size_t>(kStreamEvents));
+  BOOST_TEST(clean);
+}
+
+// Guards against a stream that looks complete without its last event.
+BOOST_AUTO_TEST_CASE(a_broken_stream_does_not_look_complete) {
+  first().SetMode(BackendMode::kCutInEvent);
+  bool clean = true;
+  BOOST_TEST(ReadStream(instance(), "/talk/stream", clean).size() == 2U);
+  BOOST_TEST(!clean);
+}
+
+// Guards against pieces that are missing, doubled or joined when another server
+// continues a stream that was cut in the middle of an event.
+BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_server) {
+  BackendStandin& second = AddSecond();
+  for (int round = 0; round < 8; ++round) {
+    // Servers with equal load are chosen in the order of their ids, unless one
+    // failed before.
+    first().SetMode(round % 2 == 0 ? BackendMode::kCutInEvent
+                                   : BackendMode::kAnswer);
+    second.SetMode(round % 2 == 1 ? BackendMode::kCutInEvent
+                                  : BackendMode::kAnswer);
+    bool clean = false;
+    const auto events = ReadStream(instance(), "/resume/stream", clean);
+    BOOST_TEST(clean);
+    BOOST_TEST(events.size() == static_cast<std::size_t>(kStreamEvents));
+    for (std::size_t i = 0; i < events.size(); ++i)
+      BOOST_TEST(events[i].find("piece " + std::to_string(i + 1)) !=
+                 std::string::npos);
+  }
+  const auto resumed = [](const standin::HttpRequest& request) {
+    return !request.header("Last-Event-Id").empty();
+  };
+  const auto first_ran = first().Ran();
+  const auto second_ran = second.Ran();
+  BOOST_TEST(std::count_if(first_ran.begin(), first_ran.end(), resumed) +
+                 std::count_if(second_ran.begin(), second_ran.end(), resumed) >
+             0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount::entry_test
--- /dev/null
+++ b/tests/entry/store_belief_test.cc
@@ -0,0 +1,160 @@
+#include <boost/test/unit_test.hpp>
+
+#include "entry/entry_fleet.h"
+#include "support/wait_until.h"
+
+namespace bamboomount::entry_test {
+namespace {
+
+using nlohmann::json;
+using support::WaitUntil;
+
+int StatusOf(EntryInstance& instance,
+             const std::string& target,
+             const std::string& key = "key-mill") {
+  return Call(instance, MakeRequest("GET", target, key)).status;
+}
+
+BOOST_FIXTURE_TEST_SUITE(store_belief, EntryFleet)
+
+// Guards against an instance that refuses all callers, or admits all, before it
+// knows the configuration.
+BOOST_AUTO_TEST_CASE(nothing_is_served_before_the_configuration_is_known) {
+  AddBackend("e-1");
+  EntryInstance& instance = AddInstance();
+  BOOST_TEST(!instance.IsReady());
+  BOOST_TEST(StatusOf(instance, "/lookup/x") == 503);
+  Configure(1, DefaultCustomers());
+  instance.WaitUntilReady();
+  BOOST_TEST(StatusOf(instance, "/lookup/x") == 200);
+}
+
+// Guards against a key that works after it was withdrawn, and against a new one
+// that does not.
+BOOST_AUTO_TEST_CASE(keys_follow_the_configuration) {
+  AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  BOOST_TEST(StatusOf(instance, "/lookup/x") == 200);
+  Configure(2, json::array({{{"name", "mill"}, {"api_keys", {"key-new"}}}}));
+  BOOST_TEST(WaitUntil(
+      [&] { return StatusOf(instance, "/lookup/x", "key-new") == 200; }));
+  BOOST_TEST(StatusOf(instance, "/lookup/x") == 401);
+}
+
+// Guards against an older configuration that comes back into force.
+BOOST_AUTO_TEST_CASE(an_older_version_is_not_applied) {
+  AddBackend("e-1");
+  Configure(5, DefaultCustomers());
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  Configure(4, json::array());
+  Configure(6, json::array({{{"name", "mill"}, {"api_keys", {"key-new"}}}}));
+  BOOST_TEST(WaitUntil(
+      [&] { return StatusOf(instance, "/lookup/x", "key-new") == 200; }));
+  for (const json& line : instance.LogLines()) {
+    if (line.value("name", "") == "config_applied")
+      BOOST_TEST(line.at("version") != "4");
+  }
+}
+
+// Guards against a withdrawn key that works on an instance that is out of touch
+// with the store, and against an outage that stops requests without keys.
+BOOST_AUTO_TEST_CASE(without_the_store_only_requests_without_keys_are_served) {
+  AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& instance =
+      AddInstance("i-1", {{"key_withdrawal_deadline_ms", 3500}});
+  instance.WaitUntilReady();
+  for (const StoreMode mode :
+       {StoreMode::kRefusing, StoreMode::kClosing, StoreMode::kSilent}) {
+    store().SetMode(mode);
+    BOOST_TEST(
+        WaitUntil([&] { return StatusOf(instance, "/lookup/x") == 503; }));
+    BOOST_TEST(StatusOf(instance, "/open/x", "") == 200);
+    store().SetMode(StoreMode::kUp);
+    BOOST_TEST(
+        WaitUntil([&] { return StatusOf(instance, "/lookup/x") == 200; }));
+  }
+}
+
+// Guards against changes that are missed when the store drops its history.
+BOOST_AUTO_TEST_CASE(a_gap_in_the_changes_is_closed_by_reading_all) {
+  AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  store().SetMode(StoreMode::kRefusing);
+  Configure(2, json::array({{{"name", "mill"}, {"api_keys", {"key-new"}}}}));
+  store().ForgetHistory();
+  store().SetMode(StoreMode::kUp);
+  BOOST_TEST(WaitUntil(
+      [&] { return StatusOf(instance, "/lookup/x", "key-new") == 200; }));
+}
+
+// Guards against work for a server that leaves, and against a row that cannot
+// be read ending the instance.
+BOOST_AUTO_TEST_CASE(a_leaving_server_gets_no_more_requests) {
+  BackendStandin& first = AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  store().Put("servers", "broken", "{\"service\":7}");
+  AddBackend("e-2");
+  store().Put("servers", "e-1", first.RowValue("pool", true));
+  BOOST_TEST(WaitUntil([&] {
+    const int before = first.Arrived();
+    for (int i = 0; i < 4; ++i)
+      StatusOf(instance, "/lookup/x");
+    return first.Arrived() == before;
+  }));
+  BOOST_TEST(StatusOf(instance, "/lookup/x") == 200);
+}
+
+// Guards against an instance that is not offered to callers, and against one
+// that is still offered while it stops.
+BOOST_AUTO_TEST_CASE(callers_learn_which_instances_serve) {
+  AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& first = AddInstance("i-1");
+  EntryInstance& second = AddInstance("i-2");
+  const auto addresses = [&first] {
+    const auto answer = support::CallOnce(
+        first.directory(),
+        {"GET", "/bamboomount/resolve?name=h&region=r&zone=z", {}, ""});
+    return answer.status == 200 ? json::parse(answer.body).at("addresses")
+                                : json::array();
+  };
+  BOOST_TEST(WaitUntil([&] { return addresses().size() == 2U; }));
+  second.process().Signal(SIGTERM);
+  BOOST_TEST(
+      WaitUntil([&] { return addresses() == json::array({first.callers()}); }));
+}
+
+// Guards against a planned stop that cuts a request, also of a caller that
+// still uses the old address.
+BOOST_AUTO_TEST_CASE(a_planned_stop_finishes_what_it_took) {
+  BackendStandin& backend = AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  backend.SetMode(BackendMode::kHold);
+  support::HttpClient client(instance.callers());
+  client.Send(MakeRequest("POST", "/book/x"));
+  BOOST_TEST(WaitUntil([&] { return backend.Ran().size() == 1U; }));
+  instance.process().Signal(SIGTERM);
+  BOOST_TEST(WaitUntil([&] { return !instance.IsReady(); }));
+  support::HttpClient late(instance.callers());
+  late.Send(MakeRequest("POST", "/book/y"));
+  BOOST_TEST(WaitUntil([&] { return backend.Ran().size() == 2U; }));
+  backend.SetMode(BackendMode::kAnswer);
+  BOOST_TEST(client.ReadAnswer().status == 200);
+  BOOST_TEST(late.ReadAnswer().status == 200);
+  BOOST_TEST(instance.process().Wait() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount::entry_test
--- /dev/null
+++ b/tests/entry/store_standin.cc
@@ -0,0 +1,204 @@
+#include "entry/store_standin.h"
+
+#include <algorithm>
+
+#include "platform/base64.h"
+
+namespace bamboomount::entry_test {
+namespace {
+
+using nlohmann::json;
+using standin::HttpReply;
+using standin::HttpRequest;
+
+constexpr std::int64_t kPollMs = 5;
+
+HttpReply JsonReply(int status, const json& body) {
+  HttpReply reply;
+  reply.status = status;
+  reply.body = body.dump();
+  return reply;
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin()
+    : server_(
+          [this](standin::Exchange& exchange) { return Handle(exchange); }) {}
+
+void StoreStandin::Put(const std::string& table,
+                       const std::string& key,
+                       const std::string& value) {
+  server_.Run([&] { Write({table, key}, value, false); });
+}
+
+void StoreStandin::Remove(const std::string& table, const std::string& key) {
+  server_.Run([&] { Write({table, key}, "", true); });
+}
+
+std::string StoreStandin::Get(const std::string& table,
+                              const std::string& key) {
+  return Table(table)[key];
+}
+
+std::map<std::string, std::string> StoreStandin::Table(
+    const std::string& table) {
+  return server_.Run([&] {
+    std::map<std::string, std::string> values;
+    for (const auto& [key, row] : rows_) {
+      if (key.first == table && !row.deleted)
+        values[key.second] = row.value;
+    }
+    return values;
+  });
+}
+
+void StoreStandin::SetMode(StoreMode mode) {
+  server_.Run([&] { mode_ = mode; });
+}
+
+void StoreStandin::LoseCommitAnswers(int count) {
+  server_.Run([&] { lost_answers_ = count; });
+}
+
+void StoreStandin::ForgetHistory() {
+  server_.Run([&] { oldest_change_ = ++version_; });
+}
+
+int StoreStandin::calls() {
+  return server_.Run([&] { return calls_; });
+}
+
+boost::asio::awaitable<void> StoreStandin::Handle(standin::Exchange& exchange) {
+  ++calls_;
+  if (mode_ == StoreMode::kRefusing) {
+    const HttpReply refusal = JsonReply(503, json::object());
+    co_await exchange.Reply(refusal);
+    co_return;
+  }
+  if (mode_ == StoreMode::kClosing) {
+    exchange.Close(true);
+    co_return;
+  }
+  while (mode_ == StoreMode::kSilent && !exchange.is_abandoned())
+    co_await exchange.Wait(kPollMs);
+  const std::string path = exchange.request().path();
+  if (path == "/bamboomount/rows-feed") {
+    co_await ReadChanges(exchange);
+    co_return;
+  }
+  HttpReply reply;
+  if (path == "/bamboomount/rows-get") {
+    reply = ReadTable(exchange.request());
+  } else if (path == "/bamboomount/rows-tx") {
+    reply = Commit(exchange.request());
+    if (lost_answers_ > 0) {
+      --lost_answers_;
+      exchange.Close(false);
+      co_return;
+    }
+  } else {
+    reply.status = 404;
+  }
+  co_await exchange.Reply(std::move(reply));
+}
+
+boost::asio::awaitable<void> StoreStandin::ReadChanges(
+    standin::Exchange& exchange) {
+  const HttpRequest request = exchange.request();
+  const std::uint64_t after = std::stoull(request.query("after"));
+  const auto until =
+      std::chrono::steady_clock::now() +
+      std::chrono::milliseconds(std::stoll(request.query("wait_ms")));
+  while (true) {
+    if (mode_ != StoreMode::kUp) {
+      exchange.Close(true);
+      co_return;
+    }
+    if (after < oldest_change_) {
+      const HttpReply gone = JsonReply(410, json::object());
+      co_await exchange.Reply(gone);
+      co_return;
+    }
+    std::vector<std::pair<std::uint64_t, json>> changes;
+    for (const auto& [key, row] : rows_) {
+      if (key.first == request.query("table") && row.version > after)
+        changes.emplace_back(row.version, RowJson(key, row));
+    }
+    const bool late = std::chrono::steady_clock::now() >= until;
+    if (!changes.empty() || late) {
+      std::sort(changes.begin(), changes.end(),
+                [](const auto& a, const auto& b) { return a.first < b.first; });
+      json body = Moment();
+      body["rows"] = json::array();
+      for (const auto& [version, row] : changes)
+        body["rows"].push_back(row);
+      const HttpReply reply = JsonReply(200, body);
+      co_await exchange.Reply(reply);
+      co_return;
+    }
+    if (exchange.is_abandoned())
+      co_return;
+    co_await exchange.Wait(kPollMs);
+  }
+}
+
+HttpReply StoreStandin::ReadTable(const HttpRequest& request) {
+  json body = Moment();
+  body["rows"] = json::array();
+  body["has_more"] = false;
+  for (const auto& [key, row] : rows_) {
+    if (key.first == request.query("table") && !row.deleted)
+      body["rows"].push_back(RowJson(key, row));
+  }
+  return JsonReply(200, body);
+}
+
+HttpReply StoreStandin::Commit(const HttpRequest& request) {
+  const json call = json::parse(request.body);
+  json body = Moment();
+  for (const json& condition : call.at("expected_revision")) {
+    if (Holds(condition))
+      continue;
+    body["rows"] = json::array();
+    return JsonReply(412, body);
+  }
+  for (const json& write : call.at("writes")) {
+    Write({write.at("table"), write.at("key")},
+          DecodeBase64(write.at("value")).value(), false);
+  }
+  for (const json& removal : call.at("remove"))
+    Write({removal.at("table"), removal.at("key")}, "", true);
+  body["schema_version"] = version_;
+  return JsonReply(200, body);
+}
+
+json StoreStandin::Moment() const {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - start_);
+  return {{"schema_version", version_}, {"now_ms", now.count()}};
+}
+
+json StoreStandin::RowJson(const Key& key, const Row& row) {
+  return {{"table", key.first},
+          {"part", ""},
+          {"key", key.second},
+          {"value", EncodeBase64(row.value)},
+          {"schema_version", row.version},
+          {"deleted", row.deleted}};
+}
+
+bool StoreStandin::Holds(const json& condition) const {
+  const auto row = rows_.find({condition.at("table"), condition.at("key")});
+  const std::uint64_t version =
+      row == rows_.end() || row->second.deleted ? 0 : row->second.version;
+  return version == condition.at("schema_version").get<std::uint64_t>();
+}
+
+void StoreStandin::Write(const Key& key,
+                         const std::string& value,
+                         bool deleted) {
+  rows_[key] = {value, ++version_, deleted};
+}
+
+}  // namespace bamboomount::entry_test
--- /dev/null
+++ b/tests/entry/store_standin.h
@@ -0,0 +1,81 @@
+#ifndef TESTS_ENTRY_STORE_STANDIN_H_
+#define TESTS_ENTRY_STORE_STANDIN_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "entry/server_thread.h"
+
+namespace bamboomount::entry_test {
+
+// How the store treats calls.
+enum class StoreMode {
+  kUp,
+  // Answers 503 and does nothing.
+  kRefusing,
+  // Closes connections without an answer and does nothing.
+  kClosing,
+  // Takes calls and never answers.
+  kSilent,
+};
+
+// A small stand-in for the platform's table service: rows, changes, atomic
+// writes under conditions. Public functions may be called from any thread.
+class StoreStandin {
+ public:
+  StoreStandin();
+
+  std::string address() const { return server_.address(); }
+
+  // Writes a row as the operator or a backend server does.
+  void Put(const std::string& table,
+           const std::string& key,
+           const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  // Empty if the row is missing.
+  std::string Get(const std::string& table, const std::string& key);
+  std::map<std::string, std::string> Table(const std::string& table);
+
+  void SetMode(StoreMode mode);
+  // Carries out the next `count` commits and closes the connection instead of
+  // answering.
+  void LoseCommitAnswers(int count);
+  // Drops all changes so far: calls for older ones get 410.
+  void ForgetHistory();
+  int calls();
+
+ private:
+  using Key = std::pair<std::string, std::string>;
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool deleted = false;
+  };
+
+  boost::asio::awaitable<void> Handle(standin::Exchange& exchange);
+  boost::asio::awaitable<void> ReadChanges(standin::Exchange& exchange);
+  standin::HttpReply ReadTable(const standin::HttpRequest& request);
+  standin::HttpReply Commit(const standin::HttpRequest& request);
+  nlohmann::json Moment() const;
+  static nlohmann::json RowJson(const Key& key, const Row& row);
+  bool Holds(const nlohmann::json& condition) const;
+  void Write(const Key& key, const std::string& value, bool deleted);
+
+  std::map<Key, Row> rows_;
+  std::uint64_t version_ = 1;
+  std::uint64_t oldest_change_ = 0;
+  StoreMode mode_ = StoreMode::kUp;
+  int lost_answers_ = 0;
+  int calls_ = 0;
+  const std::chrono::steady_clock::time_point start_ =
+      std::chrono::steady_clock::now();
+  ServerThread server_;
+};
+
+}  // namespace bamboomount::entry_test
+
+#endif  // TESTS_ENTRY_STORE_STANDIN_H_
--- a/tests/support/http_client.cc
+++ b/tests/support/http_client.cc
@@ -56,8 +56,13 @@
     message.target(request.target);
     message.version(11);
     message.set(http::field::host, address_);
-    for (const auto& [name, value] : request.headers)
-      message.insert(name, value);
+    for (const auto& [name, value] : request.headers) {
+      // A caller may name another host than the address.
+      if (name == "Host")
+        message.set(name, value);
+      else
+        message.insert(name, value);
+    }
     message.body() = request.body;
     message.prepare_payload();
     Wait([&](auto done) {
