Confirm the configuration through other instances and call the store less

Each instance waited at most 2 s for changes so that it could notice a dead connection and confirm its configuration, wrote its row every 2 s and read the others' rows every 1.5 s.

Change: news between instances carries the version in force and the store's clock at its last confirmation, so that one instance's look at the store confirms all that have the same version, and one that missed a version learns of it and asks. Calls that wait for changes wait 25 s; keep-alive probes notice dead connections. Rows are written every 2 to 5 s and read every 5 s, or every 1.2 s while the lease holder is not heard. Instances that fall silent are left out of the addresses. A store that does not answer writes counts as away for the backend servers' rows.

Ruled out: longer waits alone, which let a silent connection hide a withdrawn key for longer than the deadline.

--- a/apps/bamboomount_entry/entry_process.cc
+++ b/apps/bamboomount_entry/entry_process.cc
@@ -13,12 +13,12 @@
 namespace {
 
 constexpr Millis kSettingsCheckInterval{2000};
-// How long the store waits for changes of the configuration. Silence is noticed
-// a little later, well within the time in which keys must be confirmed.
-constexpr Millis kConfigWait{2000};
-constexpr Millis kBackendWait{2000};
+// How long the store waits for changes. A connection that falls silent is
+// noticed by its keep-alive probes.
+constexpr Millis kConfigWait{25000};
+constexpr Millis kBackendWait{25000};
 // Changes of backend servers that come close together are read together.
-constexpr Millis kBackendPause{150};
+constexpr Millis kBackendPause{300};
 
 Incarnation NewIncarnation() {
   std::random_device device;
@@ -40,6 +40,7 @@
         config_store_(context_, settings.store_address),
         backend_store_(context_, settings.store_address),
         shared_store_(context_, settings.store_address),
+        guard_store_(context_, settings.store_address),
         duty_client_(context_, settings.orders_address),
         config_observer_(decoder_, state_),
         backend_observer_(decoder_, dispatcher_),
@@ -58,7 +59,8 @@
                      state_,
                      duties_,
                      NewIncarnation()),
-        load_exchange_(context_, state_),
+        freshness_guard_(context_, config_follower_, guard_store_, state_),
+        peer_exchange_(context_, state_),
         stop_signals_(context_, SIGTERM, SIGINT),
         reload_signal_(context_, SIGHUP),
         settings_timer_(context_) {}
@@ -68,7 +70,10 @@
     config_follower_.Start();
     backend_follower_.Start();
     coordinator_.Start();
-    load_exchange_.Start();
+    freshness_guard_.Start();
+    peer_exchange_.OnStranger([this] { coordinator_.ReadMembersSoon(); });
+    peer_exchange_.OnNewerConfig([this] { freshness_guard_.AskNow(); });
+    peer_exchange_.Start();
     WaitForStop();
     WaitForReload();
     CheckSettingsLater();
@@ -137,6 +142,7 @@
   HttpTableStore config_store_;
   HttpTableStore backend_store_;
   HttpTableStore shared_store_;
+  HttpTableStore guard_store_;
   HttpDutyClient duty_client_;
   ConfigObserver config_observer_;
   BackendObserver backend_observer_;
@@ -144,7 +150,8 @@
   TableFollower backend_follower_;
   DutyRunner duties_;
   Coordinator coordinator_;
-  LoadExchange load_exchange_;
+  FreshnessGuard freshness_guard_;
+  PeerExchange peer_exchange_;
   asio::signal_set stop_signals_;
   asio::signal_set reload_signal_;
   asio::steady_timer settings_timer_;
--- a/src/gateway/control/coordinator.cc
+++ b/src/gateway/control/coordinator.cc
@@ -10,9 +10,6 @@
 namespace bamboomount {
 namespace {
 
-// All instances together write at most this often, a part of the store's rate
-// that leaves room for the backend servers' rows.
-constexpr double kFleetWritesPerSecond = 75;
 constexpr std::string_view kMemberPrefix(tables::kMemberPrefix);
 
 }  // namespace
@@ -22,8 +19,7 @@
                          GatewayState& state,
                          DutyRunner& duties,
                          Incarnation incarnation)
-    : context_(context),
-      store_(store),
+    : store_(store),
       state_(state),
       duties_(duties),
       incarnation_(std::move(incarnation)),
@@ -32,7 +28,7 @@
              state.settings().lease_duration),
       follower_(context,
                 store,
-                {tables::kInstances, Millis(0), kReadInterval},
+                {tables::kInstances, Millis(0), kWatchInterval},
                 *this),
       timer_(context) {}
 
@@ -72,6 +68,7 @@
   state_.members().NoteStoreTime(moment.store_time);
   for (const TableRow& row : rows)
     ApplyRow(row, now);
+  follower_.SetPause(ReadPause(now));
 }
 
 void Coordinator::ApplyRow(const TableRow& row, Instant now) {
@@ -81,11 +78,13 @@
       return;
     }
     const auto lease = DecodeLeaseRow(row.value);
-    if (lease)
+    if (lease) {
+      holder_ = lease.value().holder;
       lease_.Observe(lease.value(), row.version, now);
-    else
+    } else {
       Log(gateway_events::kMemberUnreadable,
           {{"row", row.key}, {"cause", lease.error().message}});
+    }
     return;
   }
   if (!row.key.starts_with(kMemberPrefix))
@@ -148,6 +147,10 @@
   if (answer) {
     const StoreMoment& moment = answer.value().moment;
     state_.freshness().NoteStoreTime(moment.sent, moment.store_time);
+    state_.backends().NoteStoreBack(now);
+  } else {
+    // Backend servers that cannot renew their rows lapse meanwhile.
+    state_.backends().NoteStoreAway();
   }
   if (claim) {
     if (!answer && answer.error().verdict == RunVerdict::kMayHaveRun)
@@ -191,9 +194,22 @@
 Millis Coordinator::Interval() const {
   if (held_)
     return kHolderInterval;
-  const double by_rate =
-      1000.0 * state_.members().AliveCount() / kFleetWritesPerSecond;
-  return std::max(kMinInterval, Millis(static_cast<Millis::rep>(by_rate)));
+  return std::clamp(kIntervalPerMember * state_.members().AliveCount(),
+                    kMinInterval, kMaxInterval);
+}
+
+Millis Coordinator::ReadPause(Instant now) const {
+  const bool holder_is_heard =
+      holder_ && state_.members().WasHeard(*holder_, now);
+  return holder_is_heard ? kReadInterval : kWatchInterval;
+}
+
+void Coordinator::ReadMembersSoon() {
+  const Instant now = BootClock::now();
+  if (now - last_soon_ < kWatchInterval)
+    return;
+  last_soon_ = now;
+  follower_.EndPause();
 }
 
 std::string Coordinator::RowKey() const {
--- a/src/gateway/control/coordinator.h
+++ b/src/gateway/control/coordinator.h
@@ -22,10 +22,14 @@
   // The shortest interval between two writes; it grows with the fleet, so that
   // all instances together stay within the store's rate.
   static constexpr Millis kMinInterval{2000};
+  static constexpr Millis kMaxInterval{5000};
+  static constexpr Millis kIntervalPerMember{50};
   // The holder of the lease renews it several times within its duration.
   static constexpr Millis kHolderInterval{1000};
-  // Pause between two reads of what the others wrote.
-  static constexpr Millis kReadInterval{1500};
+  // Pause between two reads of what the others wrote, while the holder of the
+  // lease is heard, and while it is not.
+  static constexpr Millis kReadInterval{5000};
+  static constexpr Millis kWatchInterval{1200};
 
   Coordinator(asio::io_context& context,
               AsyncTableStore& store,
@@ -36,6 +40,8 @@
   void Start();
   // Tells the others that this instance takes no new callers.
   void AnnounceLeaving();
+  // An instance was heard that no row describes.
+  void ReadMembersSoon();
   void Stop();
 
  private:
@@ -52,9 +58,11 @@
   void ApplyRow(const TableRow& row, Instant now);
   Member DescribeSelf(Instant now) const;
   Millis Interval() const;
+  // Reads often enough to take over a lease that runs out, and to report usage
+  // as its holder.
+  Millis ReadPause(Instant now) const;
   std::string RowKey() const;
 
-  asio::io_context& context_;
   AsyncTableStore& store_;
   GatewayState& state_;
   DutyRunner& duties_;
@@ -66,6 +74,8 @@
   bool leaving_ = false;
   bool stopped_ = false;
   bool commit_open_ = false;
+  std::optional<InstanceId> holder_;
+  Instant last_soon_;
   TableFollower follower_;
   asio::steady_timer timer_;
 };
--- a/src/gateway/control/load_exchange.cc
+++ b/src/gateway/control/peer_exchange.cc
@@ -1,4 +1,4 @@
-#include "gateway/control/load_exchange.h"
+#include "gateway/control/peer_exchange.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -22,22 +22,26 @@
 
 }  // namespace
 
-std::vector<std::uint8_t> EncodeLoadNews(const LoadNews& news) {
+std::vector<std::uint8_t> EncodePeerNews(const PeerNews& news) {
   Json loads = Json::object();
   for (const auto& [server, load] : news.loads)
     loads[server.value()] = {load.requests, load.unread_tokens, load.generating,
                              load.long_answers};
   return Json::to_msgpack(Json{{"instance", news.instance.value()},
                                {"sequence", news.sequence},
+                               {"config", news.config_version.value()},
+                               {"confirmed_ms", news.config_confirmed.count()},
                                {"loads", std::move(loads)}});
 }
 
-Result<LoadNews> DecodeLoadNews(const std::uint8_t* data, std::size_t size) {
+Result<PeerNews> DecodePeerNews(const std::uint8_t* data, std::size_t size) {
   try {
     const Json json = Json::from_msgpack(data, data + size);
-    LoadNews news;
+    PeerNews news;
     news.instance = InstanceId(json.at("instance").get<std::string>());
     news.sequence = json.at("sequence").get<std::uint64_t>();
+    news.config_version = ConfigVersion(json.at("config").get<std::uint64_t>());
+    news.config_confirmed = Millis(json.at("confirmed_ms").get<std::int64_t>());
     for (const auto& [server, load] : json.at("loads").items()) {
       news.loads[BackendId(server)] = {
           load.at(0).get<int>(), load.at(1).get<std::int64_t>(),
@@ -52,7 +56,7 @@
   }
 }
 
-LoadExchange::LoadExchange(asio::io_context& context, GatewayState& state)
+PeerExchange::PeerExchange(asio::io_context& context, GatewayState& state)
     : state_(state),
       socket_(context),
       timer_(context),
@@ -61,7 +65,7 @@
           BootClock::now().time_since_epoch().count())),
       random_(std::random_device{}()) {}
 
-void LoadExchange::Start() {
+void PeerExchange::Start() {
   const std::string& address = state_.settings().peer_address;
   if (address.empty())
     return;
@@ -73,7 +77,7 @@
   SendRound();
 }
 
-void LoadExchange::Receive() {
+void PeerExchange::Receive() {
   socket_.async_receive_from(asio::buffer(received_), sender_,
                              [this](const error_code& error, std::size_t size) {
                                if (error == asio::error::operation_aborted)
@@ -84,37 +88,53 @@
                              });
 }
 
-void LoadExchange::OnDatagram(std::size_t size) {
-  auto news = DecodeLoadNews(received_.data(), size);
+void PeerExchange::OnDatagram(std::size_t size) {
+  auto news = DecodePeerNews(received_.data(), size);
   if (!news)
     return;
   const Member* member = state_.members().FindAlive(news.value().instance);
-  if (!member || member->peer_address.empty() ||
-      UdpEndpoint(member->peer_address) != sender_)
+  if (!member) {
+    if (on_stranger_)
+      on_stranger_();
     return;
-  Heard& heard = heard_[news.value().instance];
-  if (news.value().sequence <= heard.sequence)
+  }
+  if (!member->peer_address.empty() &&
+      UdpEndpoint(member->peer_address) == sender_)
+    ApplyNews(std::move(news.value()));
+}
+
+void PeerExchange::ApplyNews(PeerNews news) {
+  const Instant now = BootClock::now();
+  Heard& heard = heard_[news.instance];
+  if (news.sequence <= heard.sequence)
     return;
-  heard = {news.value().sequence, BootClock::now()};
-  state_.loads().SetRemote(news.value().instance,
-                           std::move(news.value().loads));
+  heard = {news.sequence, now};
+  state_.members().NoteHeard(news.instance, now);
+  const ConfigVersion own =
+      state_.policy() ? state_.policy()->version() : ConfigVersion();
+  if (news.config_version == own)
+    state_.freshness().ConfirmByPeer(news.config_confirmed, now);
+  else if (news.config_version > own && on_newer_config_)
+    on_newer_config_();
+  state_.loads().SetRemote(news.instance, std::move(news.loads));
 }
 
-void LoadExchange::SendRound() {
+void PeerExchange::SendRound() {
   const Instant now = BootClock::now();
   ExpireOld(now);
-  LoadNews news{state_.settings().instance, ++sequence_,
-                state_.loads().OwnLoads()};
-  // Idle instances are silent once the others know.
-  const bool idle = news.loads.empty();
-  if (!idle || !told_idle_) {
-    const std::vector<std::uint8_t> bytes = EncodeLoadNews(news);
-    for (const std::string& target : ChooseTargets()) {
-      error_code ignored;
-      socket_.send_to(asio::buffer(bytes), UdpEndpoint(target), 0, ignored);
-    }
+  PeerNews news;
+  news.instance = state_.settings().instance;
+  news.sequence = ++sequence_;
+  if (state_.policy())
+    news.config_version = state_.policy()->version();
+  news.config_confirmed =
+      state_.freshness().ConfirmedStoreTime().value_or(Millis(0));
+  news.loads = state_.loads().OwnLoads();
+  const std::vector<std::uint8_t> bytes = EncodePeerNews(news);
+  for (const std::string& target : ChooseTargets()) {
+    error_code ignored;
+    socket_.send_to(asio::buffer(bytes), UdpEndpoint(target), 0, ignored);
   }
-  told_idle_ = idle;
   timer_.expires_after(kInterval);
   timer_.async_wait([this](const error_code& error) {
     if (!error)
@@ -122,7 +142,7 @@
   });
 }
 
-std::vector<std::string> LoadExchange::ChooseTargets() {
+std::vector<std::string> PeerExchange::ChooseTargets() {
   std::vector<std::string> targets;
   for (const Member* member : state_.members().Alive()) {
     if (member->instance != state_.settings().instance &&
@@ -136,7 +156,7 @@
   return targets;
 }
 
-void LoadExchange::ExpireOld(Instant now) {
+void PeerExchange::ExpireOld(Instant now) {
   std::vector<InstanceId> current;
   for (const auto& [instance, heard] : heard_) {
     if (now - heard.at < kLifetime)
--- a/src/gateway/control/load_exchange.h
+++ b/src/gateway/control/peer_exchange.h
@@ -1,8 +1,9 @@
-#ifndef GATEWAY_CONTROL_LOAD_EXCHANGE_H_
-#define GATEWAY_CONTROL_LOAD_EXCHANGE_H_
+#ifndef GATEWAY_CONTROL_PEER_EXCHANGE_H_
+#define GATEWAY_CONTROL_PEER_EXCHANGE_H_
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -13,23 +14,31 @@
 
 namespace bamboomount {
 
-// The requests that one instance has at backend servers, as it tells others.
-struct LoadNews {
+// What one instance tells others several times a second.
+struct PeerNews {
   InstanceId instance;
   // Grows with each message, so that one that was overtaken is dropped.
   std::uint64_t sequence = 0;
+  // The configuration in force there, and the store's clock at the last moment
+  // for which it is known to be the newest.
+  ConfigVersion config_version;
+  Millis config_confirmed{0};
+  // The requests that it has at backend servers.
   std::map<BackendId, BackendLoad> loads;
 };
 
 // MessagePack. Decoding fails with kInternal.
-std::vector<std::uint8_t> EncodeLoadNews(const LoadNews& news);
-Result<LoadNews> DecodeLoadNews(const std::uint8_t* data, std::size_t size);
+std::vector<std::uint8_t> EncodePeerNews(const PeerNews& news);
+Result<PeerNews> DecodePeerNews(const std::uint8_t* data, std::size_t size);
 
-// Tells other instances the load that this one puts on backend servers, by
-// datagrams: old figures are worth nothing, so none is sent again. Each round
-// goes to a few instances, however large the fleet is. News only shifts where
-// requests are placed, and is taken from the addresses of known instances only.
-class LoadExchange {
+// Tells other instances the load that this one puts on backend servers, and how
+// fresh its configuration is, by datagrams: old figures are worth nothing, so
+// none is sent again. Each round goes to a few instances, however large the
+// fleet is. News is taken from the addresses of known instances only.
+//
+// One instance's look at the store thus confirms the configuration for all that
+// have the same version, and an instance that missed a version learns of it.
+class PeerExchange {
  public:
   static constexpr Millis kInterval{150};
   // Instances that are told in one round.
@@ -39,7 +48,13 @@
 
   // Listens on the instance's peer address; does nothing if it has none.
   // Throws std::runtime_error if the address cannot be used.
-  LoadExchange(asio::io_context& context, GatewayState& state);
+  PeerExchange(asio::io_context& context, GatewayState& state);
+
+  // Called when news shows an instance that is not known, or a configuration
+  // that is newer than the one in force.
+  using Hint = std::function<void()>;
+  void OnStranger(Hint hint) { on_stranger_ = std::move(hint); }
+  void OnNewerConfig(Hint hint) { on_newer_config_ = std::move(hint); }
 
   void Start();
 
@@ -52,6 +67,7 @@
 
   void Receive();
   void OnDatagram(std::size_t size);
+  void ApplyNews(PeerNews news);
   void SendRound();
   void ExpireOld(Instant now);
   // Addresses of the instances that are told in this round.
@@ -64,11 +80,11 @@
   udp::endpoint sender_;
   std::map<InstanceId, Heard> heard_;
   std::uint64_t sequence_;
-  // The last round told of no load.
-  bool told_idle_ = false;
   std::minstd_rand random_;
+  Hint on_stranger_;
+  Hint on_newer_config_;
 };
 
 }  // namespace bamboomount
 
-#endif  // GATEWAY_CONTROL_LOAD_EXCHANGE_H_
+#endif  // GATEWAY_CONTROL_PEER_EXCHANGE_H_
--- a/src/gateway/control/table_follower.cc
+++ b/src/gateway/control/table_follower.cc
@@ -52,20 +52,45 @@
 }
 
 void TableFollower::ReadChanges() {
-  store_.ReadChanges(
-      options_.table, position_, options_.wait,
-      [this](Result<RowsAnswer> answer) {
-        if (stopped_)
-          return;
-        if (!answer) {
-          OnFailure(answer.error());
-          return;
-        }
-        OnSuccess();
-        position_ = std::max(position_, answer.value().moment.position);
-        observer_.OnChanges(answer.value().rows, answer.value().moment);
-        After(options_.pause, &TableFollower::ReadChanges);
-      });
+  store_.ReadChanges(options_.table, position_, options_.wait,
+                     [this](Result<RowsAnswer> answer) {
+                       if (stopped_)
+                         return;
+                       if (!answer) {
+                         OnFailure(answer.error());
+                         return;
+                       }
+                       OnSuccess();
+                       Apply(answer.value());
+                       After(options_.pause, &TableFollower::ReadChanges);
+                     });
+}
+
+void TableFollower::Apply(const RowsAnswer& answer) {
+  // Changes that another answer has brought already are told once.
+  RowsAnswer fresh = answer;
+  std::erase_if(fresh.rows, [this](const TableRow& row) {
+    return row.version <= position_;
+  });
+  position_ = std::max(position_, answer.moment.position);
+  observer_.OnChanges(fresh.rows, fresh.moment);
+}
+
+void TableFollower::Confirm(AsyncTableStore& store) {
+  if (!has_position_ || confirming_ || stopped_)
+    return;
+  confirming_ = true;
+  store.ReadChanges(options_.table, position_, Millis(0),
+                    [this](Result<RowsAnswer> answer) {
+                      confirming_ = false;
+                      if (!stopped_ && has_position_ && answer)
+                        Apply(answer.value());
+                    });
+}
+
+void TableFollower::EndPause() {
+  if (pausing_)
+    timer_.cancel();
 }
 
 void TableFollower::OnFailure(const Error& error) {
@@ -99,9 +124,11 @@
     (this->*step)();
     return;
   }
+  pausing_ = true;
   timer_.expires_after(delay);
-  timer_.async_wait([this, step](const error_code& error) {
-    if (!error && !stopped_)
+  timer_.async_wait([this, step](const error_code&) {
+    pausing_ = false;
+    if (!stopped_)
       (this->*step)();
   });
 }
--- a/src/gateway/control/table_follower.h
+++ b/src/gateway/control/table_follower.h
@@ -45,16 +45,25 @@
   void Start();
   void Stop();
   bool store_away() const { return failures_ > 0; }
+  // Pause between two calls from now on.
+  void SetPause(Millis pause) { options_.pause = pause; }
+  // Ends a pause in progress.
+  void EndPause();
+  // Asks `store`, which must be another object, whether there are changes that
+  // the call in progress has not brought. Nothing happens before the table was
+  // read or while such a question is open.
+  void Confirm(AsyncTableStore& store);
 
  private:
   void ReadTable();
   void ReadChanges();
   void OnFailure(const Error& error);
   void OnSuccess();
+  void Apply(const RowsAnswer& answer);
   void After(Millis delay, void (TableFollower::*step)());
 
   AsyncTableStore& store_;
-  const Options options_;
+  Options options_;
   TableObserver& observer_;
   asio::steady_timer timer_;
   RowVersion position_;
@@ -62,6 +71,8 @@
   bool has_position_ = false;
   int failures_ = 0;
   bool stopped_ = false;
+  bool pausing_ = false;
+  bool confirming_ = false;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/duties/usage_seal.h
+++ b/src/gateway/duties/usage_seal.h
@@ -26,9 +26,9 @@
 // Decides which windows are to be sealed and reported next.
 class UsageSchedule {
  public:
-  // Instances write their figures every second and are read a second later;
-  // the rest covers an instance that reaches the store late.
-  static constexpr Millis kSettleTime{4500};
+  // Instances write their figures at least every 5 s, and the holder reads them
+  // within about a second.
+  static constexpr Millis kSettleTime{5800};
   // Older windows are not reported any more.
   static constexpr int kReportedWindows = 4;
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -200,7 +200,7 @@
   const InstanceSettings& settings = dispatcher_.state().settings();
   AddressAnswer answer;
   answer.addresses = dispatcher_.state().members().AddressesFor(
-      query->zone, query->region, kMaxAddresses);
+      query->zone, query->region, kMaxAddresses, BootClock::now());
   // Before the first heartbeat round this instance knows only itself.
   if (answer.addresses.empty() && dispatcher_.state().IsReady() && !leaving())
     answer.addresses.push_back(settings.caller_address);
--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -68,8 +68,14 @@
 
 std::vector<std::string> MemberRegistry::AddressesFor(const ZoneId& zone,
                                                       const RegionId& region,
-                                                      std::size_t limit) const {
-  const std::vector<const Member*> alive = Alive();
+                                                      std::size_t limit,
+                                                      Instant now) const {
+  std::vector<const Member*> alive = Alive();
+  if (!HearsFew(now)) {
+    std::erase_if(alive, [this, now](const Member* member) {
+      return IsSilent(member->instance, now);
+    });
+  }
   std::vector<std::string> addresses;
   for (const Filter filter : kNearToFar) {
     addresses.clear();
@@ -84,6 +90,25 @@
   return addresses;
 }
 
+bool MemberRegistry::IsSilent(const InstanceId& instance, Instant now) const {
+  const auto heard = heard_.find(instance);
+  const Millis limit =
+      kSilence + kSilencePerMember * static_cast<int>(heard_.size());
+  return heard != heard_.end() && now - heard->second > limit;
+}
+
+bool MemberRegistry::HearsFew(Instant now) const {
+  std::size_t known = 0;
+  std::size_t silent = 0;
+  for (const Member* member : Alive()) {
+    if (!heard_.contains(member->instance))
+      continue;
+    ++known;
+    silent += IsSilent(member->instance, now) ? 1 : 0;
+  }
+  return 2 * silent > known;
+}
+
 int MemberRegistry::AliveCount() const {
   return std::max<int>(1, static_cast<int>(Alive().size()));
 }
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/boot_clock.h"
 #include "gateway/membership/member.h"
 
 namespace bamboomount {
@@ -16,8 +17,14 @@
 // that an outage of the store ages nobody.
 class MemberRegistry {
  public:
-  // A row that is older than this belongs to an instance that failed.
-  static constexpr Millis kExpiry{6000};
+  // A row that is older than this belongs to an instance that failed; several
+  // times the longest interval between two writes.
+  static constexpr Millis kExpiry{12000};
+  // An instance that tells others its news and falls silent for this time has
+  // failed, unless most others are silent too. Grows with the fleet, since each
+  // round of news goes to a few instances only.
+  static constexpr Millis kSilence{2000};
+  static constexpr Millis kSilencePerMember{40};
   // Rows of ended incarnations are kept for the usage figures in them.
   static constexpr Millis kRowLifetime{60000};
 
@@ -25,6 +32,16 @@
   void Remove(const std::string& row_key);
   // Drops rows that are not in `row_keys`.
   void Keep(const std::vector<std::string>& row_keys);
+  // News of the instance arrived.
+  void NoteHeard(const InstanceId& instance, Instant now) {
+    heard_[instance] = now;
+  }
+  // Whether news of the instance arrived a short time ago.
+  bool WasHeard(const InstanceId& instance, Instant now) const {
+    return heard_.contains(instance) && !IsSilent(instance, now);
+  }
+  // Whether the instance was heard before and is silent now.
+  bool IsSilent(const InstanceId& instance, Instant now) const;
   // The store's steady clock read `now` in an answer.
   void NoteStoreTime(Millis now) { store_time_ = now; }
 
@@ -36,7 +53,8 @@
   // and then everywhere if there are too few. At most `limit`.
   std::vector<std::string> AddressesFor(const ZoneId& zone,
                                         const RegionId& region,
-                                        std::size_t limit) const;
+                                        std::size_t limit,
+                                        Instant now) const;
   // Alive instances, this one included: at least 1.
   int AliveCount() const;
   // Usage of `window` over all incarnations.
@@ -50,7 +68,11 @@
  private:
   bool IsAlive(const Member& member) const;
 
+  // Whether so many instances are silent that the fault is likely here.
+  bool HearsFew(Instant now) const;
+
   std::map<std::string, Member> rows_;
+  std::map<InstanceId, Instant> heard_;
   Millis store_time_{0};
 };
 
--- a/src/gateway/membership/state_freshness.cc
+++ b/src/gateway/membership/state_freshness.cc
@@ -11,16 +11,35 @@
 }  // namespace
 
 void StateFreshness::NoteStoreTime(Instant sent, Millis store_time) {
+  if (anchor_ && sent - anchor_->sent > kAnchorLifetime)
+    anchor_.reset();
+  TightenAnchor(sent, store_time);
+}
+
+void StateFreshness::Confirm(Instant sent, Millis store_time) {
+  // Not NoteStoreTime: a call that waited says little about the store's clock,
+  // and must not take the place of one that was short.
+  TightenAnchor(sent, store_time);
+  NoteConfirmed(std::max(sent, TimeOf(store_time)), store_time);
+}
+
+void StateFreshness::ConfirmByPeer(Millis store_time, Instant now) {
+  // A moment in the future comes from before a restart of the store's clock.
+  if (anchor_ && TimeOf(store_time) <= now)
+    NoteConfirmed(TimeOf(store_time), store_time);
+}
+
+void StateFreshness::TightenAnchor(Instant sent, Millis store_time) {
   const bool restarted = anchor_ && store_time < anchor_->store_time;
-  if (!anchor_ || restarted || sent - anchor_->sent > kAnchorLifetime ||
-      sent > TimeOf(store_time))
+  if (!anchor_ || restarted || sent > TimeOf(store_time))
     anchor_ = Anchor{sent, store_time};
 }
 
-void StateFreshness::Confirm(Instant sent, Millis store_time) {
-  NoteStoreTime(sent, store_time);
-  const Instant made = std::max(sent, TimeOf(store_time));
-  confirmed_ = confirmed_ ? std::max(*confirmed_, made) : made;
+void StateFreshness::NoteConfirmed(Instant made, Millis store_time) {
+  if (confirmed_ && made <= *confirmed_)
+    return;
+  confirmed_ = made;
+  confirmed_store_time_ = store_time;
 }
 
 Instant StateFreshness::TimeOf(Millis store_time) const {
--- a/src/gateway/membership/state_freshness.h
+++ b/src/gateway/membership/state_freshness.h
@@ -19,11 +19,19 @@
 class StateFreshness {
  public:
   // Notes the store's steady clock in an answer to a call that was sent at
-  // `sent`.
+  // `sent` and answered at once.
   void NoteStoreTime(Instant sent, Millis store_time);
   // Notes an answer that shows the state to be the newest.
   void Confirm(Instant sent, Millis store_time);
 
+  // Notes that another instance with the same state knew it to be the newest
+  // when the store's clock read `store_time`.
+  void ConfirmByPeer(Millis store_time, Instant now);
+  // The store's clock at the last moment for which the state is confirmed.
+  std::optional<Millis> ConfirmedStoreTime() const {
+    return confirmed_store_time_;
+  }
+
   // Time since the last moment for which the state is confirmed; empty if it
   // never was.
   std::optional<Millis> Age(Instant now) const;
@@ -39,6 +47,10 @@
     Millis store_time;
   };
 
+  // Takes an answer as the anchor if it bounds the store's clock more tightly,
+  // or if the store's clock was started anew.
+  void TightenAnchor(Instant sent, Millis store_time);
+  void NoteConfirmed(Instant made, Millis store_time);
   // The earliest moment at which the store's clock can have read `store_time`.
   // Needs an anchor.
   Instant TimeOf(Millis store_time) const;
@@ -46,6 +58,7 @@
   // The answer that bounds the store's clock most tightly.
   std::optional<Anchor> anchor_;
   std::optional<Instant> confirmed_;
+  std::optional<Millis> confirmed_store_time_;
 };
 
 }  // namespace bamboomount
