Describe the entry instance and test the platform's formats

Cause: the design note, the operators' page and the settings of the entry instance were missing, and its log events were not in the catalogue.

--- a/src/gateway/boot_clock.h
+++ b/src/gateway/boot_clock.h
@@ -14,7 +14,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 
   static time_point now() { return time_point(BootTimeNow()); }
 };
--- a/src/gateway/instance_settings.cc
+++ b/src/gateway/instance_settings.cc
@@ -151,4 +151,11 @@
   return reading;
 }
 
+std::vector<std::string> InstanceSettingNames() {
+  std::vector<std::string> names;
+  for (const auto& [name, setter] : Setters())
+    names.push_back(name);
+  return names;
+}
+
 }  // namespace bamboomount
--- a/src/gateway/instance_settings.h
+++ b/src/gateway/instance_settings.h
@@ -63,6 +63,9 @@
 // missing names included.
 SettingsReading ReadInstanceSettings(const std::string& text);
 
+// The names that ReadInstanceSettings knows.
+std::vector<std::string> InstanceSettingNames();
+
 }  // namespace bamboomount
 
 #endif  // GATEWAY_INSTANCE_SETTINGS_H_
--- a/tests/docs/event_catalogue_test.cc
+++ b/tests/docs/event_catalogue_test.cc
@@ -9,6 +9,7 @@
 #include "../../apps/bamboomountd/events.h"
 #include "admin/events.h"
 #include "controller/events.h"
+#include "gateway/events.h"
 #include "peer/events.h"
 #include "provider/events.h"
 #include "router/events.h"
@@ -62,6 +63,7 @@
   catalogue.Add("src/controller/events.h", events::kControllerEvents);
   catalogue.Add("src/router/events.h", kRouterEvents);
   catalogue.Add("src/admin/events.h", kAdminEvents);
+  catalogue.Add("src/gateway/events.h", gateway_events::kGatewayEvents);
   return catalogue;
 }
 
--- a/tests/gateway/instance_settings_test.cc
+++ b/tests/gateway/instance_settings_test.cc
@@ -1,6 +1,8 @@
 #include "gateway/instance_settings.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <set>
 
 namespace bamboomount {
 namespace {
@@ -51,6 +53,20 @@
   BOOST_TEST(reading.errors.empty());
 }
 
+// Guards against a page for operators that lacks a setting or has one that does
+// not exist.
+BOOST_AUTO_TEST_CASE(the_page_lists_every_setting) {
+  std::ifstream page(std::string(BAMBOOMOUNT_SOURCE_DIR) +
+                     "/docs/entry-settings.md");
+  std::set<std::string> listed;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("| `"))
+      listed.insert(line.substr(3, line.find('`', 3) - 3));
+  }
+  const auto names = InstanceSettingNames();
+  BOOST_TEST((listed == std::set<std::string>(names.begin(), names.end())));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/tests/platform/http_message_protocol_test.cc
@@ -0,0 +1,104 @@
+#include "platform/http_message_protocol.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace bamboomount {
+namespace {
+
+http::fields Fields(
+    std::initializer_list<std::pair<const char*, const char*>> fields) {
+  http::fields all;
+  for (const auto& [name, value] : fields)
+    all.insert(name, value);
+  return all;
+}
+
+BOOST_AUTO_TEST_SUITE(http_message_protocol)
+
+// Guards against a prompt whose shared parts are not recognized.
+BOOST_AUTO_TEST_CASE(a_callers_fields_are_decoded) {
+  const HttpMessageProtocol protocol;
+  const auto head = protocol.DecodeCallerHead(
+      Fields({{"X-Bamboomount-Request-Id", "9c41"},
+              {"X-Bamboomount-Deadline-Milliseconds", "4000"},
+              {"X-Bamboomount-Token-Counts", "1460,80"},
+              {"X-Bamboomount-Prompt-Prefix",
+               "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+              {"X-Api-Key", "secret"}}));
+  BOOST_TEST(head.value().id == RequestId("9c41"));
+  BOOST_TEST(head.value().time_limit->count() == 4000);
+  BOOST_TEST(head.value().key == "secret");
+  const PromptShape& prompt = head.value().prompt;
+  BOOST_TEST(prompt.input.value() == 1460);
+  BOOST_TEST(prompt.output_limit.value() == 80);
+  BOOST_TEST(prompt.parts.size() == 3U);
+  BOOST_TEST(prompt.Subject() == 0x91bd3f06U);
+  BOOST_TEST(prompt.SharedTokens().value() == 1210);
+}
+
+// Guards against a request that two readers take for different ones.
+BOOST_AUTO_TEST_CASE(contradicting_fields_are_refused) {
+  const HttpMessageProtocol protocol;
+  BOOST_TEST(!protocol.DecodeCallerHead(Fields(
+      {{"X-Bamboomount-Request-Id", "a"}, {"X-Bamboomount-Request-Id", "b"}})));
+  BOOST_TEST(!protocol.DecodeCallerHead(
+      Fields({{"X-Api-Key", "a"}, {"X-Api-Key", "b"}})));
+  BOOST_TEST(!protocol.DecodeCallerHead(
+      Fields({{"X-Bamboomount-Deadline-Milliseconds", "soon"}})));
+}
+
+// Guards against bad fields that end the process.
+BOOST_AUTO_TEST_CASE(unreadable_prompt_fields_are_left_out) {
+  const HttpMessageProtocol protocol;
+  const auto head = protocol.DecodeCallerHead(
+      Fields({{"X-Bamboomount-Token-Counts", ",,x"},
+              {"X-Bamboomount-Prompt-Prefix", ":,zz:1,12:,,4:5"}}));
+  BOOST_TEST(head.value().prompt.parts.size() == 1U);
+}
+
+// Guards against a backend server that gets a caller's key, or fields that only
+// the router may set.
+BOOST_AUTO_TEST_CASE(only_the_router_sets_reserved_fields) {
+  const HttpMessageProtocol protocol;
+  http::fields fields = Fields({{"X-Api-Key", "secret"},
+                                {"X-Bamboomount-Tenant", "other"},
+                                {"X-Bamboomount-Hold", "h"},
+                                {"Kv-From", "1.2.3.4:5/h"},
+                                {"X-Bamboomount-Kv-Backup", "1.2.3.4:5"},
+                                {"X-Bamboomount-Request-Urgency", "0"},
+                                {"X-Other", "kept"}});
+  protocol.EncodeForwardingHead(
+      {Millis(1500), BackendId("e-1"), CustomerId("mill"), Tier(12), "7"},
+      fields);
+  BOOST_TEST(fields["X-Api-Key"].empty());
+  BOOST_TEST(fields["X-Bamboomount-Hold"].empty());
+  BOOST_TEST(fields["Kv-From"].empty());
+  BOOST_TEST(fields["X-Bamboomount-Kv-Backup"].empty());
+  BOOST_TEST(fields["X-Bamboomount-Tenant"] == "mill");
+  BOOST_TEST(fields["X-Bamboomount-Expected-Instance"] == "e-1");
+  BOOST_TEST(fields["X-Bamboomount-Deadline-Milliseconds"] == "1500");
+  BOOST_TEST(fields["X-Bamboomount-Request-Urgency"] == "9");
+  BOOST_TEST(fields["Last-Event-Id"] == "7");
+  BOOST_TEST(fields["X-Other"] == "kept");
+}
+
+// Guards against a refusal that is taken for an answer.
+BOOST_AUTO_TEST_CASE(a_reply_says_whether_it_ran) {
+  const HttpMessageProtocol protocol;
+  http::response_header<> header;
+  header.result(503);
+  header.set("X-Bamboomount-Not-Executed", "1");
+  header.set("Retry-After", "0.25");
+  header.set("Keep-Alive", "max=3, timeout=7");
+  const ReplyHead head = protocol.DecodeReplyHead(header);
+  BOOST_TEST(head.status == 503U);
+  BOOST_TEST(head.not_run);
+  BOOST_TEST(!head.sealed);
+  BOOST_TEST(head.retry_after->count() == 250);
+  BOOST_TEST(head.idle_timeout->count() == 7000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
--- /dev/null
+++ b/tests/platform/row_decoder_test.cc
@@ -0,0 +1,107 @@
+#include "platform/row_decoder.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/base64.h"
+#include "platform/entry_calls.h"
+
+namespace bamboomount {
+namespace {
+
+const std::string kConfig = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","prefix":"/x/","kind":"streaming",
+   "timeout_ms":4000,"target_latency_ms":1500,"priority":2,
+   "traffic_split":[{"service":"one","weight":90},{"service":"two","weight":10}],
+   "attempts":1,"allow_anonymous":false,"sticky_sessions":true,
+   "resume_streams":false,"gap_target_ms":1000},
+  {"name":"r2","host":"a.example","prefix":"/y/","kind":"safe","service":"two"},
+  {"name":"r3","host":"a.example","prefix":"/z/","kind":"new","service":"two"}],
+  "services":[{"name":"one","max_connections":370,"engine":{"slots":64,
+   "kv_capacity_tokens":368659,"stride":6},"scaling":{"minimum":1,"maximum":6,
+   "boot_time_s":4.0,"spot_price":0.15,"zone_prices":{"za":1.0,"zb":0.8}}},
+   {"name":"two"}],
+  "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,
+   "idle_timeout_ms":400},
+  "tenants":[{"name":"mill","api_keys":["k1","k2"],"priority":1}]})";
+
+BOOST_AUTO_TEST_SUITE(row_decoder)
+
+// Guards against rules of the operator that are read as others.
+BOOST_AUTO_TEST_CASE(a_configuration_is_decoded) {
+  const auto read = RowDecoder().DecodePolicy(kConfig);
+  const TrafficPolicy& policy = *read.value();
+  BOOST_TEST((policy.version() == ConfigVersion(7)));
+  const Route* stream = policy.FindRoute("a.example", "/x/1");
+  BOOST_TEST((stream->kind == RequestKind::kStream));
+  BOOST_TEST(stream->shares.size() == 2U);
+  BOOST_TEST(stream->target_pause.count() == 1000);
+  BOOST_TEST(
+      (policy.FindRoute("a.example", "/y/")->kind == RequestKind::kIdempotent));
+  const Pool* pool = policy.FindPool(PoolId("one"));
+  BOOST_TEST(pool->engine->tokens_per_event == 6);
+  BOOST_TEST(pool->scaling->boot_time.count() == 4000);
+  BOOST_TEST(pool->scaling->zone_prices.at(ZoneId("zb")) == 0.8);
+  BOOST_TEST(!policy.FindPool(PoolId("two"))->scaling.has_value());
+  BOOST_TEST(policy.limits().body_bytes == 200U);
+  BOOST_TEST((policy.FindKey("k2")->tier == Tier(1)));
+}
+
+// Guards against a kind of request that is not known being run twice.
+BOOST_AUTO_TEST_CASE(an_unknown_kind_runs_at_most_once) {
+  const auto read = RowDecoder().DecodePolicy(kConfig);
+  BOOST_TEST((read.value()->FindRoute("a.example", "/z/")->kind ==
+              RequestKind::kAtMostOnce));
+}
+
+// Guards against a process that ends on a row that somebody else wrote.
+BOOST_AUTO_TEST_CASE(unreadable_rows_are_errors) {
+  const RowDecoder decoder;
+  for (const std::string value : {"", "{", "[]", "{\"version\":\"x\"}"})
+    BOOST_TEST(!decoder.DecodePolicy(value));
+  for (const std::string value :
+       {"", "7", "{}", R"({"service":7,"address":"a","zone":"z"})",
+        R"({"service":"s","address":"a","zone":"z","slots":1,"state":"odd"})"})
+    BOOST_TEST(!decoder.DecodeBackend("e", value));
+}
+
+BOOST_AUTO_TEST_CASE(a_backend_server_is_decoded) {
+  const auto server = RowDecoder().DecodeBackend(
+      "e-1",
+      R"({"service":"s","address":"10.0.0.1:8","zone":"z","slots":64,
+          "state":"draining","spot":true,"born":1781246569019,"new":1})");
+  BOOST_TEST(server.value().id == BackendId("e-1"));
+  BOOST_TEST(server.value().draining);
+  BOOST_TEST(server.value().reclaimable);
+  BOOST_TEST(server.value().started_at_ms == 1781246569019);
+}
+
+// Guards against rows that change on their way through the store.
+BOOST_AUTO_TEST_CASE(base64_reads_back) {
+  for (std::size_t size = 0; size < 20; ++size) {
+    std::string bytes;
+    for (std::size_t i = 0; i < size; ++i)
+      bytes += static_cast<char>(i * 37);
+    BOOST_TEST(DecodeBase64(EncodeBase64(bytes)).value() == bytes);
+  }
+  BOOST_TEST(EncodeBase64("node-1") == "bm9kZS0x");
+  BOOST_TEST(!DecodeBase64("abc").has_value());
+  BOOST_TEST(!DecodeBase64("a!c=").has_value());
+}
+
+// Guards against a question for addresses that is not understood.
+BOOST_AUTO_TEST_CASE(address_questions_are_decoded) {
+  const EntryCallsDecoder calls;
+  const auto query = calls.DecodeAddressQuery(
+      "/bamboomount/resolve?name=f.example&region=r-1&zone=z-a");
+  BOOST_TEST(query->zone == ZoneId("z-a"));
+  BOOST_TEST(query->region == RegionId("r-1"));
+  BOOST_TEST(!calls.DecodeAddressQuery("/other").has_value());
+  BOOST_TEST(calls.IsReadinessCall("/bamboomount/readiness"));
+  BOOST_TEST(calls.EncodeAddresses({{"10.1.0.19:8227"}, Millis(2000)}) ==
+             R"({"addresses":["10.1.0.19:8227"],"ttl_s":2.0})");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
