Split the admission of a request from its exchange, and hash in one place

Change: AdmitRequest finds the route and the customer and says why a request must not run; RendezvousWeight moves to the base library and serves both.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -6,6 +6,7 @@
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/ids.h"
+#include "base/rendezvous_hash.h"
 #include "base/result.h"
 #include "base/run_verdict.h"
 #include "base/strong_id.h"
--- a/src/peer/rendezvous_hash.cc
+++ b/src/base/rendezvous_hash.cc
@@ -1,4 +1,4 @@
-#include "peer/rendezvous_hash.h"
+#include "base/rendezvous_hash.h"
 
 #include <xxhash.h>
 
--- a/src/peer/rendezvous_hash.h
+++ b/src/base/rendezvous_hash.h
@@ -1,5 +1,5 @@
-#ifndef PEER_RENDEZVOUS_HASH_H_
-#define PEER_RENDEZVOUS_HASH_H_
+#ifndef BASE_RENDEZVOUS_HASH_H_
+#define BASE_RENDEZVOUS_HASH_H_
 
 #include <cstdint>
 #include <string>
@@ -13,4 +13,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PEER_RENDEZVOUS_HASH_H_
+#endif  // BASE_RENDEZVOUS_HASH_H_
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -27,10 +27,6 @@
   return status / 100;
 }
 
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
 }  // namespace
 
 Exchange::Exchange(Dispatcher& dispatcher,
@@ -45,12 +41,12 @@
 Exchange::~Exchange() = default;
 
 void Exchange::Start() {
-  if (!DecodeHead() || !FindRoute() || !Authenticate())
+  if (!Admit())
     return;
-  pool_ = route_->ChoosePool(dispatcher_.Random());
-  const Pool* pool = policy_->FindPool(pool_);
+  pool_ = admitted_.route->ChoosePool(dispatcher_.Random());
+  const Pool* pool = admitted_.policy->FindPool(pool_);
   is_engine_ = pool && pool->engine;
-  Millis limit = route_->timeout;
+  Millis limit = admitted_.route->timeout;
   if (head_.time_limit)
     limit = std::min(limit, *head_.time_limit - kCallerDelay);
   deadline_ = request_.received + limit;
@@ -66,63 +62,26 @@
   Place();
 }
 
-bool Exchange::DecodeHead() {
+bool Exchange::Admit() {
   auto head = dispatcher_.protocol().DecodeCallerHead(request_.message);
-  if (!head || head.value().id.empty()) {
-    Refuse(http::status::bad_request, "the request has no usable id");
+  if (!head) {
+    Refuse(http::status::bad_request, head.error().message);
     return false;
   }
   head_ = std::move(head.value());
-  // RFC 9112, 3.2: two readers could take different ones.
-  if (request_.message.count(http::field::host) != 1) {
-    Refuse(http::status::bad_request, "the request does not have one host");
+  AdmissionOutcome outcome = AdmitRequest(
+      request_.message.base(), head_, dispatcher_.state(), BootClock::now());
+  if (const auto* refusal = std::get_if<RequestRefusal>(&outcome)) {
+    if (refusal->status == http::status::service_unavailable)
+      RefuseForNow(refusal->reason);
+    else
+      Refuse(refusal->status, refusal->reason);
     return false;
   }
+  admitted_ = std::move(std::get<AdmittedRequest>(outcome));
   return true;
 }
 
-bool Exchange::FindRoute() {
-  policy_ = dispatcher_.state().policy();
-  if (!policy_) {
-    RefuseForNow("no configuration has been read");
-    return false;
-  }
-  const std::string host(request_.message[http::field::host]);
-  const auto target = request_.message.target();
-  route_ = policy_->FindRoute(
-      host, PathOf(std::string_view(target.data(), target.size())));
-  if (route_ && !route_->shares.empty()) {
-    tier_ = route_->tier;
-    return true;
-  }
-  if (dispatcher_.state().RefusalsAreCurrent(BootClock::now()))
-    Refuse(http::status::not_found, "no route");
-  else
-    RefuseForNow("no route, but the configuration may be old");
-  return false;
-}
-
-bool Exchange::Authenticate() {
-  if (route_->open_to_all || !policy_->has_customers())
-    return true;
-  const Instant now = BootClock::now();
-  if (!dispatcher_.state().KeysAreCurrent(now)) {
-    RefuseForNow("withdrawn keys may be unknown here");
-    return false;
-  }
-  const KeyGrant* grant = policy_->FindKey(head_.key);
-  if (grant) {
-    customer_ = grant->customer;
-    tier_ = grant->tier.value_or(route_->tier);
-    return true;
-  }
-  if (dispatcher_.state().RefusalsAreCurrent(now))
-    Refuse(http::status::unauthorized, "unknown key");
-  else
-    RefuseForNow("unknown key, but the configuration may be old");
-  return false;
-}
-
 void Exchange::Place() {
   if (ended_)
     return;
@@ -161,11 +120,11 @@
   state.selector().NoteRead(server, head_.prompt, now);
   Log(gateway_events::kRequestPlaced,
       {{"request", head_.id.value()},
-       {"route", route_->name},
+       {"route", admitted_.route->name},
        {"backend", server.id.value()},
        {"load", std::to_string(state.loads().Total(server.id).requests)},
        {"unread_tokens", std::to_string(load_.unread.value())},
-       {"config", std::to_string(policy_->version().value())},
+       {"config", std::to_string(admitted_.policy->version().value())},
        {"config_age_ms",
         std::to_string(
             state.freshness().Age(now).value_or(Millis(-1)).count())}});
@@ -173,7 +132,7 @@
       dispatcher_.environment(), server,
       BackendAttempt::Options{head_.id,
                               request_.message.method() == http::verb::head,
-                              !MayRepeat(route_->kind)},
+                              !MayRepeat(admitted_.route->kind)},
       *this);
   ArmTimers();
   // A copy: the attempt may end at once and release the member.
@@ -183,10 +142,10 @@
 
 void Exchange::ArmTimers() {
   step_timer_.cancel();
-  if (route_->kind != RequestKind::kIdempotent)
+  if (admitted_.route->kind != RequestKind::kIdempotent)
     return;
-  const auto silence =
-      std::chrono::duration_cast<Millis>(route_->target_latency * kSilencePart);
+  const auto silence = std::chrono::duration_cast<Millis>(
+      admitted_.route->target_latency * kSilencePart);
   step_timer_.expires_after(silence);
   step_timer_.async_wait(
       [self = shared_from_this(), attempt = attempt_](const error_code& error) {
@@ -197,17 +156,19 @@
 
 void Exchange::WaitForRoom() {
   const Instant now = BootClock::now();
-  const Millis limit = WaitLimit(route_->target_latency, TimeLeft(now));
+  const Millis limit =
+      WaitLimit(admitted_.route->target_latency, TimeLeft(now));
   const Millis waited = ToMillis(now - request_.received);
   if (waited >= limit) {
     FailWithoutAnswer("no room at any backend server");
     return;
   }
-  ticket_ = dispatcher_.Wait(pool_, tier_, [self = shared_from_this()] {
-    self->ticket_.reset();
-    self->step_timer_.cancel();
-    self->Place();
-  });
+  ticket_ =
+      dispatcher_.Wait(pool_, admitted_.tier, [self = shared_from_this()] {
+        self->ticket_.reset();
+        self->step_timer_.cancel();
+        self->Place();
+      });
   step_timer_.expires_after(limit - waited);
   step_timer_.async_wait([self = shared_from_this()](const error_code& error) {
     if (error || self->ended_ || !self->ticket_)
@@ -234,17 +195,17 @@
   // The server may have begun to leave while the connection was set up.
   if (!state.backends().FindUsable(server.id))
     return std::nullopt;
-  if (!customer_.empty() && !state.KeysAreCurrent(now)) {
+  if (!admitted_.customer.empty() && !state.KeysAreCurrent(now)) {
     keys_were_stale_ = true;
     return std::nullopt;
   }
   http::request_header<> header(request_.message.base());
   header.version(kHttp11);
   RemoveHopHeaders(header);
-  ForwardingHead forwarding{left, server.id, customer_, std::nullopt,
+  ForwardingHead forwarding{left, server.id, admitted_.customer, std::nullopt,
                             events_.last_event_id()};
   if (is_engine_)
-    forwarding.urgency = tier_;
+    forwarding.urgency = admitted_.tier;
   dispatcher_.protocol().EncodeForwardingHead(forwarding, header);
   const bool has_body = !request_.message.body().empty() ||
                         request_.message.find(http::field::content_length) !=
@@ -282,7 +243,7 @@
   reply_header_ = header;
   reply_length_ = content_length;
   const bool large = content_length.value_or(0) > kMaxCollectedBytes;
-  body_mode_ = success && (IsStream(route_->kind) || large)
+  body_mode_ = success && (IsStream(admitted_.route->kind) || large)
                    ? BodyMode::kPassOn
                    : BodyMode::kCollect;
 }
@@ -306,7 +267,7 @@
 
 bool Exchange::PassOn(std::string_view piece) {
   std::string bytes =
-      IsStream(route_->kind) ? events_.Add(piece) : std::string(piece);
+      IsStream(admitted_.route->kind) ? events_.Add(piece) : std::string(piece);
   if (bytes.empty())
     return true;
   NotePause();
@@ -338,16 +299,17 @@
   http::response_header<> header(reply_header_);
   RemoveHopHeaders(header);
   reply_->Begin(std::move(header),
-                IsStream(route_->kind) ? std::nullopt : reply_length_);
+                IsStream(admitted_.route->kind) ? std::nullopt : reply_length_);
 }
 
 void Exchange::NoteRunBegan() {
-  if (counted_ || customer_.empty())
+  if (counted_ || admitted_.customer.empty())
     return;
   counted_ = true;
   GatewayState& state = dispatcher_.state();
   const Millis wall = state.WallTime(BootClock::now());
-  state.usage().Count(WindowAt(wall, state.settings().usage_window), customer_);
+  state.usage().Count(WindowAt(wall, state.settings().usage_window),
+                      admitted_.customer);
 }
 
 void Exchange::NoteFirstBytes() {
@@ -359,9 +321,9 @@
   const BackendId& server = attempt_->server().id;
   state.loads().NoteFirstToken(server, load_);
   state.loads().NoteSuccess(server, ToMillis(now - sent_at_),
-                            route_->target_latency);
+                            admitted_.route->target_latency);
   dispatcher_.metrics().Observe("bamboomount_first_bytes_seconds",
-                                {{"route", route_->name}},
+                                {{"route", admitted_.route->name}},
                                 now - request_.received);
 }
 
@@ -450,7 +412,8 @@
   }
   if (!generating_)
     dispatcher_.state().loads().NoteSuccess(
-        server, ToMillis(BootClock::now() - sent_at_), route_->target_latency);
+        server, ToMillis(BootClock::now() - sent_at_),
+        admitted_.route->target_latency);
   ReleaseAttempt();
   ++history_.runs;
   tried_.push_back(server);
@@ -471,7 +434,7 @@
 }
 
 bool Exchange::TryAnotherServer() {
-  if (ended_ || !MaySendAgain(*route_, history_) ||
+  if (ended_ || !MaySendAgain(*admitted_.route, history_) ||
       TimeLeft(BootClock::now()) <= Millis(0) ||
       dispatcher_.Untried(pool_, tried_).empty())
     return false;
@@ -515,7 +478,7 @@
 void Exchange::OnSilence() {
   SendHistory after = history_;
   ++after.runs;
-  if (!MaySendAgain(*route_, after) || !dispatcher_.TryRetry(pool_))
+  if (!MaySendAgain(*admitted_.route, after) || !dispatcher_.TryRetry(pool_))
     return;
   const BackendId server = attempt_->server().id;
   attempt_->Cancel();
@@ -553,7 +516,7 @@
   http::response<http::string_body> response(status, kHttp11);
   Log(gateway_events::kRequestRefused,
       {{"request", head_.id.value()},
-       {"route", route_ ? route_->name : ""},
+       {"route", admitted_.route ? admitted_.route->name : ""},
        {"status", std::to_string(response.result_int())},
        {"reason", std::string(reason)},
        {"runs", std::to_string(history_.runs)},
@@ -573,7 +536,7 @@
   response.set(http::field::retry_after, SecondsText(retry_after));
   Log(gateway_events::kRequestRefused,
       {{"request", head_.id.value()},
-       {"route", route_ ? route_->name : ""},
+       {"route", admitted_.route ? admitted_.route->name : ""},
        {"status", "503"},
        {"reason", std::string(reason)},
        {"retry_after_ms", std::to_string(retry_after.count())},
@@ -588,9 +551,10 @@
   deadline_timer_.cancel();
   step_timer_.cancel();
   reply_->OnCallerGone(nullptr);
-  dispatcher_.metrics().Increment("bamboomount_requests_total",
-                                  {{"route", route_ ? route_->name : ""},
-                                   {"outcome", std::string(outcome)}});
+  dispatcher_.metrics().Increment(
+      "bamboomount_requests_total",
+      {{"route", admitted_.route ? admitted_.route->name : ""},
+       {"outcome", std::string(outcome)}});
   if (outcome != "refused")
     Log(gateway_events::kRequestEnded,
         {{"request", head_.id.value()},
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -10,6 +10,7 @@
 #include "gateway/forwarding/caller_connection.h"
 #include "gateway/forwarding/dispatcher.h"
 #include "gateway/forwarding/event_boundary.h"
+#include "gateway/forwarding/request_admission.h"
 #include "gateway/forwarding/retry_rules.h"
 
 namespace bamboomount {
@@ -49,10 +50,8 @@
     kDiscard,
   };
 
-  // Each returns false if the request got its final answer.
-  bool DecodeHead();
-  bool FindRoute();
-  bool Authenticate();
+  // Returns false if the request got its final answer.
+  bool Admit();
 
   void Place();
   PlacementRequest MakePlacementRequest() const;
@@ -86,12 +85,8 @@
   Dispatcher& dispatcher_;
   IncomingRequest request_;
   std::shared_ptr<CallerReply> reply_;
-  // Keeps the route alive when a newer configuration is applied.
-  std::shared_ptr<const TrafficPolicy> policy_;
-  const Route* route_ = nullptr;
   CallerHead head_;
-  CustomerId customer_;
-  Tier tier_;
+  AdmittedRequest admitted_;
   PoolId pool_;
   bool is_engine_ = false;
   Instant deadline_;
--- /dev/null
+++ b/src/gateway/forwarding/request_admission.cc
@@ -0,0 +1,67 @@
+#include "gateway/forwarding/request_admission.h"
+
+#include <string>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+const Route* FindRoute(const http::request_header<>& header,
+                       const TrafficPolicy& policy) {
+  const auto target = header.target();
+  const Route* route =
+      policy.FindRoute(std::string(header[http::field::host]),
+                       PathOf(std::string_view(target.data(), target.size())));
+  return route && !route->shares.empty() ? route : nullptr;
+}
+
+// A refusal that is final only if it does not rest on an old configuration.
+RequestRefusal RefuseUnknown(http::status status,
+                             std::string_view reason,
+                             const GatewayState& state,
+                             Instant now) {
+  if (state.RefusalsAreCurrent(now))
+    return {status, reason};
+  return {http::status::service_unavailable,
+          "unknown route or key, but the configuration may be old"};
+}
+
+}  // namespace
+
+AdmissionOutcome AdmitRequest(const http::request_header<>& header,
+                              const CallerHead& head,
+                              const GatewayState& state,
+                              Instant now) {
+  if (head.id.empty())
+    return RequestRefusal{http::status::bad_request, "the request has no id"};
+  // RFC 9112, 3.2: two readers could take different ones.
+  if (header.count(http::field::host) != 1)
+    return RequestRefusal{http::status::bad_request,
+                          "the request does not have one host"};
+  AdmittedRequest request;
+  request.policy = state.policy();
+  if (!request.policy)
+    return RequestRefusal{http::status::service_unavailable,
+                          "no configuration has been read"};
+  request.route = FindRoute(header, *request.policy);
+  if (!request.route)
+    return RefuseUnknown(http::status::not_found, "no route", state, now);
+  request.tier = request.route->tier;
+  if (request.route->open_to_all || !request.policy->has_customers())
+    return request;
+  if (!state.KeysAreCurrent(now))
+    return RequestRefusal{http::status::service_unavailable,
+                          "withdrawn keys may be unknown here"};
+  const KeyGrant* grant = request.policy->FindKey(head.key);
+  if (!grant)
+    return RefuseUnknown(http::status::unauthorized, "unknown key", state, now);
+  request.customer = grant->customer;
+  request.tier = grant->tier.value_or(request.tier);
+  return request;
+}
+
+}  // namespace bamboomount
--- a/src/gateway/placement/backend_selector.cc
+++ b/src/gateway/placement/backend_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
 #include <utility>
 
 namespace bamboomount {
@@ -29,35 +30,20 @@
 // At most one in so many engines is kept quiet.
 constexpr std::size_t kMinEnginesPerQuietOne = 3;
 constexpr Millis kQuietUpdateInterval{500};
+// Ranks the engines for being kept quiet.
+constexpr char kQuietKey[] = "quiet";
 constexpr Millis kPeakLifetime{10000};
 
-std::uint64_t Mix(std::uint64_t value) {
-  // Finalizer of SplitMix64 (Steele, Lea, Flood 2014).
-  value += 0x9e3779b97f4a7c15;
-  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
-  value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
-  return value ^ (value >> 31);
-}
-
-// FNV-1a; equal on all instances, unlike std::hash.
-std::uint64_t HashText(const std::string& text) {
-  std::uint64_t hash = 0xcbf29ce484222325;
-  for (const char c : text) {
-    hash ^= static_cast<unsigned char>(c);
-    hash *= 0x100000001b3;
-  }
-  return hash;
-}
-
 const BackendServer* Preferred(
     const std::vector<const BackendServer*>& candidates,
     std::uint64_t subject) {
   if (subject == 0)
     return nullptr;
+  const std::string key = std::to_string(subject);
   const BackendServer* best = nullptr;
   std::uint64_t best_weight = 0;
   for (const BackendServer* server : candidates) {
-    const std::uint64_t weight = Mix(subject ^ HashText(server->id.value()));
+    const std::uint64_t weight = RendezvousWeight(key, server->id.value());
     if (best && weight <= best_weight)
       continue;
     best = server;
@@ -78,7 +64,8 @@
   for (auto& [zone, servers] : zones) {
     std::sort(servers.begin(), servers.end(),
               [](const BackendServer* a, const BackendServer* b) {
-                return HashText(a->id.value()) < HashText(b->id.value());
+                return RendezvousWeight(kQuietKey, a->id.value()) <
+                       RendezvousWeight(kQuietKey, b->id.value());
               });
     for (std::size_t turn = 0; turn < servers.size(); ++turn)
       order.emplace_back(turn, servers[turn]);
--- a/src/peer/cell_map.cc
+++ b/src/peer/cell_map.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-#include "peer/rendezvous_hash.h"
+#include "base/rendezvous_hash.h"
 
 namespace bamboomount {
 namespace {
--- a/src/peer/cell_owners.cc
+++ b/src/peer/cell_owners.cc
@@ -1,6 +1,6 @@
 #include "peer/cell_owners.h"
 
-#include "peer/rendezvous_hash.h"
+#include "base/rendezvous_hash.h"
 
 namespace bamboomount {
 
