Let the route's tier decide among requests of equal customers

Ruled out: urgency missing on requests to engines (each has one); urgency clamped to the wire's lowest rank (tiers are 0 and 1).

Change: requests are ranked by the customer's tier and among equals by the route's; a configuration tells how many ranks it can name, and the wire's ten ranks hold them in order.

--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -121,6 +121,8 @@
   Log(gateway_events::kRequestPlaced,
       {{"request", head_.id.value()},
        {"route", admitted_.route->name},
+       {"customer", admitted_.customer.value()},
+       {"urgency", std::to_string(admitted_.urgency.value())},
        {"backend", server.id.value()},
        {"load", std::to_string(state.loads().Total(server.id).requests)},
        {"unread_tokens", std::to_string(load_.unread.value())},
@@ -164,7 +166,7 @@
     return;
   }
   ticket_ =
-      dispatcher_.Wait(pool_, admitted_.tier, [self = shared_from_this()] {
+      dispatcher_.Wait(pool_, admitted_.urgency, [self = shared_from_this()] {
         self->ticket_.reset();
         self->step_timer_.cancel();
         self->Place();
@@ -205,7 +207,8 @@
   ForwardingHead forwarding{left, server.id, admitted_.customer, std::nullopt,
                             events_.last_event_id()};
   if (is_engine_)
-    forwarding.urgency = admitted_.tier;
+    forwarding.urgency =
+        Urgency{admitted_.urgency, admitted_.policy->urgency_levels()};
   dispatcher_.protocol().EncodeForwardingHead(forwarding, header);
   const bool has_body = !request_.message.body().empty() ||
                         request_.message.find(http::field::content_length) !=
--- a/src/gateway/forwarding/message_protocol.h
+++ b/src/gateway/forwarding/message_protocol.h
@@ -22,14 +22,20 @@
   std::string last_event_id;
 };
 
+// Rank of a request, 0 first, among `levels` ranks.
+struct Urgency {
+  Tier rank;
+  int levels = 1;
+};
+
 // What an instance adds to a request for a backend server.
 struct ForwardingHead {
   Millis time_left{0};
   BackendId server;
   // Empty on routes open to all.
   CustomerId customer;
-  // Set for model engines; 0 is served first.
-  std::optional<Tier> urgency;
+  // Set for model engines.
+  std::optional<Urgency> urgency;
   // Continue the stream after this event.
   std::string resume_after;
 };
--- a/src/gateway/forwarding/request_admission.cc
+++ b/src/gateway/forwarding/request_admission.cc
@@ -50,7 +50,7 @@
   request.route = FindRoute(header, *request.policy);
   if (!request.route)
     return RefuseUnknown(http::status::not_found, "no route", state, now);
-  request.tier = request.route->tier;
+  request.urgency = request.policy->Urgency(*request.route, std::nullopt);
   if (request.route->open_to_all || !request.policy->has_customers())
     return request;
   if (!state.KeysAreCurrent(now))
@@ -60,7 +60,7 @@
   if (!grant)
     return RefuseUnknown(http::status::unauthorized, "unknown key", state, now);
   request.customer = grant->customer;
-  request.tier = grant->tier.value_or(request.tier);
+  request.urgency = request.policy->Urgency(*request.route, grant->tier);
   return request;
 }
 
--- a/src/gateway/forwarding/request_admission.h
+++ b/src/gateway/forwarding/request_admission.h
@@ -17,7 +17,8 @@
   const Route* route = nullptr;
   // Empty on routes open to all.
   CustomerId customer;
-  Tier tier;
+  // Rank among all requests, 0 first.
+  Tier urgency;
 };
 
 // Why a request must not run.
--- a/src/gateway/traffic/traffic_policy.cc
+++ b/src/gateway/traffic/traffic_policy.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <utility>
 
 namespace bamboomount {
@@ -24,6 +25,21 @@
   return nullptr;
 }
 
+Tier TrafficPolicy::Urgency(const Route& route,
+                            const std::optional<Tier>& customer) const {
+  const auto rank = [](const std::set<Tier>& tiers, Tier tier) {
+    return static_cast<int>(
+        std::distance(tiers.begin(), tiers.lower_bound(tier)));
+  };
+  const int first = rank(all_tiers_, customer.value_or(route.tier));
+  return Tier(first * static_cast<int>(route_tiers_.size()) +
+              rank(route_tiers_, route.tier));
+}
+
+int TrafficPolicy::urgency_levels() const {
+  return static_cast<int>(all_tiers_.size() * route_tiers_.size());
+}
+
 const KeyGrant* TrafficPolicy::FindKey(const std::string& key) const {
   const auto grant = grants_by_key_.find(key);
   return grant == grants_by_key_.end() ? nullptr : &grant->second;
@@ -48,6 +64,8 @@
 TrafficPolicy::Builder& TrafficPolicy::Builder::AddRoute(Route route) {
   const std::string host = NormalizeHost(route.host);
   const std::string prefix = route.prefix;
+  policy_->route_tiers_.insert(route.tier);
+  policy_->all_tiers_.insert(route.tier);
   policy_->routes_by_host_[host].insert_or_assign(prefix, std::move(route));
   ++policy_->route_count_;
   return *this;
@@ -66,6 +84,8 @@
 
 TrafficPolicy::Builder& TrafficPolicy::Builder::AddKey(std::string key,
                                                        KeyGrant grant) {
+  if (grant.tier)
+    policy_->all_tiers_.insert(*grant.tier);
   policy_->grants_by_key_.insert_or_assign(std::move(key), std::move(grant));
   return RequireKeys();
 }
--- a/src/gateway/traffic/traffic_policy.h
+++ b/src/gateway/traffic/traffic_policy.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -45,6 +46,13 @@
   bool has_customers() const { return has_customers_; }
   std::size_t route_count() const { return route_count_; }
 
+  // Rank of a request among all that the configuration can name, 0 first: by
+  // the customer's tier, or the route's where the customer has none, and among
+  // equals by the route's.
+  Tier Urgency(const Route& route, const std::optional<Tier>& customer) const;
+  // Ranks that Urgency can give.
+  int urgency_levels() const;
+
   // The route with the longest prefix of `path` among those of `host`, or
   // null. `path` has no query.
   const Route* FindRoute(const std::string& host, std::string_view path) const;
@@ -61,6 +69,9 @@
   std::unordered_map<std::string, RoutesByPrefix> routes_by_host_;
   std::unordered_map<std::string, KeyGrant> grants_by_key_;
   std::map<PoolId, Pool> pools_;
+  // In ascending order.
+  std::set<Tier> route_tiers_;
+  std::set<Tier> all_tiers_;
   std::size_t route_count_ = 0;
   bool has_customers_ = false;
 };
--- a/tests/gateway/traffic_policy_test.cc
+++ b/tests/gateway/traffic_policy_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/traffic/traffic_policy.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 namespace bamboomount {
 namespace {
@@ -61,6 +62,32 @@
   BOOST_TEST(!policy->FindKey(""));
 }
 
+// Guards against a live conversation that is preempted while a long question of
+// an equal customer runs on (found by a hunt: rule on tiers, hfc-brabant).
+BOOST_AUTO_TEST_CASE(the_routes_tier_decides_among_equal_customers) {
+  Route talk = MakeRoute("talk", "h", "/talk/");
+  talk.tier = Tier(0);
+  Route question = MakeRoute("question", "h", "/question/");
+  question.tier = Tier(2);
+  const auto policy = TrafficPolicy::Builder(ConfigVersion(1))
+                          .AddRoute(talk)
+                          .AddRoute(question)
+                          .AddKey("high", {CustomerId("a"), Tier(0)})
+                          .AddKey("low", {CustomerId("b"), Tier(1)})
+                          .Build();
+  const auto urgency = [&](const Route& route, std::optional<Tier> customer) {
+    return policy->Urgency(route, customer).value();
+  };
+  BOOST_TEST(urgency(talk, Tier(1)) < urgency(question, Tier(1)));
+  BOOST_TEST(urgency(talk, Tier(0)) < urgency(question, Tier(0)));
+  // The customer's tier goes first.
+  BOOST_TEST(urgency(question, Tier(0)) < urgency(talk, Tier(1)));
+  // Without one, the route's own tier takes its place.
+  BOOST_TEST(urgency(talk, std::nullopt) <= urgency(question, Tier(0)));
+  BOOST_TEST(urgency(question, std::nullopt) > urgency(talk, Tier(1)));
+  BOOST_TEST(urgency(question, std::nullopt) < policy->urgency_levels());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/http_message_protocol_test.cc
+++ b/tests/platform/http_message_protocol_test.cc
@@ -68,7 +68,8 @@
                                 {"X-Bamboomount-Request-Urgency", "0"},
                                 {"X-Other", "kept"}});
   protocol.EncodeForwardingHead(
-      {Millis(1500), BackendId("e-1"), CustomerId("mill"), Tier(12), "7"},
+      {Millis(1500), BackendId("e-1"), CustomerId("mill"),
+       Urgency{Tier(35), 36}, "7"},
       fields);
   BOOST_TEST(fields["X-Api-Key"].empty());
   BOOST_TEST(fields["X-Bamboomount-Hold"].empty());
