--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -9,8 +9,8 @@
 
 // One kind of log line. Numbers are stable; docs/EVENTS.md lists them.
 // Ranges: 1000 daemon, 2000 config and state, 3000 peer, 4000 platform and
-// controller, 5000 router, 6000 admin, 7000 gateway. Each library declares its events in
-// <lib>/events.h.
+// controller, 5000 router, 6000 admin, 7000 gateway. Each library declares its
+// events in <lib>/events.h.
 struct LogEvent {
   int number;
   Severity severity;
