--- a/src/gateway/duties/usage_seal.cc
+++ b/src/gateway/duties/usage_seal.cc
@@ -10,6 +10,10 @@
 
 using Json = nlohmann::json;
 
+// Windows whose seals stay in the store: those that a new holder may have to
+// report again, and as many more for one that was out of touch.
+constexpr std::int64_t kKeptSeals = 8;
+
 }  // namespace
 
 std::string EncodeSeal(const UsageSeal& seal) {
@@ -85,7 +89,7 @@
     return outdated;
   const WindowNumber newest = seals_.rbegin()->first;
   for (const auto& [window, seal] : seals_) {
-    if (window + WindowNumber(2 * kReportedWindows) < newest)
+    if (window + WindowNumber(kKeptSeals) < newest)
       outdated.push_back(window);
   }
   return outdated;
--- a/tests/gateway/backend_selector_test.cc
+++ b/tests/gateway/backend_selector_test.cc
@@ -26,6 +26,7 @@
 std::vector<const BackendServer*> Pointers(
     const std::vector<BackendServer>& servers) {
   std::vector<const BackendServer*> pointers;
+  pointers.reserve(servers.size());
   for (const BackendServer& server : servers)
     pointers.push_back(&server);
   return pointers;
--- a/tests/gateway/duty_lease_test.cc
+++ b/tests/gateway/duty_lease_test.cc
@@ -118,6 +118,7 @@
                rc::gen::set(&Action::reads_first, rc::gen::arbitrary<bool>())));
   LeaseCell cell;
   std::vector<DutyLease> leases;
+  leases.reserve(kInstances);
   for (int i = 0; i < kInstances; ++i)
     leases.push_back(MakeLease(std::to_string(i)));
   std::vector<DutyLease::Claim> late;
