Send requests to the home of their subject and copy shared parts between engines

The log showed that most requests went to an engine that had never seen their subject: with some thousand tokens of difference in load, the cost of an engine decided against the home of the subject, and each instance saw other loads. Ruled out: engines that forget (none of the parts was evicted).

Change: a request goes to its subject's home while the load there stays within a bound (bounded-load rendezvous hashing), then to the next three engines of the subject's order. A leaving engine is copied from as long as it is listed, and an engine that has just started copies from the home before it. The choice of quiet engines is a class of its own now; their number changes in steps.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -48,7 +48,7 @@
     return;
   }
   NoteListed(server.value());
-  backends().Update(server.value());
+  backends().Update(server.value(), now);
 }
 
 void BackendObserver::NoteListed(const BackendServer& server) {
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -45,7 +45,7 @@
     return;
   pool_ = admitted_.route->ChoosePool(dispatcher_.Random());
   const Pool* pool = admitted_.policy->FindPool(pool_);
-  is_engine_ = pool && pool->engine;
+  engine_ = pool && pool->engine ? &*pool->engine : nullptr;
   Millis limit = admitted_.route->timeout;
   if (head_.time_limit)
     limit = std::min(limit, *head_.time_limit - kCallerDelay);
@@ -102,15 +102,17 @@
 
 PlacementRequest Exchange::MakePlacementRequest() const {
   const GatewayState& state = dispatcher_.state();
-  return {head_.prompt, is_engine_, state.settings().zone,
-          state.backends().Usable(pool_)};
+  return {head_.prompt, engine_, state.settings().zone,
+          state.backends().Listed(pool_)};
 }
 
 void Exchange::SendTo(const BackendServer& server) {
   const Instant now = BootClock::now();
   GatewayState& state = dispatcher_.state();
-  load_ = {state.selector().ExpectedRead(server, MakePlacementRequest(), now),
-           is_engine_ && head_.prompt.HasLongAnswer()};
+  const PrefixPlan prefix =
+      state.selector().PlanPrefix(server, MakePlacementRequest(), now);
+  copy_prefix_from_ = prefix.copy_from ? prefix.copy_from->address : "";
+  load_ = {prefix.unread, engine_ && head_.prompt.HasLongAnswer()};
   generating_ = false;
   sent_at_ = now;
   body_mode_ = BodyMode::kCollect;
@@ -126,6 +128,8 @@
        {"backend", server.id.value()},
        {"load", std::to_string(state.loads().Total(server.id).requests)},
        {"unread_tokens", std::to_string(load_.unread.value())},
+       {"subject", std::to_string(head_.prompt.Subject())},
+       {"copy_from", prefix.copy_from ? prefix.copy_from->id.value() : ""},
        {"config", std::to_string(admitted_.policy->version().value())},
        {"config_age_ms",
         std::to_string(
@@ -204,9 +208,13 @@
   http::request_header<> header(request_.message.base());
   header.version(kHttp11);
   RemoveHopHeaders(header);
-  ForwardingHead forwarding{left, server.id, admitted_.customer, std::nullopt,
+  ForwardingHead forwarding{left,
+                            server.id,
+                            admitted_.customer,
+                            std::nullopt,
+                            copy_prefix_from_,
                             events_.last_event_id()};
-  if (is_engine_)
+  if (engine_)
     forwarding.urgency =
         Urgency{admitted_.urgency, admitted_.policy->urgency_levels()};
   dispatcher_.protocol().EncodeForwardingHead(forwarding, header);
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -88,7 +88,8 @@
   CallerHead head_;
   AdmittedRequest admitted_;
   PoolId pool_;
-  bool is_engine_ = false;
+  // Null for plain services; kept alive by the policy.
+  const EngineTraits* engine_ = nullptr;
   Instant deadline_;
   bool ended_ = false;
   bool counted_ = false;
@@ -96,6 +97,8 @@
   std::shared_ptr<BackendAttempt> attempt_;
   SendHistory history_;
   std::vector<BackendId> tried_;
+  // The engine that the server copies shared parts of the prompt from.
+  std::string copy_prefix_from_;
   // What this request adds to the load of the server that it was sent to.
   RequestLoad load_;
   Instant sent_at_;
--- a/src/gateway/forwarding/message_protocol.h
+++ b/src/gateway/forwarding/message_protocol.h
@@ -36,6 +36,9 @@
   CustomerId customer;
   // Set for model engines.
   std::optional<Urgency> urgency;
+  // "ip:port" of another engine that holds shared parts of the prompt, for the
+  // server to copy; empty if it is to read them itself.
+  std::string copy_prefix_from;
   // Continue the stream after this event.
   std::string resume_after;
 };
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -4,7 +4,10 @@
 
 namespace bamboomount {
 
-void BackendRegistry::Update(const BackendServer& server) {
+void BackendRegistry::Update(BackendServer server, Instant now) {
+  const BackendServer* known = Find(server.id);
+  const bool same = known && known->started_at_ms == server.started_at_ms;
+  server.listed_since = same ? known->listed_since : now;
   servers_.insert_or_assign(server.id, Entry{server, std::nullopt});
   ++revision_;
 }
@@ -25,9 +28,11 @@
 void BackendRegistry::Replace(const std::vector<BackendServer>& servers,
                               Instant now) {
   std::set<BackendId> listed;
+  // What the first reading of the table lists was there before.
+  const Instant since = servers_.empty() ? Instant() : now;
   for (const BackendServer& server : servers) {
     listed.insert(server.id);
-    Update(server);
+    Update(server, since);
   }
   std::vector<BackendId> missing;
   for (const auto& [id, entry] : servers_) {
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -23,7 +23,7 @@
   static constexpr Millis kRestoreTime{2200};
 
   // `server` is listed now.
-  void Update(const BackendServer& server);
+  void Update(BackendServer server, Instant now);
   // The row of `id` is gone.
   void Remove(const BackendId& id, Instant now);
   // The store lists exactly `servers`.
--- a/src/gateway/membership/backend_server.h
+++ b/src/gateway/membership/backend_server.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "base/base.h"
+#include "gateway/boot_clock.h"
 
 namespace bamboomount {
 
@@ -25,6 +25,9 @@
   // Start of the process in Unix milliseconds, if it tells; a process that
   // starts again under the same id is another server.
   std::int64_t started_at_ms = 0;
+  // Since when the registry has listed this process. The start of the clock for
+  // servers that were there before this instance.
+  Instant listed_since;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/placement/backend_loads.cc
+++ b/src/gateway/placement/backend_loads.cc
@@ -144,6 +144,11 @@
   return record != records_.end() && now < record->second.ejected_until;
 }
 
+bool BackendLoads::HasFailures(const BackendId& server) const {
+  const auto record = records_.find(server);
+  return record != records_.end() && record->second.failures_in_row > 0;
+}
+
 double BackendLoads::Slowness(const BackendId& server) const {
   const auto record = records_.find(server);
   return record == records_.end() ? 1 : record->second.slowness;
--- a/src/gateway/placement/backend_loads.h
+++ b/src/gateway/placement/backend_loads.h
@@ -61,6 +61,8 @@
   std::map<BackendId, BackendLoad> OwnLoads() const;
   int OwnRequests(const BackendId& server) const;
   bool IsEjected(const BackendId& server, Instant now) const;
+  // Whether the last request that it was sent failed.
+  bool HasFailures(const BackendId& server) const;
   // Observed against expected latency; 1 is as expected.
   double Slowness(const BackendId& server) const;
 
--- a/src/gateway/placement/backend_selector.h
+++ b/src/gateway/placement/backend_selector.h
@@ -1,16 +1,15 @@
 #ifndef GATEWAY_PLACEMENT_BACKEND_SELECTOR_H_
 #define GATEWAY_PLACEMENT_BACKEND_SELECTOR_H_
 
-#include <cstdint>
-#include <map>
-#include <set>
-#include <unordered_map>
 #include <vector>
 
 #include "gateway/boot_clock.h"
 #include "gateway/forwarding/prompt_shape.h"
 #include "gateway/membership/backend_server.h"
 #include "gateway/placement/backend_loads.h"
+#include "gateway/placement/prefix_locator.h"
+#include "gateway/placement/quiet_engines.h"
+#include "gateway/traffic/pool.h"
 
 namespace bamboomount {
 
@@ -18,78 +17,70 @@
 struct PlacementRequest {
   // Empty for plain services.
   const PromptShape& prompt;
-  bool is_engine = false;
+  // Null for plain services.
+  const EngineTraits* engine = nullptr;
   // The zone of this instance; bytes to other zones cost money.
   ZoneId zone;
-  // All usable servers of the pool, also those that cannot be chosen now.
-  std::vector<const BackendServer*> pool;
+  // All servers of the pool, also those that cannot be chosen now.
+  std::vector<const BackendServer*> listed;
 };
 
-// Chooses the backend server with the least expected cost, in prompt tokens
-// that could be read instead: tokens waiting to be read there, shared parts of
-// the prompt that it would have to read again, requests that it already serves,
-// and the way to another zone.
+// How the chosen engine gets the shared parts of a prompt.
+struct PrefixPlan {
+  // Tokens that it has to read itself.
+  Tokens unread;
+  // The engine that it copies shared parts from; null if there is none.
+  const BackendServer* copy_from = nullptr;
+};
+
+// Chooses the backend server for a request.
 //
-// Rendezvous hashing gives all instances the same preferred server for each
-// subject without a shared table; load moves requests to others only once
-// waiting costs more than reading the shared parts again.
+// Requests about a subject go to its home, as long as the load there stays
+// within a bound; then to the next engines in the subject's order, so that few
+// engines read the same shared parts. Only if all of these are loaded, the one
+// with the least expected cost is taken: tokens waiting to be read there, parts
+// that it lacks, requests that it already serves, and the way to another zone.
 //
-// An engine reads prompts between the tokens that it generates, so that long
-// prompts stall the live conversations beside them. A few engines, as many as
-// the conversations need, are kept quiet: conversations go there and long
-// prompts elsewhere, as long as the others have room. All instances keep the
-// same ones quiet, by rendezvous hashing.
+// Conversations and long prompts are kept apart, see QuietEngines.
 class BackendSelector {
  public:
-  explicit BackendSelector(const BackendLoads& loads) : loads_(loads) {}
+  using Servers = std::vector<const BackendServer*>;
+
+  explicit BackendSelector(const BackendLoads& loads)
+      : loads_(loads), quiet_(loads) {}
 
   // Null if `candidates` is empty. Ejected servers are chosen only if all are
   // ejected: a fault on this side must not empty the pool.
-  const BackendServer* Choose(
-      const std::vector<const BackendServer*>& candidates,
-      const PlacementRequest& request,
-      Instant now);
-  // Notes that the server has read the prompt's shared parts.
+  const BackendServer* Choose(const Servers& candidates,
+                              const PlacementRequest& request,
+                              Instant now);
+  // Notes that the server reads the prompt's shared parts.
   void NoteRead(const BackendServer& server,
                 const PromptShape& prompt,
-                Instant now);
-  // Tokens that the server is expected to read for the prompt.
-  Tokens ExpectedRead(const BackendServer& server,
-                      const PlacementRequest& request,
-                      Instant now) const;
+                Instant now) {
+    prefixes_.NoteRead(server, prompt, now);
+  }
+  PrefixPlan PlanPrefix(const BackendServer& server,
+                        const PlacementRequest& request,
+                        Instant now) const;
 
  private:
-  double Cost(const BackendServer& server,
-              const BackendServer* preferred,
-              const PlacementRequest& request,
-              Instant now) const;
+  // The first engine in the subject's order that is not loaded beyond the
+  // bound; null if there is none among the first few.
+  const BackendServer* ChooseByPrefix(const Servers& candidates,
+                                      const PlacementRequest& request) const;
+  double ServiceCost(const BackendServer& server,
+                     const PlacementRequest& request) const;
   double EngineCost(const BackendServer& server,
-                    const BackendServer* preferred,
+                    const BackendServer* home,
                     const PlacementRequest& request,
                     Instant now) const;
-  // Chooses the engines of the pool that are kept quiet.
-  void UpdateQuiet(const std::vector<const BackendServer*>& pool, Instant now);
-  bool HasRead(const BackendId& server,
-               std::uint64_t subject,
-               Instant now) const;
-  void Prune(Instant now);
+  // Those of `servers` on which prompts like the request's are read.
+  Servers ForReading(const Servers& servers) const;
 
   const BackendLoads& loads_;
-  // When this instance last sent a subject to a server.
-  std::unordered_map<std::uint64_t, std::unordered_map<BackendId, Instant>>
-      reads_;
-  Instant last_prune_;
-
-  // The engines that are kept quiet, of the pools that were last seen.
-  struct QuietEngines {
-    std::set<BackendId> members;
-    // The largest number of long answers in the last seconds, and when.
-    int peak_answers = 0;
-    Instant peak_at;
-    Instant updated;
-    std::size_t pool_size = 0;
-  };
-  std::map<PoolId, QuietEngines> quiet_;
+  PrefixLocator prefixes_;
+  QuietEngines quiet_;
 };
 
 }  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/placement/quiet_engines.cc
@@ -0,0 +1,89 @@
+#include "gateway/placement/quiet_engines.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bamboomount {
+namespace {
+
+// Part of a quiet engine's slots that conversations are planned for.
+constexpr double kPlannedSlotPart = 0.5;
+// At most one in so many engines is kept quiet.
+constexpr std::size_t kMinEnginesPerQuietOne = 3;
+// Their number changes in steps of this part of the pool: instances whose
+// figures differ a little still keep the same engines quiet.
+constexpr std::size_t kStepParts = 16;
+constexpr Millis kUpdateInterval{500};
+constexpr Millis kPeakLifetime{10000};
+// Ranks the engines for being kept quiet.
+constexpr char kRankKey[] = "quiet";
+
+// The first `count` servers in an order that is equal on all instances and goes
+// through the zones by turns, so that the loss of a zone leaves some.
+std::vector<const BackendServer*> SpreadOverZones(
+    const std::vector<const BackendServer*>& pool,
+    std::size_t count) {
+  std::map<ZoneId, std::vector<const BackendServer*>> zones;
+  for (const BackendServer* server : pool)
+    zones[server->zone].push_back(server);
+  std::vector<std::pair<std::size_t, const BackendServer*>> order;
+  for (auto& [zone, servers] : zones) {
+    std::sort(servers.begin(), servers.end(),
+              [](const BackendServer* a, const BackendServer* b) {
+                return RendezvousWeight(kRankKey, a->id.value()) <
+                       RendezvousWeight(kRankKey, b->id.value());
+              });
+    for (std::size_t turn = 0; turn < servers.size(); ++turn)
+      order.emplace_back(turn, servers[turn]);
+  }
+  std::stable_sort(
+      order.begin(), order.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<const BackendServer*> first;
+  for (const auto& [turn, server] : order) {
+    if (first.size() < count)
+      first.push_back(server);
+  }
+  return first;
+}
+
+}  // namespace
+
+void QuietEngines::Update(const std::vector<const BackendServer*>& listed,
+                          Instant now) {
+  std::vector<const BackendServer*> pool = listed;
+  std::erase_if(pool,
+                [](const BackendServer* server) { return server->draining; });
+  if (pool.empty())
+    return;
+  PoolState& state = pools_[pool.front()->pool];
+  if (now - state.updated < kUpdateInterval && state.size == pool.size())
+    return;
+  state.updated = now;
+  state.size = pool.size();
+  int conversations = 0;
+  for (const BackendServer* server : pool)
+    conversations += loads_.Total(server->id).long_answers;
+  if (conversations >= state.peak || now - state.peak_at > kPeakLifetime) {
+    state.peak = conversations;
+    state.peak_at = now;
+  }
+  const double per_engine = pool.front()->slots * kPlannedSlotPart;
+  auto needed = static_cast<std::size_t>(
+      std::ceil(state.peak / std::max(per_engine, 1.0)));
+  const std::size_t step = std::max<std::size_t>(1, pool.size() / kStepParts);
+  needed = (needed + step - 1) / step * step;
+  const std::size_t most = pool.size() / kMinEnginesPerQuietOne;
+  state.members.clear();
+  for (const BackendServer* server :
+       SpreadOverZones(pool, std::min(most, std::max<std::size_t>(1, needed))))
+    state.members.insert(server->id);
+}
+
+bool QuietEngines::Contains(const BackendServer& server) const {
+  const auto state = pools_.find(server.pool);
+  return state != pools_.end() && state->second.members.contains(server.id);
+}
+
+}  // namespace bamboomount
--- a/src/gateway/traffic/pool.h
+++ b/src/gateway/traffic/pool.h
@@ -15,6 +15,14 @@
   Tokens kv_capacity;
   // Tokens in one event of a stream.
   int tokens_per_event = 1;
+  // Size of the cached state of one token, and how fast engines copy it from
+  // each other; 0 if they do not.
+  double cache_bytes_per_token = 0;
+  double link_mbits_per_s = 0;
+
+  // Whether an engine gets shared parts much sooner by copying them from
+  // another engine than by reading them.
+  bool CopiesPrefixes() const;
 };
 
 // How many backend servers of a pool may be ordered, and at which price.
--- a/tests/gateway/backend_registry_test.cc
+++ b/tests/gateway/backend_registry_test.cc
@@ -20,8 +20,8 @@
 // Guards against work for a server that said that it leaves.
 BOOST_AUTO_TEST_CASE(a_draining_server_is_listed_but_not_usable) {
   BackendRegistry registry;
-  registry.Update(Server("a"));
-  registry.Update(Server("a", true));
+  registry.Update(Server("a"), At(0));
+  registry.Update(Server("a", true), At(0));
   BOOST_TEST(registry.Usable(PoolId("p")).empty());
   BOOST_TEST(registry.Listed(PoolId("p")).size() == 1U);
   BOOST_TEST(!registry.FindUsable(BackendId("a")));
@@ -30,7 +30,7 @@
 // Guards against work for a server whose row is gone.
 BOOST_AUTO_TEST_CASE(a_removed_server_is_gone_at_once) {
   BackendRegistry registry;
-  registry.Update(Server("a"));
+  registry.Update(Server("a"), At(0));
   registry.Remove(BackendId("a"), At(0));
   BOOST_TEST(registry.Usable(PoolId("p")).empty());
 }
@@ -39,13 +39,13 @@
 // servers could not renew their rows.
 BOOST_AUTO_TEST_CASE(a_row_that_lapsed_in_an_outage_is_kept_until_it_is_back) {
   BackendRegistry registry;
-  registry.Update(Server("a"));
-  registry.Update(Server("b"));
+  registry.Update(Server("a"), At(0));
+  registry.Update(Server("b"), At(0));
   registry.NoteStoreAway();
   registry.NoteStoreBack(At(1000));
   registry.Replace({}, At(1000));
   BOOST_TEST(registry.Usable(PoolId("p")).size() == 2U);
-  registry.Update(Server("a"));
+  registry.Update(Server("a"), At(0));
   registry.Expire(At(1000) + BackendRegistry::kRestoreTime);
   BOOST_TEST(registry.FindUsable(BackendId("a")) != nullptr);
   BOOST_TEST(!registry.FindUsable(BackendId("b")));
@@ -54,7 +54,7 @@
 // Guards against work for a server that was leaving before the outage.
 BOOST_AUTO_TEST_CASE(a_draining_server_that_lapsed_is_gone) {
   BackendRegistry registry;
-  registry.Update(Server("a", true));
+  registry.Update(Server("a", true), At(0));
   registry.NoteStoreAway();
   registry.NoteStoreBack(At(0));
   registry.Remove(BackendId("a"), At(0));
@@ -65,7 +65,7 @@
 // an outage.
 BOOST_AUTO_TEST_CASE(after_the_restore_time_rows_count_again) {
   BackendRegistry registry;
-  registry.Update(Server("a"));
+  registry.Update(Server("a"), At(0));
   registry.NoteStoreAway();
   registry.NoteStoreBack(At(0));
   registry.Remove(BackendId("a"), At(1) + BackendRegistry::kRestoreTime);
--- a/tests/gateway/backend_selector_test.cc
+++ b/tests/gateway/backend_selector_test.cc
@@ -6,36 +6,19 @@
 #include <vector>
 
 #include "instants.h"
+#include "placement_fixture.h"
 
 namespace bamboomount {
 namespace {
 
-const ZoneId kHere("here");
+const EngineTraits kEngine;
 
-std::vector<BackendServer> MakeServers(int count) {
-  std::vector<BackendServer> servers;
-  for (int i = 0; i < count; ++i) {
-    BackendServer server;
-    server.id = BackendId("e-" + std::to_string(i));
-    server.zone = kHere;
-    servers.push_back(server);
-  }
-  return servers;
-}
-
-std::vector<const BackendServer*> Pointers(
-    const std::vector<BackendServer>& servers) {
-  std::vector<const BackendServer*> pointers;
-  pointers.reserve(servers.size());
-  for (const BackendServer& server : servers)
-    pointers.push_back(&server);
-  return pointers;
-}
-
-PromptShape Prompt(std::uint64_t subject, std::uint64_t own) {
-  return {Tokens(9000),
-          Tokens(50),
-          {{1, Tokens(2500)}, {subject, Tokens(3800)}, {own, Tokens(2700)}}};
+// An engine that copies shared parts from others much sooner than it reads them.
+EngineTraits CopyingEngine() {
+  EngineTraits engine;
+  engine.cache_bytes_per_token = 35000;
+  engine.link_mbits_per_s = 1e6;
+  return engine;
 }
 
 BOOST_AUTO_TEST_SUITE(backend_selector)
@@ -50,7 +33,7 @@
     BackendSelector one(loads);
     BackendSelector other(loads);
     const auto prompt = Prompt(subject, subject + 1000);
-    const PlacementRequest request{prompt, true, kHere, Pointers(servers)};
+    const PlacementRequest request{prompt, &kEngine, kHere, Pointers(servers)};
     const BackendId chosen = one.Choose(Pointers(servers), request, At(0))->id;
     BOOST_TEST(chosen == other.Choose(Pointers(servers), request, At(0))->id);
     used.insert(chosen);
@@ -67,7 +50,7 @@
   for (int i = 0; i < 60; ++i) {
     const auto prompt = Prompt(7, 1000 + static_cast<std::uint64_t>(i));
     const BackendServer* server = selector.Choose(
-        Pointers(servers), {prompt, true, kHere, Pointers(servers)}, At(0));
+        Pointers(servers), {prompt, &kEngine, kHere, Pointers(servers)}, At(0));
     loads.AddRequest(server->id, {Tokens(2700), false});
     selector.NoteRead(*server, prompt, At(0));
     ++sent[server->id];
@@ -77,8 +60,56 @@
     BOOST_TEST(count <= 40);
 }
 
-PromptShape Conversation() {
-  return {Tokens(700), Tokens(280), {{2, Tokens(170)}, {3, Tokens(530)}}};
+// Pattern: a burst of one class. Guards against subjects that are read by ever
+// more engines once all are loaded: the order of a subject holds as long as its
+// home is not loaded more than others.
+BOOST_AUTO_TEST_CASE(an_overload_of_all_does_not_scatter_the_subjects) {
+  const auto servers = MakeServers(12, 64);
+  BackendLoads loads;
+  BackendSelector selector(loads);
+  std::map<std::uint64_t, std::set<BackendId>> readers;
+  for (std::uint64_t i = 0; i < 600; ++i) {
+    const std::uint64_t subject = 100 + i % 60;
+    const auto prompt = Prompt(subject, 1000 + i);
+    const BackendServer* server = selector.Choose(
+        Pointers(servers), {prompt, &kEngine, kHere, Pointers(servers)}, At(0));
+    loads.AddRequest(server->id, {Tokens(2700), false});
+    readers[subject].insert(server->id);
+  }
+  std::size_t reads = 0;
+  for (const auto& [subject, engines] : readers)
+    reads += engines.size();
+  // Ten requests a subject: by load alone, nearly each goes to another engine.
+  BOOST_TEST(reads <= 3 * readers.size());
+}
+
+// Pattern: a hot subject. Guards against engines that read shared parts which
+// another engine could hand over.
+BOOST_AUTO_TEST_CASE(an_engine_away_from_home_copies_the_shared_parts) {
+  const auto servers = MakeServers(9);
+  const EngineTraits engine = CopyingEngine();
+  BOOST_TEST(engine.CopiesPrefixes());
+  BOOST_TEST(!kEngine.CopiesPrefixes());
+  BackendLoads loads;
+  BackendSelector selector(loads);
+  const auto prompt = Prompt(7, 1);
+  const PlacementRequest request{prompt, &engine, kHere, Pointers(servers)};
+  const BackendServer* home =
+      selector.Choose(Pointers(servers), request, At(0));
+  BOOST_TEST(!selector.PlanPrefix(*home, request, At(0)).copy_from);
+  loads.AddRequest(home->id, {Tokens(50000), false});
+  const BackendServer* other =
+      selector.Choose(Pointers(servers), request, At(0));
+  BOOST_TEST(other != home);
+  const PrefixPlan plan = selector.PlanPrefix(*other, request, At(0));
+  BOOST_TEST(plan.copy_from == home);
+  BOOST_TEST(plan.unread.value() == 2700);
+  // A home that fails could keep the request waiting.
+  loads.NoteFailure(home->id, At(0));
+  BOOST_TEST(selector.PlanPrefix(*other, request, At(0)).copy_from != home);
+  // Engines that do not copy read all of it.
+  const PlacementRequest reading{prompt, &kEngine, kHere, Pointers(servers)};
+  BOOST_TEST(selector.PlanPrefix(*other, reading, At(0)).unread.value() == 9000);
 }
 
 // Pattern: long prompts beside live conversations. Guards against conversations
@@ -96,7 +127,7 @@
     const auto prompt =
         talk ? Conversation() : Prompt(100 + static_cast<std::uint64_t>(i), 9);
     const BackendServer* server = selector.Choose(
-        Pointers(servers), {prompt, true, kHere, Pointers(servers)}, At(i));
+        Pointers(servers), {prompt, &kEngine, kHere, Pointers(servers)}, At(i));
     loads.AddRequest(server->id, {Tokens(talk ? 0 : 500), talk});
     (talk ? conversations : prompts).insert(server->id);
   }
@@ -114,7 +145,7 @@
   for (int i = 0; i < 60; ++i) {
     const auto prompt = Prompt(100 + static_cast<std::uint64_t>(i), 9);
     const BackendServer* server = selector.Choose(
-        Pointers(servers), {prompt, true, kHere, Pointers(servers)}, At(i));
+        Pointers(servers), {prompt, &kEngine, kHere, Pointers(servers)}, At(i));
     loads.AddRequest(server->id, {Tokens(9000), false});
     used.insert(server->id);
   }
@@ -129,7 +160,7 @@
   const PromptShape prompt;
   for (int i = 0; i < 3; ++i)
     loads.NoteFailure(BackendId("e-0"), At(0));
-  const PlacementRequest request{prompt, false, kHere, {}};
+  const PlacementRequest request{prompt, nullptr, kHere, {}};
   BOOST_TEST(selector.Choose(Pointers(servers), request, At(1))->id ==
              BackendId("e-1"));
   BOOST_TEST(!loads.IsEjected(BackendId("e-0"), At(60000)));
@@ -147,8 +178,8 @@
     loads.NoteFailure(BackendId("e-1"), At(0));
   }
   BOOST_TEST(
-      selector.Choose(Pointers(servers), {prompt, false, kHere, {}}, At(1)));
-  BOOST_TEST(!selector.Choose({}, {prompt, false, kHere, {}}, At(1)));
+      selector.Choose(Pointers(servers), {prompt, nullptr, kHere, {}}, At(1)));
+  BOOST_TEST(!selector.Choose({}, {prompt, nullptr, kHere, {}}, At(1)));
 }
 
 // Guards against loads of a failed instance that stay for ever.
--- a/tests/platform/http_message_protocol_test.cc
+++ b/tests/platform/http_message_protocol_test.cc
@@ -65,11 +65,12 @@
                                 {"X-Bamboomount-Hold", "h"},
                                 {"Kv-From", "1.2.3.4:5/h"},
                                 {"X-Bamboomount-Kv-Backup", "1.2.3.4:5"},
+                                {"Kv-Fetch", "1.2.3.4:5"},
                                 {"X-Bamboomount-Request-Urgency", "0"},
                                 {"X-Other", "kept"}});
   protocol.EncodeForwardingHead(
       {Millis(1500), BackendId("e-1"), CustomerId("mill"),
-       Urgency{Tier(35), 36}, "7"},
+       Urgency{Tier(35), 36}, "10.0.0.9:8080", "7"},
       fields);
   BOOST_TEST(fields["X-Api-Key"].empty());
   BOOST_TEST(fields["X-Bamboomount-Hold"].empty());
@@ -79,6 +80,7 @@
   BOOST_TEST(fields["X-Bamboomount-Expected-Instance"] == "e-1");
   BOOST_TEST(fields["X-Bamboomount-Deadline-Milliseconds"] == "1500");
   BOOST_TEST(fields["X-Bamboomount-Request-Urgency"] == "9");
+  BOOST_TEST(fields["Kv-Fetch"] == "10.0.0.9:8080");
   BOOST_TEST(fields["Last-Event-Id"] == "7");
   BOOST_TEST(fields["X-Other"] == "kept");
 }
