--- a/apps/bamboomount_entry/entry_process.cc
+++ b/apps/bamboomount_entry/entry_process.cc
@@ -13,13 +13,14 @@
 namespace {
 
 constexpr Millis kSettingsCheckInterval{2000};
-// How long the store waits for changes. A connection that falls silent is
-// noticed by its keep-alive probes.
-constexpr Millis kConfigWait{25000};
-constexpr Millis kBackendWait{25000};
-// Changes of backend servers that come close together are read together, within
-// this part of the time in which a leaving server must get no more requests.
-constexpr int kBackendPauseParts = 4;
+// A silent store must not keep the process past its stop.
+constexpr Millis kLastWriteTime{400};
+// Changes that come close together are read together.
+constexpr Millis kConfigPause{50};
+constexpr Millis kInstancesPause{250};
+// Within this part of the time in which a leaving server must get no more
+// requests.
+constexpr int kBackendPauseParts = 8;
 
 Incarnation NewIncarnation() {
   std::random_device device;
@@ -37,43 +38,65 @@
         settings_text_(file.Text()),
         state_(settings),
         dispatcher_(context_, protocol_, state_, metrics_),
-        server_(dispatcher_, entry_calls_),
+        server_(dispatcher_,
+                entry_calls_,
+                [this](const std::string& target) {
+                  return fleet_news_.AnswerRows(target);
+                }),
         config_store_(context_, settings.store_address),
         backend_store_(context_, settings.store_address),
+        instance_store_(context_, settings.store_address),
+        watch_store_(context_, settings.store_address),
+        lease_store_(context_, settings.store_address),
         shared_store_(context_, settings.store_address),
-        guard_store_(context_, settings.store_address),
         duty_client_(context_, settings.orders_address),
         config_observer_(decoder_, state_),
         backend_observer_(decoder_, dispatcher_),
+        member_observer_(state_.members()),
         config_follower_(context_,
                          config_store_,
-                         {decoder_.config_table(), kConfigWait, Millis(0)},
+                         {decoder_.config_table(), kConfigPause},
                          config_observer_),
         backend_follower_(context_,
                           backend_store_,
-                          {decoder_.backend_table(), kBackendWait,
+                          {decoder_.backend_table(),
                            settings.leaving_deadline / kBackendPauseParts},
                           backend_observer_),
+        instance_follower_(context_,
+                           instance_store_,
+                           {tables::kInstances, kInstancesPause},
+                           member_observer_),
+        followers_{&config_follower_, &backend_follower_, &instance_follower_},
+        store_watch_(context_, state_, watch_store_, followers_),
         duties_(shared_store_, duty_client_, state_),
-        coordinator_(context_,
-                     shared_store_,
-                     state_,
-                     duties_,
-                     NewIncarnation()),
-        freshness_guard_(context_, config_follower_, guard_store_, state_),
-        peer_exchange_(context_, state_),
+        membership_(context_, shared_store_, state_, incarnation_),
+        usage_writer_(context_, shared_store_, state_, incarnation_),
+        lease_(context_,
+               lease_store_,
+               state_,
+               incarnation_,
+               {[this] { duties_.Begin(); },
+                [this](const DutyLease& lease, Instant now) {
+                  duties_.Step(lease, now);
+                  membership_.DropFailed();
+                }}),
+        fleet_news_(context_, state_, followers_, store_watch_, lease_),
+        peer_exchange_(context_, state_, fleet_news_),
         stop_signals_(context_, SIGTERM, SIGINT),
         reload_signal_(context_, SIGHUP),
-        settings_timer_(context_) {}
+        settings_timer_(context_),
+        end_timer_(context_) {}
 
   int Run() {
     server_.Listen();
-    config_follower_.Start();
-    backend_follower_.Start();
-    coordinator_.Start();
-    freshness_guard_.Start();
-    peer_exchange_.OnStranger([this] { coordinator_.ReadMembersSoon(); });
-    peer_exchange_.OnNewerConfig([this] { freshness_guard_.AskNow(); });
+    for (TableFollower* follower : followers_) {
+      follower->OnAdvance([this] { peer_exchange_.SendSoon(); });
+      follower->Start();
+    }
+    store_watch_.Start();
+    membership_.Start();
+    usage_writer_.Start();
+    lease_.Start();
     peer_exchange_.Start();
     WaitForStop();
     WaitForReload();
@@ -89,12 +112,19 @@
       if (error)
         return;
       Log(gateway_events::kStopRequested);
-      coordinator_.AnnounceLeaving();
-      server_.BeginStop([this] { context_.stop(); });
+      membership_.AnnounceLeaving();
+      lease_.Leave();
+      server_.BeginStop([this] { WriteUsageAndEnd(); });
       WaitForStop();
     });
   }
 
+  void WriteUsageAndEnd() {
+    usage_writer_.Flush([this] { context_.stop(); });
+    end_timer_.expires_after(kLastWriteTime);
+    end_timer_.async_wait([this](const error_code&) { context_.stop(); });
+  }
+
   void WaitForReload() {
     reload_signal_.async_wait([this](const error_code& error, int) {
       if (error)
@@ -131,6 +161,7 @@
 
   const SettingsFile& file_;
   std::string settings_text_;
+  const Incarnation incarnation_ = NewIncarnation();
   asio::io_context context_{1};
   Metrics metrics_;
   HttpMessageProtocol protocol_;
@@ -139,23 +170,33 @@
   GatewayState state_;
   Dispatcher dispatcher_;
   GatewayServer server_;
-  // Calls that wait for changes each need a connection of their own.
+  // Calls that wait for changes each need a connection of their own, and
+  // renewals of the lease must not wait for other calls.
   HttpTableStore config_store_;
   HttpTableStore backend_store_;
+  HttpTableStore instance_store_;
+  HttpTableStore watch_store_;
+  HttpTableStore lease_store_;
   HttpTableStore shared_store_;
-  HttpTableStore guard_store_;
   HttpDutyClient duty_client_;
   ConfigObserver config_observer_;
   BackendObserver backend_observer_;
+  MemberObserver member_observer_;
   TableFollower config_follower_;
   TableFollower backend_follower_;
+  TableFollower instance_follower_;
+  const StoreWatch::Followers followers_;
+  StoreWatch store_watch_;
   DutyRunner duties_;
-  Coordinator coordinator_;
-  FreshnessGuard freshness_guard_;
+  MembershipKeeper membership_;
+  UsageWriter usage_writer_;
+  LeaseKeeper lease_;
+  FleetNews fleet_news_;
   PeerExchange peer_exchange_;
   asio::signal_set stop_signals_;
   asio::signal_set reload_signal_;
   asio::steady_timer settings_timer_;
+  asio::steady_timer end_timer_;
 };
 
 }  // namespace
--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -5,8 +5,7 @@
 
 namespace bamboomount {
 
-void BackendObserver::OnTable(const std::vector<TableRow>& rows,
-                              const StoreMoment& /*moment*/) {
+void BackendObserver::OnTable(const std::vector<TableRow>& rows) {
   const Instant now = BootClock::now();
   std::vector<BackendServer> servers;
   for (const TableRow& row : rows) {
@@ -24,8 +23,7 @@
   Settle(now);
 }
 
-void BackendObserver::OnChanges(const std::vector<TableRow>& rows,
-                                const StoreMoment& /*moment*/) {
+void BackendObserver::OnChanges(const std::vector<TableRow>& rows) {
   const Instant now = BootClock::now();
   for (const TableRow& row : rows)
     ApplyChange(row, now);
@@ -80,12 +78,22 @@
   }
 }
 
-void BackendObserver::OnStoreAway(const Error& /*error*/) {
-  backends().NoteStoreAway();
+void BackendObserver::OnConfirmed(const StoreMoment& moment) {
+  dispatcher_.state().backend_freshness().Confirm(moment.sent,
+                                                  moment.store_time);
 }
 
-void BackendObserver::OnStoreBack(Instant now) {
-  backends().NoteStoreBack(now);
+void BackendObserver::OnConfirmedByPeer(Millis store_time) {
+  dispatcher_.state().backend_freshness().ConfirmByPeer(store_time,
+                                                        BootClock::now());
+}
+
+void BackendObserver::OnStoreBack(const StoreMoment& moment) {
+  GatewayState& state = dispatcher_.state();
+  const Instant now = BootClock::now();
+  const auto age = state.backend_freshness().Age(now);
+  if (age && *age >= kOutageTime)
+    state.NoteStoreBack(moment.store_time, now);
 }
 
 }  // namespace bamboomount
--- a/src/gateway/control/backend_observer.h
+++ b/src/gateway/control/backend_observer.h
@@ -4,8 +4,8 @@
 #include <vector>
 
 #include "gateway/control/state_decoder.h"
-#include "gateway/control/table_follower.h"
 #include "gateway/forwarding/dispatcher.h"
+#include "gateway/replication/table_follower.h"
 
 namespace bamboomount {
 
@@ -13,15 +13,19 @@
 // chance when it changes.
 class BackendObserver : public TableObserver {
  public:
+  // An outage of the store that lasted this long may have let rows of live
+  // servers lapse. A shorter one, or one in which other instances still reached
+  // the store, has not.
+  static constexpr Millis kOutageTime{1500};
+
   BackendObserver(const StateDecoder& decoder, Dispatcher& dispatcher)
       : decoder_(decoder), dispatcher_(dispatcher) {}
 
-  void OnTable(const std::vector<TableRow>& rows,
-               const StoreMoment& moment) override;
-  void OnChanges(const std::vector<TableRow>& rows,
-                 const StoreMoment& moment) override;
-  void OnStoreAway(const Error& error) override;
-  void OnStoreBack(Instant now) override;
+  void OnTable(const std::vector<TableRow>& rows) override;
+  void OnChanges(const std::vector<TableRow>& rows) override;
+  void OnConfirmed(const StoreMoment& moment) override;
+  void OnConfirmedByPeer(Millis store_time) override;
+  void OnStoreBack(const StoreMoment& moment) override;
 
  private:
   void ApplyChange(const TableRow& row, Instant now);
--- a/src/gateway/control/config_observer.cc
+++ b/src/gateway/control/config_observer.cc
@@ -5,21 +5,21 @@
 
 namespace bamboomount {
 
-void ConfigObserver::OnTable(const std::vector<TableRow>& rows,
-                             const StoreMoment& moment) {
-  OnChanges(rows, moment);
+void ConfigObserver::OnTable(const std::vector<TableRow>& rows) {
+  OnChanges(rows);
 }
 
-void ConfigObserver::OnChanges(const std::vector<TableRow>& rows,
-                               const StoreMoment& moment) {
-  ApplyNewest(rows);
-  if (unreadable_ || !state_.policy())
-    state_.freshness().NoteStoreTime(moment.sent, moment.store_time);
-  else
+void ConfigObserver::OnConfirmed(const StoreMoment& moment) {
+  if (IsReadable())
     state_.freshness().Confirm(moment.sent, moment.store_time);
 }
 
-void ConfigObserver::ApplyNewest(const std::vector<TableRow>& rows) {
+void ConfigObserver::OnConfirmedByPeer(Millis store_time) {
+  if (IsReadable())
+    state_.freshness().ConfirmByPeer(store_time, BootClock::now());
+}
+
+void ConfigObserver::OnChanges(const std::vector<TableRow>& rows) {
   // Several versions may have gathered; only the last one counts.
   const TableRow* newest = nullptr;
   for (const TableRow& row : rows) {
--- a/src/gateway/control/config_observer.h
+++ b/src/gateway/control/config_observer.h
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "gateway/control/state_decoder.h"
-#include "gateway/control/table_follower.h"
 #include "gateway/gateway_state.h"
+#include "gateway/replication/table_follower.h"
 
 namespace bamboomount {
 
@@ -16,13 +16,13 @@
   ConfigObserver(const StateDecoder& decoder, GatewayState& state)
       : decoder_(decoder), state_(state) {}
 
-  void OnTable(const std::vector<TableRow>& rows,
-               const StoreMoment& moment) override;
-  void OnChanges(const std::vector<TableRow>& rows,
-                 const StoreMoment& moment) override;
+  void OnTable(const std::vector<TableRow>& rows) override;
+  void OnChanges(const std::vector<TableRow>& rows) override;
+  void OnConfirmed(const StoreMoment& moment) override;
+  void OnConfirmedByPeer(Millis store_time) override;
 
  private:
-  void ApplyNewest(const std::vector<TableRow>& rows);
+  bool IsReadable() const { return !unreadable_ && state_.policy(); }
 
   const StateDecoder& decoder_;
   GatewayState& state_;
--- a/src/gateway/control/duty_client.h
+++ b/src/gateway/control/duty_client.h
@@ -4,7 +4,7 @@
 #include <functional>
 
 #include "base/base.h"
-#include "gateway/membership/member.h"
+#include "gateway/duties/usage_ledger.h"
 
 namespace bamboomount {
 
--- a/src/gateway/control/duty_runner.cc
+++ b/src/gateway/control/duty_runner.cc
@@ -9,6 +9,11 @@
 namespace bamboomount {
 namespace {
 
+// Windows for which parts of ended processes are kept.
+constexpr WindowNumber kKeptParts(4);
+// Rows that one transaction drops at most.
+constexpr std::size_t kMaxRemoved = 50;
+
 std::string_view Describe(DutyOutcome outcome) {
   switch (outcome) {
     case DutyOutcome::kAccepted:
@@ -65,7 +70,7 @@
   if (schedule_.NextToReport())
     ReportNext(lease);
   else
-    SealNext(lease, now);
+    SealNext(now);
 }
 
 void DutyRunner::LoadSeals() {
@@ -88,29 +93,65 @@
   });
 }
 
-void DutyRunner::SealNext(const DutyLease& lease, Instant now) {
-  while (const auto window = schedule_.NextToSeal(state_.WallTime(now))) {
-    const UsageSeal seal{*window, state_.members().UsageOf(*window),
-                         schedule_.reported_through()};
-    if (!seal.counts.empty()) {
-      CommitSeal(lease, seal);
-      return;
-    }
+void DutyRunner::SealNext(Instant now) {
+  const auto window = schedule_.NextToSeal(state_.WallTime(now));
+  if (!window)
+    return;
+  busy_ = true;
+  store_.ReadTable(tables::kUsageParts,
+                   [this, window = *window](const Result<RowsAnswer>& answer) {
+                     busy_ = false;
+                     if (answer)
+                       OnParts(window, answer.value().rows);
+                   });
+}
+
+void DutyRunner::OnParts(WindowNumber window,
+                         const std::vector<TableRow>& rows) {
+  UsageParts parts;
+  for (const TableRow& row : rows) {
+    auto part = DecodeUsagePart(row.value);
+    if (part)
+      parts.Put(row.key, std::move(part.value()));
+    else
+      Log(gateway_events::kMemberUnreadable,
+          {{"row", row.key}, {"cause", part.error().message}});
+  }
+  const Instant now = BootClock::now();
+  std::vector<InstanceId> alive;
+  for (const Member* member : state_.members().All()) {
+    if (!state_.members().IsSilent(member->instance, now))
+      alive.push_back(member->instance);
+  }
+  // The next step reads again.
+  if (parts.IsAwaited(window, alive) &&
+      !schedule_.IsLate(window, state_.WallTime(now)))
+    return;
+  const UsageSeal seal{window, parts.Sum(window), schedule_.reported_through()};
+  if (seal.counts.empty())
     // Nothing ran, and nothing is to be reported.
     schedule_.NoteSealed(seal);
-  }
+  else
+    CommitSeal(seal, parts);
 }
 
-void DutyRunner::CommitSeal(const DutyLease& lease, const UsageSeal& seal) {
+void DutyRunner::CommitSeal(const UsageSeal& seal, const UsageParts& parts) {
+  if (!lease_->HoldsFor(kCallTime, BootClock::now()))
+    return;
   StoreChange change;
   const std::string key = std::to_string(seal.window.value());
-  change.Expect(tables::kInstances, tables::kLeaseKey, lease.version())
+  change.Expect(tables::kLease, tables::kLeaseKey, lease_->version())
       .Expect(tables::kUsage, key, RowVersion(0))
       .Put(tables::kUsage, key, EncodeSeal(seal));
   for (const WindowNumber old : schedule_.OutdatedSeals())
     change.Remove(tables::kUsage, std::to_string(old.value()));
+  std::size_t removed = 0;
+  for (const std::string& old : parts.Outdated(seal.window - kKeptParts)) {
+    if (++removed <= kMaxRemoved)
+      change.Remove(tables::kUsageParts, old);
+  }
   busy_ = true;
-  store_.Commit(change, [this, seal](Result<CommitAnswer> answer) {
+  store_.Commit(change, [this, seal](const Result<CommitAnswer>& answer) {
     busy_ = false;
     if (answer && answer.value().committed)
       schedule_.NoteSealed(seal);
--- a/src/gateway/control/duty_runner.h
+++ b/src/gateway/control/duty_runner.h
@@ -9,6 +9,7 @@
 #include "gateway/control/duty_client.h"
 #include "gateway/duties/duty_lease.h"
 #include "gateway/duties/fleet_planner.h"
+#include "gateway/duties/usage_part.h"
 #include "gateway/duties/usage_seal.h"
 #include "gateway/gateway_state.h"
 
@@ -31,8 +32,10 @@
 
  private:
   void LoadSeals();
-  void SealNext(const DutyLease& lease, Instant now);
-  void CommitSeal(const DutyLease& lease, const UsageSeal& seal);
+  // Reads what the instances wrote, and seals the next window with it.
+  void SealNext(Instant now);
+  void OnParts(WindowNumber window, const std::vector<TableRow>& rows);
+  void CommitSeal(const UsageSeal& seal, const UsageParts& parts);
   void ReportNext(const DutyLease& lease);
   void PlanOrders(Instant now);
   void SendOrders();
--- a/platform/http_channel.cc
+++ b/src/gateway/control/http_channel.cc
@@ -1,14 +1,15 @@
-#include "platform/http_channel.h"
+#include "gateway/control/http_channel.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
 
+#include "gateway/forwarding/endpoint.h"
+
 namespace bamboomount {
 namespace {
 
-constexpr Millis kConnectTimeout{700};
 constexpr int kKeepAliveSeconds = 1;
 constexpr int kKeepAliveProbes = 1;
 constexpr unsigned kHttp11 = 11;
@@ -37,6 +38,7 @@
     request_.body() = call.body;
     request_.prepare_payload();
     timeout_ = call.timeout;
+    connect_timeout_ = call.connect_timeout;
     if (socket_.is_open())
       Send();
     else
@@ -67,7 +69,7 @@
       });
       return;
     }
-    ArmTimer(kConnectTimeout);
+    ArmTimer(connect_timeout_);
     socket_.async_connect(
         *endpoint, [self = shared_from_this()](const error_code& error) {
           if (!self->done_)
@@ -170,6 +172,7 @@
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   Millis timeout_{0};
+  Millis connect_timeout_{0};
   HttpAnswer answer_;
   Done done_;
   bool keep_alive_ = true;
--- a/platform/http_channel.h
+++ b/src/gateway/control/http_channel.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_HTTP_CHANNEL_H_
-#define PLATFORM_HTTP_CHANNEL_H_
+#ifndef GATEWAY_CONTROL_HTTP_CHANNEL_H_
+#define GATEWAY_CONTROL_HTTP_CHANNEL_H_
 
 #include <deque>
 #include <functional>
@@ -9,11 +9,12 @@
 #include <utility>
 #include <vector>
 
-#include "gateway/gateway.h"
+#include "gateway/boot_clock.h"
+#include "gateway/internal/asio.h"
 
 namespace bamboomount {
 
-// One call to a service of the platform.
+// One call to an HTTP service.
 struct HttpCall {
   http::verb method = http::verb::get;
   std::string target;
@@ -21,6 +22,7 @@
   std::string body;
   std::vector<std::pair<std::string, std::string>> headers;
   Millis timeout{1500};
+  Millis connect_timeout{700};
 };
 
 // How a call ended.
@@ -72,4 +74,4 @@
 
 }  // namespace bamboomount
 
-#endif  // PLATFORM_HTTP_CHANNEL_H_
+#endif  // GATEWAY_CONTROL_HTTP_CHANNEL_H_
--- a/src/gateway/control/table_names.h
+++ b/src/gateway/control/table_names.h
@@ -4,9 +4,13 @@
 // Tables and keys of the rows that the instances write.
 namespace bamboomount::tables {
 
+// How each instance describes itself; the key is its name.
 inline constexpr char kInstances[] = "bamboomount-instances";
-inline constexpr char kMemberPrefix[] = "member/";
-inline constexpr char kLeaseKey[] = "lease";
+inline constexpr char kLease[] = "bamboomount-lease";
+inline constexpr char kLeaseKey[] = "duties";
+// What began to run at each instance's word; the key is its incarnation.
+inline constexpr char kUsageParts[] = "bamboomount-usage-parts";
+// The figures of each window, fixed before they are reported.
 inline constexpr char kUsage[] = "bamboomount-usage";
 
 }  // namespace bamboomount::tables
--- a/src/gateway/duties/usage_ledger.cc
+++ b/src/gateway/duties/usage_ledger.cc
@@ -3,6 +3,7 @@
 namespace bamboomount {
 
 void UsageLedger::Count(WindowNumber window, const CustomerId& customer) {
+  ++revision_;
   ++windows_[window][customer];
   const WindowNumber oldest =
       windows_.rbegin()->first - WindowNumber(kKeptWindows - 1);
--- a/src/gateway/duties/usage_seal.cc
+++ b/src/gateway/duties/usage_seal.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "gateway/duties/usage_ledger.h"
-
 namespace bamboomount {
 namespace {
 
@@ -64,6 +62,10 @@
   return std::nullopt;
 }
 
+bool UsageSchedule::IsLate(WindowNumber window, Millis wall_time) const {
+  return wall_time >= length_ * (window.value() + 1) + kLatestTime;
+}
+
 void UsageSchedule::NoteSealed(const UsageSeal& seal) {
   seals_[seal.window] = seal;
 }
--- a/src/gateway/duties/usage_seal.h
+++ b/src/gateway/duties/usage_seal.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/membership/member.h"
+#include "gateway/duties/usage_ledger.h"
 
 namespace bamboomount {
 
@@ -26,9 +26,12 @@
 // Decides which windows are to be sealed and reported next.
 class UsageSchedule {
  public:
-  // Instances write their figures at least every 5 s, and the holder reads them
-  // within about a second.
-  static constexpr Millis kSettleTime{5800};
+  // Instances write their figures within this time of a window's end, as a
+  // rule.
+  static constexpr Millis kSettleTime{2000};
+  // Figures that were not written by then are left out: reports are due 10 s
+  // after the end.
+  static constexpr Millis kLatestTime{6500};
   // Older windows are not reported any more.
   static constexpr int kReportedWindows = 4;
 
@@ -39,6 +42,8 @@
   // The newest window that is due to be sealed at `wall_time` and is not;
   // windows come in order.
   std::optional<WindowNumber> NextToSeal(Millis wall_time) const;
+  // Whether the window must be sealed even if some figures are missing.
+  bool IsLate(WindowNumber window, Millis wall_time) const;
   void NoteSealed(const UsageSeal& seal);
   // A sealed window that is not known to be reported.
   const UsageSeal* NextToReport() const;
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -56,6 +56,16 @@
     7023, Severity::kWarning, "member_row_unreadable",
     "A row of an instance cannot be read. Check that all instances run "
     "compatible versions."};
+inline constexpr LogEvent kMemberListed{
+    7025, Severity::kInfo, "member_listed",
+    "An instance is new, was started again, or leaves."};
+inline constexpr LogEvent kMemberGone{
+    7026, Severity::kInfo, "member_gone",
+    "The row of an instance was dropped; it counts no more."};
+inline constexpr LogEvent kPeerRowsFailed{
+    7024, Severity::kInfo, "peer_rows_failed",
+    "Another instance that knows newer rows did not tell them; the next news "
+    "leads to another question."};
 inline constexpr LogEvent kRequestPlaced{
     7030, Severity::kInfo, "request_placed",
     "A request is sent to a backend server, chosen by the figures given."};
@@ -92,9 +102,10 @@
     kStarted,           kStopRequested,    kStopped,          kSettingsReloaded,
     kSettingsRefused,   kConfigApplied,    kConfigUnreadable, kStoreLost,
     kStoreRegained,     kHistoryLost,      kBackendListed,    kBackendGone,
-    kBackendUnreadable, kMemberUnreadable, kRequestPlaced,    kRequestRefused,
-    kAttemptFailed,     kRequestEnded,     kLeaseTaken,       kLeaseLost,
-    kUsageReported,     kUsageNotReported, kBackendsOrdered,  kOrderFailed};
+    kBackendUnreadable, kMemberUnreadable, kMemberListed,     kMemberGone,
+    kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,   kAttemptFailed,
+    kRequestEnded,      kLeaseTaken,       kLeaseLost,        kUsageReported,
+    kUsageNotReported,  kBackendsOrdered,  kOrderFailed};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -49,14 +49,13 @@
   if (!rule)
     return kMinConnections;
   const double part =
-      rule->max_connections * kConnectionPart / state_.members().AliveCount();
+      rule->max_connections * kConnectionPart / state_.members().Count();
   return std::max(kMinConnections, static_cast<int>(part));
 }
 
 bool Dispatcher::TryRetry(const PoolId& pool) {
   return allowances_[pool].TrySpend(state_.settings().retry_limits,
-                                    state_.members().AliveCount(),
-                                    BootClock::now());
+                                    state_.members().Count(), BootClock::now());
 }
 
 void Dispatcher::CountRequest(const PoolId& pool) {
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -208,12 +208,9 @@
   http::request_header<> header(request_.message.base());
   header.version(kHttp11);
   RemoveHopHeaders(header);
-  ForwardingHead forwarding{left,
-                            server.id,
-                            admitted_.customer,
-                            std::nullopt,
-                            copy_prefix_from_,
-                            events_.last_event_id()};
+  ForwardingHead forwarding{
+      left,         server.id,         admitted_.customer,
+      std::nullopt, copy_prefix_from_, events_.last_event_id()};
   if (engine_)
     forwarding.urgency =
         Urgency{admitted_.urgency, admitted_.policy->urgency_levels()};
--- a/src/gateway/forwarding/request_admission.cc
+++ b/src/gateway/forwarding/request_admission.cc
@@ -3,13 +3,11 @@
 #include <string>
 #include <utility>
 
+#include "gateway/forwarding/request_target.h"
+
 namespace bamboomount {
 namespace {
 
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
 const Route* FindRoute(const http::request_header<>& header,
                        const TrafficPolicy& policy) {
   const auto target = header.target();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -130,9 +130,12 @@
   std::list<std::shared_ptr<CallerConnection>> connections_;
 };
 
-GatewayServer::GatewayServer(Dispatcher& dispatcher, const EntryCalls& calls)
+GatewayServer::GatewayServer(Dispatcher& dispatcher,
+                             const EntryCalls& calls,
+                             PeerAnswer peer_answer)
     : dispatcher_(dispatcher),
       calls_(calls),
+      peer_answer_(std::move(peer_answer)),
       sweep_timer_(dispatcher.context()) {}
 
 GatewayServer::~GatewayServer() = default;
@@ -159,6 +162,14 @@
         ServeAddresses(request, *reply);
       }));
   const std::string directory = listeners_.back()->address();
+  if (!settings.peer_address.empty()) {
+    listeners_.push_back(std::make_unique<Listener>(
+        *this, settings.peer_address,
+        [this](const IncomingRequest& request,
+               const std::shared_ptr<CallerReply>& reply) {
+          ServePeer(request, *reply);
+        }));
+  }
   if (!settings.metrics_address.empty()) {
     listeners_.push_back(std::make_unique<Listener>(
         *this, settings.metrics_address,
@@ -226,6 +237,16 @@
                        calls_.EncodeAddresses(answer)));
 }
 
+void GatewayServer::ServePeer(const IncomingRequest& request,
+                              CallerReply& reply) {
+  auto body = peer_answer_(TargetOf(request));
+  if (body)
+    reply.Send(
+        TextReply(http::status::ok, "application/msgpack", std::move(*body)));
+  else
+    reply.Send(TextReply(http::status::not_found, "text/plain", ""));
+}
+
 void GatewayServer::ServeMetrics(CallerReply& reply) {
   reply.Send(TextReply(http::status::ok, "text/plain; version=0.0.4",
                        dispatcher_.metrics().ToPrometheusText()));
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -17,7 +17,14 @@
 // readers of metrics, and serves them on one thread.
 class GatewayServer {
  public:
-  GatewayServer(Dispatcher& dispatcher, const EntryCalls& calls);
+  // Answers other instances' questions for rows, given the call's target;
+  // empty for other calls.
+  using PeerAnswer =
+      std::function<std::optional<std::string>(const std::string& target)>;
+
+  GatewayServer(Dispatcher& dispatcher,
+                const EntryCalls& calls,
+                PeerAnswer peer_answer);
   ~GatewayServer();
   GatewayServer(const GatewayServer&) = delete;
   GatewayServer& operator=(const GatewayServer&) = delete;
@@ -37,6 +44,7 @@
   void ServeCaller(IncomingRequest request, std::shared_ptr<CallerReply> reply);
   void ServeReadiness(const IncomingRequest& request, CallerReply& reply);
   void ServeAddresses(const IncomingRequest& request, CallerReply& reply);
+  void ServePeer(const IncomingRequest& request, CallerReply& reply);
   void ServeMetrics(CallerReply& reply);
   bool TryReserve(std::size_t bytes);
   void Unreserve(std::size_t bytes) { reserved_bytes_ -= bytes; }
@@ -45,6 +53,7 @@
 
   Dispatcher& dispatcher_;
   const EntryCalls& calls_;
+  const PeerAnswer peer_answer_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   Listener* callers_ = nullptr;
   asio::steady_timer sweep_timer_;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -37,11 +37,37 @@
   return freshness_.IsWithin(settings_.config_deadline, now);
 }
 
+void GatewayState::NoteCommit(const Result<CommitAnswer>& answer) {
+  commits_reach_store_ = static_cast<bool>(answer);
+  if (!answer)
+    return;
+  const StoreMoment& moment = answer.value().moment;
+  freshness_.NoteStoreTime(moment.sent, moment.store_time);
+  backend_freshness_.NoteStoreTime(moment.sent, moment.store_time);
+}
+
+void GatewayState::NoteStoreBack(Millis store_time, Instant now) {
+  if (store_time <= store_back_)
+    return;
+  store_back_ = store_time;
+  backends_.NoteStoreBack(
+      backend_freshness_.LocalTime(store_time).value_or(now));
+}
+
+std::optional<Millis> GatewayState::OwnWallOffset(Instant now) const {
+  const auto store_time = freshness_.StoreTimeAt(now);
+  if (!store_time)
+    return std::nullopt;
+  return std::chrono::duration_cast<Millis>(
+             std::chrono::system_clock::now().time_since_epoch()) -
+         *store_time;
+}
+
 Millis GatewayState::WallTime(Instant now) const {
-  const auto offset = members_.WallOffset();
   const auto store_time = freshness_.StoreTimeAt(now);
-  if (offset && store_time)
-    return *store_time + *offset;
+  const auto own = OwnWallOffset(now);
+  if (store_time && own)
+    return *store_time + members_.WallOffset(*own, now);
   return std::chrono::duration_cast<Millis>(
       std::chrono::system_clock::now().time_since_epoch());
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "gateway/boot_clock.h"
+#include "gateway/control/async_table_store.h"
 #include "gateway/duties/usage_ledger.h"
 #include "gateway/instance_settings.h"
 #include "gateway/membership/backend_registry.h"
@@ -39,8 +40,23 @@
   // was applied.
   bool Apply(std::shared_ptr<const TrafficPolicy> policy);
 
+  // How fresh the configuration is, and the list of backend servers.
   StateFreshness& freshness() { return freshness_; }
   const StateFreshness& freshness() const { return freshness_; }
+  StateFreshness& backend_freshness() { return backend_freshness_; }
+  // Notes how a write to the store ended.
+  void NoteCommit(const Result<CommitAnswer>& answer);
+  // Whether the calls that follow the store's tables get answers.
+  void SetFollowersReachStore(bool reach) { followers_reach_store_ = reach; }
+  // Whether this instance's last calls to the store got answers.
+  bool reaches_store() const {
+    return followers_reach_store_ && commits_reach_store_;
+  }
+  // The store came back from an outage, in which rows of live backend servers
+  // may have lapsed, when its clock read `store_time`.
+  void NoteStoreBack(Millis store_time, Instant now);
+  // The store's clock when it last came back; 0 if it never was away.
+  Millis store_back() const { return store_back_; }
   BackendRegistry& backends() { return backends_; }
   const BackendRegistry& backends() const { return backends_; }
   MemberRegistry& members() { return members_; }
@@ -61,11 +77,18 @@
   // Time since the start of 1970 by the median clock of the instances, so that
   // a clock that is wrong here does not move usage to other windows.
   Millis WallTime(Instant now) const;
+  // This instance's clock less the store's steady clock; empty before the first
+  // answer of the store.
+  std::optional<Millis> OwnWallOffset(Instant now) const;
 
  private:
   InstanceSettings settings_;
   std::shared_ptr<const TrafficPolicy> policy_;
   StateFreshness freshness_;
+  StateFreshness backend_freshness_;
+  Millis store_back_{0};
+  bool followers_reach_store_ = true;
+  bool commits_reach_store_ = true;
   BackendRegistry backends_;
   MemberRegistry members_;
   BackendLoads loads_;
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -19,7 +19,7 @@
   ++revision_;
   if (InRestoreTime(now) && !entry->second.server.draining) {
     if (!entry->second.usable_until)
-      entry->second.usable_until = restore_until_.value_or(now + kRestoreTime);
+      entry->second.usable_until = restore_until_;
     return;
   }
   servers_.erase(entry);
@@ -48,17 +48,6 @@
     ++revision_;
 }
 
-void BackendRegistry::NoteStoreAway() {
-  store_away_ = true;
-}
-
-void BackendRegistry::NoteStoreBack(Instant now) {
-  if (!store_away_)
-    return;
-  store_away_ = false;
-  restore_until_ = now + kRestoreTime;
-}
-
 void BackendRegistry::Expire(Instant now) {
   for (auto entry = servers_.begin(); entry != servers_.end();) {
     const auto& until = entry->second.usable_until;
@@ -103,7 +92,7 @@
 }
 
 bool BackendRegistry::InRestoreTime(Instant now) const {
-  return store_away_ || (restore_until_ && now < *restore_until_);
+  return restore_until_ && now < *restore_until_;
 }
 
 }  // namespace bamboomount
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -30,9 +30,8 @@
   void Replace(const std::vector<BackendServer>& servers, Instant now);
   // The row of `id` cannot be read; it names no server to use.
   void Forget(const BackendId& id);
-  // The store failed to answer, or answered again after a failure.
-  void NoteStoreAway();
-  void NoteStoreBack(Instant now);
+  // The store answered again at `back`, after an outage.
+  void NoteStoreBack(Instant back) { restore_until_ = back + kRestoreTime; }
   // Ends the use of lapsed servers that were not listed again in time.
   void Expire(Instant now);
 
@@ -58,7 +57,6 @@
   bool InRestoreTime(Instant now) const;
 
   std::map<BackendId, Entry> servers_;
-  bool store_away_ = false;
   std::optional<Instant> restore_until_;
   std::uint64_t revision_ = 0;
 };
--- a/src/gateway/membership/member.cc
+++ b/src/gateway/membership/member.cc
@@ -7,26 +7,6 @@
 
 using Json = nlohmann::json;
 
-Json EncodeUsage(const std::map<WindowNumber, UsageCounts>& usage) {
-  Json windows = Json::object();
-  for (const auto& [window, counts] : usage) {
-    Json& row = windows[std::to_string(window.value())] = Json::object();
-    for (const auto& [customer, count] : counts)
-      row[customer.value()] = count;
-  }
-  return windows;
-}
-
-std::map<WindowNumber, UsageCounts> DecodeUsage(const Json& windows) {
-  std::map<WindowNumber, UsageCounts> usage;
-  for (const auto& [window, counts] : windows.items()) {
-    UsageCounts& row = usage[WindowNumber(std::stoll(window))];
-    for (const auto& [customer, count] : counts.items())
-      row[CustomerId(customer)] = count.get<std::int64_t>();
-  }
-  return usage;
-}
-
 }  // namespace
 
 std::string EncodeMember(const Member& member) {
@@ -37,10 +17,7 @@
                  {"zone", member.zone.value()},
                  {"region", member.region.value()},
                  {"capacity", member.capacity},
-                 {"leaving", member.leaving},
-                 {"store_time_ms", member.store_time.count()},
-                 {"wall_offset_ms", member.wall_offset.count()},
-                 {"usage", EncodeUsage(member.usage)}};
+                 {"leaving", member.leaving}};
   return row.dump();
 }
 
@@ -56,9 +33,6 @@
     member.region = RegionId(row.at("region").get<std::string>());
     member.capacity = row.at("capacity").get<double>();
     member.leaving = row.at("leaving").get<bool>();
-    member.store_time = Millis(row.at("store_time_ms").get<std::int64_t>());
-    member.wall_offset = Millis(row.at("wall_offset_ms").get<std::int64_t>());
-    member.usage = DecodeUsage(row.at("usage"));
     return member;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
+#include "base/stable_hash.h"
+
 namespace bamboomount {
 namespace {
 
@@ -25,67 +28,90 @@
 
 }  // namespace
 
-void MemberRegistry::Update(const std::string& row_key,
-                            Member member,
+void MemberRegistry::Update(const Member& member,
+                            RowVersion version,
                             Instant now) {
-  if (!member.peer_address.empty())
-    heard_.emplace(member.instance, now);
-  rows_.insert_or_assign(row_key, std::move(member));
+  Entry& entry = entries_[member.instance];
+  const bool restarted = entry.member.incarnation != member.incarnation;
+  entry.member = member;
+  entry.version = version;
+  if (restarted && !member.peer_address.empty())
+    entry.heard = now;
 }
 
-void MemberRegistry::Remove(const std::string& row_key) {
-  rows_.erase(row_key);
+void MemberRegistry::Remove(const InstanceId& instance) {
+  entries_.erase(instance);
 }
 
-void MemberRegistry::Keep(const std::vector<std::string>& row_keys) {
-  const std::set<std::string> kept(row_keys.begin(), row_keys.end());
-  std::erase_if(rows_,
-                [&kept](const auto& row) { return !kept.contains(row.first); });
+void MemberRegistry::Keep(const std::vector<InstanceId>& listed) {
+  const std::set<InstanceId> kept(listed.begin(), listed.end());
+  std::erase_if(entries_, [&kept](const auto& item) {
+    return !kept.contains(item.first);
+  });
 }
 
-std::vector<const Member*> MemberRegistry::Alive() const {
-  std::map<InstanceId, const Member*> newest;
-  for (const auto& [key, member] : rows_) {
-    if (!IsAlive(member))
-      continue;
-    const Member*& known = newest[member.instance];
-    if (!known || known->store_time < member.store_time)
-      known = &member;
-  }
-  std::vector<const Member*> alive;
-  alive.reserve(newest.size());
-  for (const auto& [instance, member] : newest)
-    alive.push_back(member);
-  return alive;
+void MemberRegistry::NoteHeard(const InstanceId& instance,
+                               const MemberSigns& signs,
+                               Instant now) {
+  const auto entry = entries_.find(instance);
+  if (entry == entries_.end())
+    return;
+  entry->second.heard = now;
+  entry->second.signs = signs;
 }
 
-const Member* MemberRegistry::FindAlive(const InstanceId& instance) const {
-  const Member* newest = nullptr;
-  for (const auto& [key, member] : rows_) {
-    if (member.instance != instance || !IsAlive(member))
-      continue;
-    if (!newest || newest->store_time < member.store_time)
-      newest = &member;
+bool MemberRegistry::IsSilent(const InstanceId& instance, Instant now) const {
+  const auto entry = entries_.find(instance);
+  return entry != entries_.end() && IsSilent(entry->second, now);
+}
+
+Millis MemberRegistry::SilenceLimit() const {
+  return kSilence + kSilencePerMember * static_cast<int>(entries_.size());
+}
+
+bool MemberRegistry::IsSilent(const Entry& entry, Instant now) const {
+  return entry.heard && now - *entry.heard > SilenceLimit();
+}
+
+bool MemberRegistry::HearsFew(Instant now) const {
+  std::size_t known = 0;
+  std::size_t silent = 0;
+  for (const auto& [instance, entry] : entries_) {
+    known += entry.heard ? 1 : 0;
+    silent += IsSilent(entry, now) ? 1 : 0;
   }
-  return newest;
+  return 2 * silent > known;
+}
+
+std::vector<const Member*> MemberRegistry::All() const {
+  std::vector<const Member*> members;
+  members.reserve(entries_.size());
+  for (const auto& [instance, entry] : entries_)
+    members.push_back(&entry.member);
+  return members;
+}
+
+const Member* MemberRegistry::Find(const InstanceId& instance) const {
+  const auto entry = entries_.find(instance);
+  return entry == entries_.end() ? nullptr : &entry->second.member;
 }
 
 std::vector<std::string> MemberRegistry::AddressesFor(const ZoneId& zone,
                                                       const RegionId& region,
                                                       std::size_t limit,
                                                       Instant now) const {
-  std::vector<const Member*> alive = Alive();
-  if (!HearsFew(now)) {
-    std::erase_if(alive, [this, now](const Member* member) {
-      return IsSilent(member->instance, now);
-    });
+  const bool trusts_silence = !HearsFew(now);
+  std::vector<const Member*> offered;
+  for (const auto& [instance, entry] : entries_) {
+    if (entry.member.leaving || (trusts_silence && IsSilent(entry, now)))
+      continue;
+    offered.push_back(&entry.member);
   }
   std::vector<std::string> addresses;
   for (const Filter filter : kNearToFar) {
     addresses.clear();
-    for (const Member* member : alive) {
-      if (!member->leaving && filter(*member, zone, region) &&
-          addresses.size() < limit)
+    for (const Member* member : offered) {
+      if (filter(*member, zone, region) && addresses.size() < limit)
         addresses.push_back(member->caller_address);
     }
     if (addresses.size() >= kMinAddresses)
@@ -94,69 +120,49 @@
   return addresses;
 }
 
-bool MemberRegistry::IsSilent(const InstanceId& instance, Instant now) const {
-  const auto heard = heard_.find(instance);
-  const Millis limit =
-      kSilence + kSilencePerMember * static_cast<int>(heard_.size());
-  return heard != heard_.end() && now - heard->second > limit;
-}
-
-bool MemberRegistry::HearsFew(Instant now) const {
-  std::size_t known = 0;
-  std::size_t silent = 0;
-  for (const Member* member : Alive()) {
-    if (!heard_.contains(member->instance))
-      continue;
-    ++known;
-    silent += IsSilent(member->instance, now) ? 1 : 0;
-  }
-  return 2 * silent > known;
+int MemberRegistry::Count() const {
+  return std::max<int>(1, static_cast<int>(entries_.size()));
 }
 
-int MemberRegistry::AliveCount() const {
-  return std::max<int>(1, static_cast<int>(Alive().size()));
+std::size_t MemberRegistry::RankOf(const InstanceId& instance,
+                                   Instant now) const {
+  // Smaller places come first.
+  const auto place = [now, this](const Entry& entry) {
+    const bool unfit = entry.member.leaving || IsSilent(entry, now) ||
+                       !entry.signs.reaches_store;
+    return std::tuple(unfit, -entry.member.capacity,
+                      StableHash(entry.member.instance.value()));
+  };
+  const auto own = entries_.find(instance);
+  if (own == entries_.end())
+    return entries_.size();
+  const auto own_place = place(own->second);
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(),
+      [&](const auto& item) { return place(item.second) < own_place; }));
 }
 
-UsageCounts MemberRegistry::UsageOf(WindowNumber window) const {
-  UsageCounts sum;
-  for (const auto& [key, member] : rows_) {
-    const auto counts = member.usage.find(window);
-    if (counts == member.usage.end())
-      continue;
-    for (const auto& [customer, count] : counts->second)
-      sum[customer] += count;
+Millis MemberRegistry::WallOffset(Millis own, Instant now) const {
+  std::vector<Millis> offsets{own};
+  for (const auto& [instance, entry] : entries_) {
+    if (entry.signs.wall_offset && !IsSilent(entry, now))
+      offsets.push_back(*entry.signs.wall_offset);
   }
-  return sum;
-}
-
-std::optional<Millis> MemberRegistry::WallOffset() const {
-  std::vector<Millis> offsets;
-  for (const Member* member : Alive())
-    offsets.push_back(member->wall_offset);
-  if (offsets.empty())
-    return std::nullopt;
   const auto middle =
       offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
   std::nth_element(offsets.begin(), middle, offsets.end());
   return *middle;
 }
 
-std::vector<std::string> MemberRegistry::OutdatedRows() const {
-  std::vector<std::string> outdated;
-  for (const auto& [key, member] : rows_) {
-    if (store_time_ - member.store_time > kRowLifetime)
-      outdated.push_back(key);
+std::vector<MemberRegistry::Row> MemberRegistry::FailedRows(Instant now) const {
+  std::vector<Row> failed;
+  if (HearsFew(now))
+    return failed;
+  for (const auto& [instance, entry] : entries_) {
+    if (entry.heard && now - *entry.heard > SilenceLimit() * kDropFactor)
+      failed.push_back({instance, entry.version});
   }
-  return outdated;
-}
-
-bool MemberRegistry::IsAlive(const Member& member) const {
-  return store_time_ - member.store_time < Expiry();
-}
-
-Millis MemberRegistry::Expiry() const {
-  return std::min(kMaxExpiry, kMinExpiry + kExpiryPerMember *
-                                               static_cast<int>(rows_.size()));
+  return failed;
 }
 
 }  // namespace bamboomount
--- a/src/gateway/membership/state_freshness.cc
+++ b/src/gateway/membership/state_freshness.cc
@@ -56,6 +56,12 @@
   return confirmed_ && now - *confirmed_ <= limit;
 }
 
+std::optional<Instant> StateFreshness::LocalTime(Millis store_time) const {
+  if (!anchor_)
+    return std::nullopt;
+  return TimeOf(store_time);
+}
+
 std::optional<Millis> StateFreshness::StoreTimeAt(Instant now) const {
   if (!anchor_)
     return std::nullopt;
--- a/src/gateway/membership/state_freshness.h
+++ b/src/gateway/membership/state_freshness.h
@@ -37,6 +37,9 @@
   std::optional<Millis> Age(Instant now) const;
   // Whether the state was confirmed within `limit`.
   bool IsWithin(Millis limit, Instant now) const;
+  // The local moment at which the store's clock read `store_time`, at most one
+  // call's duration early; empty before the first answer.
+  std::optional<Instant> LocalTime(Millis store_time) const;
   // The store's steady clock at `now`, at most one call's duration ahead; empty
   // before the first answer.
   std::optional<Millis> StoreTimeAt(Instant now) const;
--- a/src/gateway/placement/backend_selector.cc
+++ b/src/gateway/placement/backend_selector.cc
@@ -60,9 +60,8 @@
   const BackendServer* best = nullptr;
   double best_cost = 0;
   for (const BackendServer* server : pool) {
-    const double cost = request.engine
-                            ? EngineCost(*server, home, request, now)
-                            : ServiceCost(*server, request);
+    const double cost = request.engine ? EngineCost(*server, home, request, now)
+                                       : ServiceCost(*server, request);
     if (best && cost >= best_cost)
       continue;
     best = server;
--- a/src/gateway/placement/prefix_locator.cc
+++ b/src/gateway/placement/prefix_locator.cc
@@ -58,8 +58,8 @@
   weights.reserve(servers.size());
   for (const BackendServer* server : servers)
     weights.emplace_back(RendezvousWeight(key, server->id.value()), server);
-  const auto end = weights.begin() + static_cast<std::ptrdiff_t>(
-                                         std::min(count, weights.size()));
+  const auto end = weights.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(count, weights.size()));
   std::partial_sort(
       weights.begin(), end, weights.end(),
       [](const auto& a, const auto& b) { return a.first > b.first; });
@@ -75,10 +75,9 @@
                           Instant now) const {
   if (prompt.Subject() == 0 || HasSent(server, prompt, now))
     return true;
-  const BackendServer* home =
-      HighestRanked(listed, prompt.Subject(), [now](const BackendServer& other) {
-        return IsSettled(other, now);
-      });
+  const BackendServer* home = HighestRanked(
+      listed, prompt.Subject(),
+      [now](const BackendServer& other) { return IsSettled(other, now); });
   return home && home->id == server.id;
 }
 
--- a/src/gateway/placement/prefix_locator.h
+++ b/src/gateway/placement/prefix_locator.h
@@ -15,10 +15,10 @@
 // their memory.
 //
 // Rendezvous hashing gives all instances the same order of engines for each
-// subject without a shared table; the first one is the subject's home. An engine
-// that was listed a short time ago is not the home of anything yet: what it will
-// be asked for is still held by the engine that was the home before. Besides,
-// an instance remembers where it sent a subject.
+// subject without a shared table; the first one is the subject's home. An
+// engine that was listed a short time ago is not the home of anything yet: what
+// it will be asked for is still held by the engine that was the home before.
+// Besides, an instance remembers where it sent a subject.
 class PrefixLocator {
  public:
   using Servers = std::vector<const BackendServer*>;
--- a/src/gateway/placement/quiet_engines.cc
+++ b/src/gateway/placement/quiet_engines.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Part of a quiet engine's slots that conversations are planned for.
-constexpr double kPlannedSlotPart = 0.5;
+constexpr double kPlannedSlotPart = 0.3;
 // At most one in so many engines is kept quiet.
 constexpr std::size_t kMinEnginesPerQuietOne = 3;
 // Their number changes in steps of this part of the pool: instances whose
--- /dev/null
+++ b/src/gateway/replication/fleet_news.cc
@@ -0,0 +1,61 @@
+#include "gateway/replication/fleet_news.h"
+
+#include <utility>
+
+namespace bamboomount {
+
+PeerNews FleetNews::DescribeNews() {
+  const Instant now = BootClock::now();
+  PeerNews news;
+  for (std::size_t i = 0; i < kSharedTables; ++i)
+    news.tables[i] = followers_[i]->news();
+  news.signs.wall_offset = state_.OwnWallOffset(now);
+  news.signs.reaches_store = state_.reaches_store();
+  news.store_back = state_.store_back();
+  news.holder = lease_.Statement(now);
+  return news;
+}
+
+void FleetNews::OnNews(PeerNews news, const Member& sender) {
+  const Instant now = BootClock::now();
+  // Before the rows: they are read in its light.
+  state_.NoteStoreBack(news.store_back, now);
+  const std::string& address = sender.peer_address;
+  for (std::size_t i = 0; i < kSharedTables; ++i) {
+    // The sender has not read the table yet.
+    if (news.tables[i].position == RowVersion())
+      continue;
+    TableFollower& follower = *followers_[i];
+    follower.OnPeerNews(
+        news.tables[i], [this, &follower, address](
+                            RowVersion after, PeerRowsClient::Callback done) {
+          client_.Ask(address, {follower.table(), after}, std::move(done));
+        });
+  }
+  if (news.holder)
+    lease_.OnStatement(*news.holder, now);
+  if (news.loads)
+    state_.loads().SetRemote(news.instance, std::move(*news.loads));
+}
+
+void FleetNews::OnStranger(const InstanceId& instance) {
+  watch_.OnStranger(instance);
+}
+
+void FleetNews::OnSilence(const std::vector<InstanceId>& heard) {
+  state_.loads().KeepRemotes(heard);
+}
+
+std::optional<std::string> FleetNews::AnswerRows(
+    const std::string& target) const {
+  const auto query = DecodePeerRowsTarget(target);
+  if (!query)
+    return std::nullopt;
+  for (const TableFollower* follower : followers_) {
+    if (follower->table() == query->table && follower->known())
+      return EncodePeerRows(follower->RowsSince(query->after));
+  }
+  return std::nullopt;
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/replication/peer_news.h
@@ -0,0 +1,51 @@
+#ifndef GATEWAY_REPLICATION_PEER_NEWS_H_
+#define GATEWAY_REPLICATION_PEER_NEWS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "gateway/membership/member_registry.h"
+#include "gateway/placement/backend_loads.h"
+#include "gateway/replication/table_news.h"
+
+namespace bamboomount {
+
+// The tables of the store that every instance knows.
+enum class SharedTable { kConfig, kBackends, kInstances };
+inline constexpr std::size_t kSharedTables = 3;
+
+// What the holder of the duty lease last said, as the sender of the news knows.
+struct HolderStatement {
+  InstanceId holder;
+  FencingToken token;
+  // How long ago the holder said that it holds the lease.
+  Millis age{0};
+};
+
+// What one instance tells others several times a second.
+struct PeerNews {
+  InstanceId instance;
+  // Grows with each message, so that one that was overtaken is dropped.
+  std::uint64_t sequence = 0;
+  // In the order of SharedTable; a table that was not read yet has version 0.
+  std::array<TableNews, kSharedTables> tables;
+  MemberSigns signs;
+  // The store's steady clock when it came back from the last outage; 0 if there
+  // was none.
+  Millis store_back{0};
+  std::optional<HolderStatement> holder;
+  // The requests that the sender has at backend servers; empty if the message
+  // does not tell.
+  std::optional<std::map<BackendId, BackendLoad>> loads;
+};
+
+// MessagePack. Decoding fails with kInternal.
+std::vector<std::uint8_t> EncodePeerNews(const PeerNews& news);
+Result<PeerNews> DecodePeerNews(const std::uint8_t* data, std::size_t size);
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_REPLICATION_PEER_NEWS_H_
--- /dev/null
+++ b/src/gateway/replication/peer_rows.cc
@@ -0,0 +1,115 @@
+#include "gateway/replication/peer_rows.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "gateway/events.h"
+#include "gateway/forwarding/request_target.h"
+#include "telemetry/log.h"
+
+namespace bamboomount {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kPath[] = "/peer/rows";
+constexpr unsigned kOk = 200;
+// Another instance, or the store, is asked after it.
+constexpr Millis kTimeout{400};
+
+}  // namespace
+
+std::string EncodePeerRowsTarget(const PeerRowsQuery& query) {
+  return std::string(kPath) + "?table=" + query.table +
+         "&after=" + std::to_string(query.after.value());
+}
+
+std::optional<PeerRowsQuery> DecodePeerRowsTarget(const std::string& target) {
+  if (PathOf(target) != kPath)
+    return std::nullopt;
+  const std::string after = QueryValue(target, "after");
+  std::uint64_t version = 0;
+  const auto parsed =
+      std::from_chars(after.data(), after.data() + after.size(), version);
+  if (after.empty() || parsed.ec != std::errc())
+    return std::nullopt;
+  return PeerRowsQuery{QueryValue(target, "table"), RowVersion(version)};
+}
+
+std::string EncodePeerRows(const PeerRows& rows) {
+  Json list = Json::array();
+  for (const TableRow& row : rows.rows) {
+    Json value = row.deleted ? Json(nullptr) : Json(row.value);
+    list.push_back({row.key, row.version.value(), std::move(value)});
+  }
+  const Json body{{"whole", rows.whole},
+                  {"rows", std::move(list)},
+                  {"revision", rows.news.revision.value()},
+                  {"position", rows.news.position.value()},
+                  {"confirmed_ms", rows.news.confirmed.count()}};
+  const auto bytes = Json::to_msgpack(body);
+  return {bytes.begin(), bytes.end()};
+}
+
+Result<PeerRows> DecodePeerRows(const std::string& table,
+                                const std::string& body) {
+  try {
+    const Json json = Json::from_msgpack(body.begin(), body.end());
+    PeerRows rows;
+    rows.whole = json.at("whole").get<bool>();
+    rows.news.revision = RowVersion(json.at("revision").get<std::uint64_t>());
+    rows.news.position = RowVersion(json.at("position").get<std::uint64_t>());
+    rows.news.confirmed = Millis(json.at("confirmed_ms").get<Millis::rep>());
+    for (const Json& item : json.at("rows")) {
+      TableRow row{table, item.at(0).get<std::string>(), "",
+                   RowVersion(item.at(1).get<std::uint64_t>()),
+                   item.at(2).is_null()};
+      if (!row.deleted)
+        row.value = item.at(2).get<std::string>();
+      rows.rows.push_back(std::move(row));
+    }
+    return rows;
+  } catch (const std::exception& error) {
+    return Error{ErrorCode::kInternal,
+                 RunVerdict::kNotRun,
+                 std::string("rows cannot be read: ") + error.what(),
+                 {}};
+  }
+}
+
+void PeerRowsClient::Ask(const std::string& address,
+                         const PeerRowsQuery& query,
+                         Callback done) {
+  channels_.push_back(std::make_unique<HttpChannel>(context_, address));
+  const auto channel = std::prev(channels_.end());
+  HttpCall call;
+  call.target = EncodePeerRowsTarget(query);
+  call.timeout = kTimeout;
+  call.connect_timeout = kTimeout;
+  (*channel)->Call(
+      std::move(call), [this, channel, address, table = query.table,
+                        done = std::move(done)](const HttpAnswer& answer) {
+        // The channel runs this callback, so that it is destroyed afterwards.
+        asio::post(context_, [this, channel] { channels_.erase(channel); });
+        std::optional<PeerRows> told;
+        std::string failure = answer.failure;
+        if (answer.status == kOk) {
+          auto rows = DecodePeerRows(table, answer.body);
+          if (rows)
+            told = std::move(rows.value());
+          else
+            failure = rows.error().message;
+        }
+        if (!told)
+          Log(gateway_events::kPeerRowsFailed,
+              {{"peer", address},
+               {"table", table},
+               {"status", std::to_string(answer.status)},
+               {"cause", failure}});
+        done(std::move(told));
+      });
+}
+
+}  // namespace bamboomount
--- a/tests/gateway/backend_registry_test.cc
+++ b/tests/gateway/backend_registry_test.cc
@@ -41,7 +41,6 @@
   BackendRegistry registry;
   registry.Update(Server("a"), At(0));
   registry.Update(Server("b"), At(0));
-  registry.NoteStoreAway();
   registry.NoteStoreBack(At(1000));
   registry.Replace({}, At(1000));
   BOOST_TEST(registry.Usable(PoolId("p")).size() == 2U);
@@ -55,7 +54,6 @@
 BOOST_AUTO_TEST_CASE(a_draining_server_that_lapsed_is_gone) {
   BackendRegistry registry;
   registry.Update(Server("a", true), At(0));
-  registry.NoteStoreAway();
   registry.NoteStoreBack(At(0));
   registry.Remove(BackendId("a"), At(0));
   BOOST_TEST(registry.Listed(PoolId("p")).empty());
@@ -66,7 +64,6 @@
 BOOST_AUTO_TEST_CASE(after_the_restore_time_rows_count_again) {
   BackendRegistry registry;
   registry.Update(Server("a"), At(0));
-  registry.NoteStoreAway();
   registry.NoteStoreBack(At(0));
   registry.Remove(BackendId("a"), At(1) + BackendRegistry::kRestoreTime);
   BOOST_TEST(registry.Usable(PoolId("p")).empty());
--- a/tests/gateway/backend_selector_test.cc
+++ b/tests/gateway/backend_selector_test.cc
@@ -13,7 +13,8 @@
 
 const EngineTraits kEngine;
 
-// An engine that copies shared parts from others much sooner than it reads them.
+// An engine that copies shared parts from others much sooner than it reads
+// them.
 EngineTraits CopyingEngine() {
   EngineTraits engine;
   engine.cache_bytes_per_token = 35000;
@@ -109,7 +110,8 @@
   BOOST_TEST(selector.PlanPrefix(*other, request, At(0)).copy_from != home);
   // Engines that do not copy read all of it.
   const PlacementRequest reading{prompt, &kEngine, kHere, Pointers(servers)};
-  BOOST_TEST(selector.PlanPrefix(*other, reading, At(0)).unread.value() == 9000);
+  BOOST_TEST(selector.PlanPrefix(*other, reading, At(0)).unread.value() ==
+             9000);
 }
 
 // Pattern: long prompts beside live conversations. Guards against conversations
--- a/tests/gateway/member_registry_test.cc
+++ b/tests/gateway/member_registry_test.cc
@@ -1,25 +1,28 @@
 #include "gateway/membership/member_registry.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "instants.h"
 
 namespace bamboomount {
 namespace {
 
-Member MakeMember(const std::string& instance,
-                  const std::string& zone,
-                  std::int64_t store_time) {
+Member MakeMember(const std::string& instance, const std::string& zone = "z") {
   Member member;
   member.instance = InstanceId(instance);
   member.incarnation = Incarnation(instance + "-1");
   member.caller_address = instance + ":1";
+  member.peer_address = instance + ":2";
   member.zone = ZoneId(zone);
   member.region = RegionId("r");
-  member.store_time = Millis(store_time);
   return member;
 }
 
+void Add(MemberRegistry& registry, const Member& member) {
+  registry.Update(member, RowVersion(1), At(0));
+}
+
 std::vector<std::string> Addresses(const MemberRegistry& registry,
                                    const std::string& zone,
                                    Instant now = At(0)) {
@@ -31,107 +34,105 @@
 // Guards against callers that are sent across zones without need.
 BOOST_AUTO_TEST_CASE(callers_get_the_instances_of_their_zone) {
   MemberRegistry registry;
-  for (const char* name : {"a", "b"})
-    registry.Update(name, MakeMember(name, "near", 100), At(0));
-  registry.Update("c", MakeMember("c", "far", 100), At(0));
-  registry.NoteStoreTime(Millis(100));
+  Add(registry, MakeMember("a", "near"));
+  Add(registry, MakeMember("b", "near"));
+  Add(registry, MakeMember("c", "far"));
   BOOST_TEST(Addresses(registry, "near").size() == 2U);
   // A single address leaves no way out when it fails.
   BOOST_TEST(Addresses(registry, "far").size() == 3U);
 }
 
-// Guards against callers that are sent to an instance that failed or stops.
-BOOST_AUTO_TEST_CASE(failed_and_leaving_instances_are_left_out) {
+// Guards against callers that are sent to an instance that stops.
+BOOST_AUTO_TEST_CASE(leaving_instances_are_left_out) {
   MemberRegistry registry;
-  registry.Update("a", MakeMember("a", "z", 100), At(0));
-  registry.Update("b", MakeMember("b", "z", 19000), At(0));
-  Member leaving = MakeMember("c", "z", 19000);
+  Add(registry, MakeMember("a"));
+  Add(registry, MakeMember("b"));
+  Member leaving = MakeMember("c");
   leaving.leaving = true;
-  registry.Update("c", leaving, At(0));
-  registry.NoteStoreTime(Millis(19500));
-  BOOST_TEST(Addresses(registry, "z") == std::vector<std::string>{"b:1"},
-             boost::test_tools::per_element());
+  Add(registry, leaving);
+  BOOST_TEST(Addresses(registry, "z").size() == 2U);
 }
 
 // Guards against callers that are sent to an instance that fell silent, until
-// its row runs out.
+// its row is dropped, and against an instance that was never heard (found by a
+// hunt: addresses of an instance that had been off for 12 s).
 BOOST_AUTO_TEST_CASE(a_silent_instance_is_left_out_unless_most_are_silent) {
   MemberRegistry registry;
-  for (const char* name : {"a", "b", "c"}) {
-    registry.Update(name, MakeMember(name, "z", 100), At(0));
-    registry.NoteHeard(InstanceId(name), At(0));
-  }
-  registry.NoteStoreTime(Millis(100));
-  registry.NoteHeard(InstanceId("a"), At(5000));
-  registry.NoteHeard(InstanceId("b"), At(5000));
+  for (const char* name : {"a", "b", "c"})
+    Add(registry, MakeMember(name));
+  registry.NoteHeard(InstanceId("a"), {}, At(5000));
+  registry.NoteHeard(InstanceId("b"), {}, At(5000));
   BOOST_TEST(Addresses(registry, "z", At(5000)).size() == 2U);
   // All silent: the fault is likely on this side.
   BOOST_TEST(Addresses(registry, "z", At(20000)).size() == 3U);
 }
 
-// Guards against callers that are sent to an instance that failed before this
-// one started and heard it (found by a hunt: addresses of an instance that had
-// been off for 12 s).
-BOOST_AUTO_TEST_CASE(an_instance_that_was_never_heard_is_left_out) {
+// Guards against rows of failed instances that stay for ever, and against live
+// ones that are dropped by an instance that hears nobody.
+BOOST_AUTO_TEST_CASE(rows_of_instances_that_failed_are_dropped) {
   MemberRegistry registry;
-  for (const char* name : {"a", "b", "c"}) {
-    Member member = MakeMember(name, "z", 100);
-    member.peer_address = std::string(name) + ":2";
-    registry.Update(name, member, At(0));
-  }
-  registry.NoteStoreTime(Millis(100));
-  registry.NoteHeard(InstanceId("a"), At(5000));
-  registry.NoteHeard(InstanceId("b"), At(5000));
-  BOOST_TEST(Addresses(registry, "z", At(5000)).size() == 2U);
+  for (const char* name : {"a", "b", "c"})
+    Add(registry, MakeMember(name));
+  registry.NoteHeard(InstanceId("a"), {}, At(60000));
+  registry.NoteHeard(InstanceId("b"), {}, At(60000));
+  const auto failed = registry.FailedRows(At(60000));
+  BOOST_REQUIRE(failed.size() == 1U);
+  BOOST_TEST(failed.front().instance == InstanceId("c"));
+  BOOST_TEST(registry.FailedRows(At(120000)).empty());
 }
 
-// Guards against a fleet that forgets its members in an outage of the store:
-// ages are judged by answers of the store alone.
-BOOST_AUTO_TEST_CASE(an_outage_of_the_store_ages_nobody) {
+// Guards against an instance that is taken for silent because its process was
+// started again.
+BOOST_AUTO_TEST_CASE(a_restarted_instance_is_expected_to_speak_from_then_on) {
   MemberRegistry registry;
-  registry.Update("a", MakeMember("a", "z", 100), At(0));
-  registry.NoteStoreTime(Millis(1000));
-  BOOST_TEST(registry.AliveCount() == 1);
-  BOOST_TEST(Addresses(registry, "z").size() == 1U);
+  for (const char* name : {"a", "b", "c"})
+    Add(registry, MakeMember(name));
+  Member again = MakeMember("c");
+  again.incarnation = Incarnation("c-2");
+  registry.Update(again, RowVersion(2), At(9000));
+  BOOST_TEST(!registry.IsSilent(InstanceId("c"), At(9500)));
 }
 
-// Guards against usage that is lost with a process: its row still counts.
-BOOST_AUTO_TEST_CASE(usage_adds_up_over_all_incarnations) {
+// Guards against instances that all watch the store, or none: the ranks are a
+// common order, and those that cannot watch come last.
+BOOST_AUTO_TEST_CASE(the_strongest_that_reach_the_store_come_first) {
   MemberRegistry registry;
-  Member old = MakeMember("a", "z", 100);
-  old.usage[WindowNumber(7)][CustomerId("mill")] = 2;
-  Member current = MakeMember("a", "z", 9000);
-  current.usage[WindowNumber(7)][CustomerId("mill")] = 3;
-  registry.Update("a/1", old, At(0));
-  registry.Update("a/2", current, At(0));
-  registry.NoteStoreTime(Millis(9000));
-  BOOST_TEST(registry.UsageOf(WindowNumber(7)).at(CustomerId("mill")) == 5);
-  BOOST_TEST(registry.AliveCount() == 1);
+  for (const char* name : {"a", "b", "c", "d"}) {
+    Member member = MakeMember(name);
+    member.capacity = std::string(name) == "c" ? 0.5 : 0.1;
+    Add(registry, member);
+  }
+  BOOST_TEST(registry.RankOf(InstanceId("c"), At(0)) == 0U);
+  std::set<std::size_t> ranks;
+  for (const char* name : {"a", "b", "c", "d"})
+    ranks.insert(registry.RankOf(InstanceId(name), At(0)));
+  BOOST_TEST(ranks.size() == 4U);
+  registry.NoteHeard(InstanceId("c"), {std::nullopt, false}, At(0));
+  BOOST_TEST(registry.RankOf(InstanceId("c"), At(0)) == 3U);
+  // An instance without a row leaves the tasks to those that have one.
+  BOOST_TEST(registry.RankOf(InstanceId("x"), At(0)) == 4U);
+  BOOST_TEST(MemberRegistry().RankOf(InstanceId("x"), At(0)) == 0U);
 }
 
 // Guards against one wrong clock that moves usage to other windows.
 BOOST_AUTO_TEST_CASE(the_median_clock_counts) {
   MemberRegistry registry;
-  const std::vector<std::int64_t> offsets{5000, 5010, 999000};
-  for (std::size_t i = 0; i < offsets.size(); ++i) {
-    Member member = MakeMember(std::to_string(i), "z", 100);
-    member.wall_offset = Millis(offsets[i]);
-    registry.Update(std::to_string(i), member, At(0));
+  for (const auto& [name, offset] :
+       {std::pair("a", 5000), std::pair("b", 5010)}) {
+    Add(registry, MakeMember(name));
+    registry.NoteHeard(InstanceId(name), {Millis(offset), true}, At(0));
   }
-  registry.NoteStoreTime(Millis(100));
-  BOOST_TEST(registry.WallOffset()->count() == 5010);
+  BOOST_TEST(registry.WallOffset(Millis(999000), At(0)).count() == 5010);
+  BOOST_TEST(MemberRegistry().WallOffset(Millis(7), At(0)).count() == 7);
 }
 
 // Guards against a member that loses facts on its way through the store.
 BOOST_AUTO_TEST_CASE(a_member_reads_back_as_it_was_written) {
-  Member member = MakeMember("a", "z", 123);
+  Member member = MakeMember("a");
   member.leaving = true;
-  member.peer_address = "10.0.0.1:7";
-  member.usage[WindowNumber(9)][CustomerId("mill")] = 5;
+  member.capacity = 0.12;
   const auto read = DecodeMember(EncodeMember(member));
-  BOOST_TEST(read.value().leaving);
-  BOOST_TEST(read.value().peer_address == "10.0.0.1:7");
-  BOOST_TEST((read.value().usage == member.usage));
+  BOOST_TEST((read.value() == member));
   BOOST_TEST(!DecodeMember("[]"));
 }
 
--- a/tests/gateway/prefix_locator_test.cc
+++ b/tests/gateway/prefix_locator_test.cc
@@ -21,7 +21,8 @@
   const auto again = PrefixLocator::Ranked(Pointers(reversed), prompt, 3);
   for (std::size_t i = 0; i < ranked.size(); ++i)
     BOOST_TEST(ranked[i]->id == again[i]->id);
-  BOOST_TEST(PrefixLocator::Ranked(Pointers(servers), PromptShape(), 3).empty());
+  BOOST_TEST(
+      PrefixLocator::Ranked(Pointers(servers), PromptShape(), 3).empty());
 }
 
 // Pattern: servers that were ordered take over subjects. Guards against shared
--- /dev/null
+++ b/tests/gateway/table_replica_test.cc
@@ -0,0 +1,162 @@
+#include "gateway/replication/table_replica.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <vector>
+
+namespace bamboomount {
+namespace {
+
+using Content = std::map<std::string, std::uint64_t>;
+
+// A table of the store with all its versions.
+class VersionedTable {
+ public:
+  void Write(const std::string& key, bool removed) {
+    ++version_;
+    history_.push_back({"t", key, "", RowVersion(version_), removed});
+  }
+  // Another table changed.
+  void Advance() { ++version_; }
+
+  RowVersion position() const { return RowVersion(version_); }
+  std::vector<TableRow> Changes(RowVersion after) const {
+    std::map<std::string, TableRow> last;
+    for (const TableRow& row : history_) {
+      if (row.version > after)
+        last.insert_or_assign(row.key, row);
+    }
+    std::vector<TableRow> changes;
+    for (const auto& [key, row] : last)
+      changes.push_back(row);
+    return changes;
+  }
+  std::vector<TableRow> Rows() const {
+    std::vector<TableRow> rows;
+    for (const TableRow& row : Changes(RowVersion())) {
+      if (!row.deleted)
+        rows.push_back(row);
+    }
+    return rows;
+  }
+  Content At(RowVersion position) const {
+    Content content;
+    for (const TableRow& row : history_) {
+      if (row.version > position)
+        break;
+      if (row.deleted)
+        content.erase(row.key);
+      else
+        content[row.key] = row.version.value();
+    }
+    return content;
+  }
+
+ private:
+  std::vector<TableRow> history_;
+  std::uint64_t version_ = 0;
+};
+
+Content ContentOf(const TableReplica& replica) {
+  Content content;
+  for (const TableRow& row : replica.Rows())
+    content[row.key] = row.version.value();
+  return content;
+}
+
+TableNews NewsOf(const TableReplica& replica) {
+  return {replica.revision(), replica.position(), Millis(0), replica.digest()};
+}
+
+// What a follower does with the news of another one.
+void TellPeer(const TableReplica& teller, TableReplica& listener) {
+  if (!teller.known() || !listener.known())
+    return;
+  const TableNews news = NewsOf(teller);
+  if (listener.Covers(news)) {
+    listener.NoteUnchanged(news.position);
+    return;
+  }
+  if (const auto changes = teller.ChangesSince(listener.position()))
+    listener.Apply(*changes, teller.position());
+  else if (teller.position() >= listener.position())
+    listener.Reset(teller.Rows(), teller.position());
+}
+
+BOOST_AUTO_TEST_SUITE(table_replica)
+
+// Guards against an instance that learns from others and misses a change, for
+// example that a backend server was removed: whatever it is told by whom, its
+// rows are those of the store at its position.
+RC_BOOST_PROP(rows_are_those_of_the_store_at_the_position, ()) {
+  constexpr int kReplicas = 3;
+  constexpr std::size_t kSteps = 60;
+  VersionedTable table;
+  std::vector<TableReplica> replicas(kReplicas);
+  const auto steps =
+      *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+          kSteps,
+          rc::gen::tuple(rc::gen::inRange(0, 6), rc::gen::inRange(0, kReplicas),
+                         rc::gen::inRange(0, kReplicas)));
+  for (const auto& [action, one, other] : steps) {
+    TableReplica& replica = replicas[static_cast<std::size_t>(one)];
+    switch (action) {
+      case 0:
+        table.Write("k" + std::to_string(other), false);
+        break;
+      case 1:
+        table.Write("k" + std::to_string(other), true);
+        break;
+      case 2:
+        table.Advance();
+        break;
+      case 3:
+        replica.Reset(table.Rows(), table.position());
+        break;
+      case 4:
+        if (replica.known())
+          replica.Apply(table.Changes(replica.position()), table.position());
+        break;
+      default:
+        TellPeer(replica, replicas[static_cast<std::size_t>(other)]);
+    }
+    for (const TableReplica& checked : replicas) {
+      if (checked.known())
+        RC_ASSERT(ContentOf(checked) == table.At(checked.position()));
+    }
+  }
+}
+
+// Guards against changes that are told twice, which would log and wake twice.
+BOOST_AUTO_TEST_CASE(a_change_is_told_once) {
+  VersionedTable table;
+  table.Write("a", false);
+  TableReplica replica;
+  replica.Reset(table.Rows(), table.position());
+  table.Write("b", false);
+  const auto changes = table.Changes(replica.position());
+  BOOST_TEST(replica.Apply(changes, table.position()).size() == 1U);
+  BOOST_TEST(replica.Apply(changes, table.position()).empty());
+}
+
+// Guards against memory that grows with each server that ever left, and against
+// a gap for an instance that was away meanwhile.
+BOOST_AUTO_TEST_CASE(old_removals_are_forgotten_and_not_passed_over) {
+  VersionedTable table;
+  TableReplica replica;
+  replica.Reset({}, table.position());
+  const RowVersion start = replica.position();
+  for (std::size_t i = 0; i < TableReplica::kMaxRemovals + 10; ++i)
+    table.Write("k" + std::to_string(i), true);
+  replica.Apply(table.Changes(start), table.position());
+  BOOST_TEST(!replica.ChangesSince(start).has_value());
+  BOOST_TEST(replica.ChangesSince(RowVersion(500))->size() ==
+             TableReplica::kMaxRemovals + 10 - 500);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
