Test instances that learn from each other, with a proxy that harms links

The tests start real instances against the stand-ins: an instance that the store turns away, watchers that lose the store, an outage for all, rows of instances that are lost or of instances that failed, and a holder of the duty lease that is killed before it reported. A loopback proxy resets, silences or delays the link of one instance. An instance may now listen on any free port for news.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -169,6 +169,7 @@
                const std::shared_ptr<CallerReply>& reply) {
           ServePeer(request, *reply);
         }));
+    dispatcher_.state().SetPeerAddress(listeners_.back()->address());
   }
   if (!settings.metrics_address.empty()) {
     listeners_.push_back(std::make_unique<Listener>(
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -34,6 +34,10 @@
   void SetCallerAddress(const std::string& address) {
     settings_.caller_address = address;
   }
+  // The same for the address that other instances use.
+  void SetPeerAddress(const std::string& address) {
+    settings_.peer_address = address;
+  }
   // Null before the first configuration was read.
   const std::shared_ptr<const TrafficPolicy>& policy() const { return policy_; }
   // Applies a configuration unless a newer one is in force. Returns whether it
--- /dev/null
+++ b/tests/entry/fleet_news_test.cc
@@ -0,0 +1,199 @@
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+#include "entry/entry_fleet.h"
+#include "support/tcp_proxy.h"
+#include "support/wait_until.h"
+
+namespace bamboomount::entry_test {
+namespace {
+
+using nlohmann::json;
+using support::LinkMode;
+using support::TcpProxy;
+using support::WaitUntil;
+
+int StatusOf(EntryInstance& instance,
+             const std::string& target,
+             const std::string& key = "key-mill") {
+  return Call(instance, MakeRequest("GET", target, key)).status;
+}
+
+// Instances that tell each other news, some of them behind a link to the store
+// that a test can harm.
+class NewsFleet : public EntryFleet {
+ public:
+  NewsFleet() {
+    backend_ = &AddBackend("e-1");
+    Configure(1, DefaultCustomers());
+  }
+
+  BackendStandin& backend() { return *backend_; }
+  EntryInstance& AddSpeaker(const std::string& name,
+                            const json& settings = json::object()) {
+    json all{{"peer_address", "127.0.0.1:0"}};
+    all.update(settings);
+    EntryInstance& instance = AddInstance(name, all);
+    instance.WaitUntilReady();
+    return instance;
+  }
+  // An instance that reaches the store through `link`.
+  EntryInstance& AddSpeakerBehind(const std::string& name,
+                                  const TcpProxy& link) {
+    return AddSpeaker(name, {{"store_address", link.address()}});
+  }
+  // Waits until `instance` offers `count` instances to callers.
+  bool Knows(EntryInstance& instance, std::size_t count) {
+    return WaitUntil([&] {
+      const auto answer = support::CallOnce(
+          instance.directory(),
+          {"GET", "/bamboomount/resolve?name=h&region=r&zone=z", {}, ""});
+      return answer.status == 200 &&
+             json::parse(answer.body).at("addresses").size() == count;
+    });
+  }
+
+ private:
+  BackendStandin* backend_ = nullptr;
+};
+
+std::size_t CountOf(EntryInstance& instance, const std::string& event) {
+  std::size_t count = 0;
+  for (const json& line : instance.LogLines())
+    count += line.value("name", "") == event ? 1 : 0;
+  return count;
+}
+
+BOOST_FIXTURE_TEST_SUITE(fleet_news, NewsFleet)
+
+// Guards against an instance that refuses customers because the store turns it
+// away, although others know that the configuration is the newest; and against
+// one that misses a change meanwhile.
+BOOST_AUTO_TEST_CASE(an_instance_that_the_store_turns_away_learns_from_others) {
+  TcpProxy link(store().address());
+  AddSpeaker("i-1");
+  AddSpeaker("i-2");
+  EntryInstance& apart = AddSpeakerBehind("i-3", link);
+  BOOST_TEST(Knows(apart, 3));
+  for (const LinkMode mode : {LinkMode::kReset, LinkMode::kSilent}) {
+    link.SetMode(mode);
+    const int version = mode == LinkMode::kReset ? 2 : 3;
+    const std::string key = "key-" + std::to_string(version);
+    Configure(version, json::array({{{"name", "mill"}, {"api_keys", {key}}}}));
+    BOOST_TEST(
+        WaitUntil([&] { return StatusOf(apart, "/lookup/x", key) == 200; }));
+    BOOST_TEST(StatusOf(apart, "/lookup/x") == 401);
+    // The leaving of a server arrives as well.
+    store().Put("servers", "e-1", backend().RowValue("pool", true));
+    BOOST_TEST(
+        WaitUntil([&] { return StatusOf(apart, "/lookup/x", key) == 503; }));
+    store().Put("servers", "e-1", backend().RowValue("pool", false));
+    BOOST_TEST(
+        WaitUntil([&] { return StatusOf(apart, "/lookup/x", key) == 200; }));
+  }
+}
+
+// Guards against an instance that waits for others to tell it what they cannot
+// know: it asks the store by itself.
+BOOST_AUTO_TEST_CASE(an_instance_asks_the_store_when_the_watchers_fail) {
+  TcpProxy link(store().address());
+  AddSpeakerBehind("i-1", link);
+  AddSpeakerBehind("i-2", link);
+  EntryInstance& other = AddSpeaker("i-3");
+  BOOST_TEST(Knows(other, 3));
+  link.SetMode(LinkMode::kSilent);
+  Configure(2, json::array({{{"name", "mill"}, {"api_keys", {"key-2"}}}}));
+  BOOST_TEST(
+      WaitUntil([&] { return StatusOf(other, "/lookup/x", "key-2") == 200; }));
+  BOOST_TEST(StatusOf(other, "/lookup/x") == 401);
+}
+
+// Guards against customers that are served on the word of others for longer
+// than anybody can know the configuration.
+BOOST_AUTO_TEST_CASE(nobody_vouches_for_the_configuration_without_the_store) {
+  const json settings{{"key_withdrawal_deadline_ms", 2500}};
+  EntryInstance& first = AddSpeaker("i-1", settings);
+  EntryInstance& second = AddSpeaker("i-2", settings);
+  BOOST_TEST(Knows(second, 2));
+  store().SetMode(StoreMode::kSilent);
+  for (EntryInstance* instance : {&first, &second}) {
+    BOOST_TEST(
+        WaitUntil([&] { return StatusOf(*instance, "/lookup/x") == 503; }));
+    BOOST_TEST(StatusOf(*instance, "/open/x", "") == 200);
+  }
+  store().SetMode(StoreMode::kUp);
+  for (EntryInstance* instance : {&first, &second})
+    BOOST_TEST(
+        WaitUntil([&] { return StatusOf(*instance, "/lookup/x") == 200; }));
+}
+
+// Guards against a row that stays lost, and against a row of a failed instance
+// that stays.
+BOOST_AUTO_TEST_CASE(rows_of_instances_follow_who_is_alive) {
+  const json duties{{"orders_address", store().address()},
+                    {"duties", {"usage_reporting"}}};
+  EntryInstance& first = AddSpeaker("i-1", duties);
+  EntryInstance& second = AddSpeaker("i-2", duties);
+  EntryInstance& third = AddSpeaker("i-3", duties);
+  BOOST_TEST(Knows(first, 3));
+  store().Remove("bamboomount-instances", "i-1");
+  BOOST_TEST(WaitUntil(
+      [&] { return !store().Get("bamboomount-instances", "i-1").empty(); }));
+  third.process().Signal(SIGKILL);
+  BOOST_TEST(Knows(first, 2));
+  BOOST_TEST(Knows(second, 2));
+  BOOST_TEST(WaitUntil(
+      [&] { return store().Table("bamboomount-instances").size() == 2U; }));
+}
+
+// Guards against usage that is lost with the process that counted it or with
+// the one that adds it up, and against duties that nobody takes over.
+BOOST_AUTO_TEST_CASE(the_next_holder_reports_the_usage_of_all) {
+  const json duties{{"orders_address", store().address()},
+                    {"duties", {"usage_reporting"}},
+                    {"usage_window_s", 3},
+                    {"lease_ms", 1500}};
+  EntryInstance& first = AddSpeaker("i-1", duties);
+  EntryInstance& second = AddSpeaker("i-2", duties);
+  BOOST_TEST(WaitUntil([&] {
+    return CountOf(first, "duty_lease_taken") +
+               CountOf(second, "duty_lease_taken") ==
+           1U;
+  }));
+  const bool first_holds = CountOf(first, "duty_lease_taken") == 1;
+  EntryInstance& holder = first_holds ? first : second;
+  EntryInstance& other = first_holds ? second : first;
+  constexpr int kCalls = 7;
+  for (int i = 0; i < kCalls; ++i)
+    BOOST_TEST(StatusOf(other, "/lookup/x") == 200);
+  const auto reported = [&] {
+    std::int64_t sum = 0;
+    for (const auto& [window, counts] : store().Reports())
+      sum += counts.value("mill", 0);
+    return sum;
+  };
+  BOOST_TEST(WaitUntil([&] { return reported() == kCalls; }));
+  // What the holder itself serves before it is killed.
+  for (int i = 0; i < kCalls; ++i)
+    BOOST_TEST(StatusOf(holder, "/lookup/x") == 200);
+  BOOST_TEST(WaitUntil([&] {
+    for (const auto& [key, value] : store().Table("bamboomount-usage-parts")) {
+      std::int64_t sum = 0;
+      const json part = json::parse(value);
+      for (const auto& [window, counts] : part.at("windows").items())
+        sum += counts.value("mill", 0);
+      if (part.at("instance") == (first_holds ? "i-1" : "i-2") && sum == kCalls)
+        return true;
+    }
+    return false;
+  }));
+  holder.process().Signal(SIGKILL);
+  BOOST_TEST(
+      WaitUntil([&] { return CountOf(other, "duty_lease_taken") == 1; }));
+  BOOST_TEST(WaitUntil([&] { return reported() == 2 * kCalls; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount::entry_test
--- a/tests/entry/store_standin.cc
+++ b/tests/entry/store_standin.cc
@@ -65,6 +65,10 @@
   server_.Run([&] { oldest_change_ = ++version_; });
 }
 
+std::map<std::int64_t, json> StoreStandin::Reports() {
+  return server_.Run([&] { return reports_; });
+}
+
 int StoreStandin::calls() {
   return server_.Run([&] { return calls_; });
 }
@@ -97,7 +101,10 @@
       exchange.Close(false);
       co_return;
     }
-  } else {
+  } else if (path == "/usage") {
+    const json report = json::parse(exchange.request().body);
+    reports_[report.at("window_number")] = report.at("counts");
+  } else if (path != "/scaling") {
     reply.status = 404;
   }
   co_await exchange.Reply(std::move(reply));
--- a/tests/entry/store_standin.h
+++ b/tests/entry/store_standin.h
@@ -24,7 +24,8 @@
 };
 
 // A small stand-in for the platform's table service: rows, changes, atomic
-// writes under conditions. Public functions may be called from any thread.
+// writes under conditions; and for its interface for usage reports and orders.
+// Public functions may be called from any thread.
 class StoreStandin {
  public:
   StoreStandin();
@@ -47,6 +48,8 @@
   // Drops all changes so far: calls for older ones get 410.
   void ForgetHistory();
   int calls();
+  // Usage reports that were accepted, by window.
+  std::map<std::int64_t, nlohmann::json> Reports();
 
  private:
   using Key = std::pair<std::string, std::string>;
@@ -71,6 +74,7 @@
   StoreMode mode_ = StoreMode::kUp;
   int lost_answers_ = 0;
   int calls_ = 0;
+  std::map<std::int64_t, nlohmann::json> reports_;
   const std::chrono::steady_clock::time_point start_ =
       std::chrono::steady_clock::now();
   ServerThread server_;
--- /dev/null
+++ b/tests/support/tcp_proxy.cc
@@ -0,0 +1,241 @@
+#include "support/tcp_proxy.h"
+
+// Asio of Boost 1.74 uses std::exchange without including <utility>.
+#include <utility>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <future>
+#include <list>
+#include <sstream>
+#include <thread>
+
+namespace bamboomount::support {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kPieceBytes = 16384;
+
+tcp::endpoint ParseEndpoint(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  return {asio::ip::make_address(address.substr(0, colon)),
+          static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+}
+
+void Reset(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(tcp::socket::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+// What the proxy does at the moment.
+struct LinkState {
+  LinkMode mode = LinkMode::kPass;
+  std::chrono::milliseconds delay{0};
+};
+
+class Link;
+
+// Moves bytes from one socket to the other, in order.
+class Pump {
+ public:
+  Pump(Link& link, tcp::socket& from, tcp::socket& to, bool to_target)
+      : link_(link),
+        from_(from),
+        to_(to),
+        to_target_(to_target),
+        timer_(from.get_executor()) {}
+
+  void Read(const std::shared_ptr<Link>& keep);
+
+ private:
+  void Pass(const std::shared_ptr<Link>& keep, std::size_t size);
+
+  Link& link_;
+  tcp::socket& from_;
+  tcp::socket& to_;
+  const bool to_target_;
+  asio::steady_timer timer_;
+  std::array<char, kPieceBytes> bytes_{};
+};
+
+// One connection through the proxy.
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(asio::io_context& context, tcp::socket client, const LinkState& state)
+      : client_(std::move(client)),
+        target_(context),
+        state_(state),
+        forward_(*this, client_, target_, true),
+        back_(*this, target_, client_, false) {}
+
+  void Start(const tcp::endpoint& target) {
+    target_.async_connect(
+        target, [self = shared_from_this()](const error_code& error) {
+          if (error) {
+            self->ResetBoth();
+            return;
+          }
+          error_code ignored;
+          self->client_.set_option(tcp::no_delay(true), ignored);
+          self->target_.set_option(tcp::no_delay(true), ignored);
+          self->forward_.Read(self);
+          self->back_.Read(self);
+        });
+  }
+  void ResetBoth() {
+    Reset(client_);
+    Reset(target_);
+  }
+  bool open() const { return client_.is_open() || target_.is_open(); }
+  const LinkState& state() const { return state_; }
+
+ private:
+  tcp::socket client_;
+  tcp::socket target_;
+  const LinkState& state_;
+  Pump forward_;
+  Pump back_;
+};
+
+void Pump::Read(const std::shared_ptr<Link>& keep) {
+  from_.async_read_some(
+      asio::buffer(bytes_),
+      [this, keep](const error_code& error, std::size_t size) {
+        if (error == asio::error::eof) {
+          error_code ignored;
+          to_.shutdown(tcp::socket::shutdown_send, ignored);
+          return;
+        }
+        if (error) {
+          link_.ResetBoth();
+          return;
+        }
+        timer_.expires_after(link_.state().delay);
+        timer_.async_wait(
+            [this, keep, size](const error_code&) { Pass(keep, size); });
+      });
+}
+
+void Pump::Pass(const std::shared_ptr<Link>& keep, std::size_t size) {
+  const LinkMode mode = link_.state().mode;
+  // What a partition swallows is not sent again later.
+  if (mode == LinkMode::kSilent || (mode == LinkMode::kOneWay && !to_target_)) {
+    Read(keep);
+    return;
+  }
+  asio::async_write(to_, asio::buffer(bytes_.data(), size),
+                    [this, keep](const error_code& error, std::size_t) {
+                      if (error)
+                        link_.ResetBoth();
+                      else
+                        Read(keep);
+                    });
+}
+
+}  // namespace
+
+class TcpProxy::Impl {
+ public:
+  explicit Impl(const std::string& target)
+      : target_(ParseEndpoint(target)),
+        acceptor_(context_,
+                  tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~Impl() {
+    context_.stop();
+    thread_.join();
+  }
+
+  std::string address() const {
+    std::ostringstream text;
+    text << acceptor_.local_endpoint();
+    return text.str();
+  }
+
+  // Runs `action` on the proxy's thread.
+  template <typename Action>
+  void Run(Action action) {
+    std::promise<void> done;
+    asio::post(context_, [&] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void ResetOpen() {
+    for (const auto& link : links_)
+      link->ResetBoth();
+    links_.clear();
+  }
+
+  LinkState& state() { return state_; }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](const error_code& error, tcp::socket client) {
+      if (!error)
+        Serve(std::move(client));
+      Accept();
+    });
+  }
+
+  void Serve(tcp::socket client) {
+    if (state_.mode == LinkMode::kReset) {
+      Reset(client);
+      return;
+    }
+    links_.remove_if([](const auto& link) { return !link->open(); });
+    links_.push_back(
+        std::make_shared<Link>(context_, std::move(client), state_));
+    links_.back()->Start(target_);
+  }
+
+  const tcp::endpoint target_;
+  asio::io_context context_{1};
+  LinkState state_;
+  tcp::acceptor acceptor_;
+  std::list<std::shared_ptr<Link>> links_;
+  std::thread thread_;
+};
+
+TcpProxy::TcpProxy(const std::string& target)
+    : impl_(std::make_unique<Impl>(target)) {}
+
+TcpProxy::~TcpProxy() = default;
+
+std::string TcpProxy::address() const {
+  return impl_->address();
+}
+
+void TcpProxy::SetMode(LinkMode mode) {
+  impl_->Run([this, mode] {
+    impl_->state().mode = mode;
+    if (mode == LinkMode::kReset)
+      impl_->ResetOpen();
+  });
+}
+
+void TcpProxy::SetDelay(std::chrono::milliseconds delay) {
+  impl_->Run([this, delay] { impl_->state().delay = delay; });
+}
+
+void TcpProxy::ResetOpen() {
+  impl_->Run([this] { impl_->ResetOpen(); });
+}
+
+}  // namespace bamboomount::support
