Send engines what they can begin in time, and tell others which servers fail

Ruled out: engines that refuse because their queues are full.

Change: the cost of an engine counts the wait for a slot. Prompts stay away from engines with conversations also when the others are full. A refused connection leaves a server out at once, and one that was replaced until its row is dropped; instances tell each other whom they leave out, and two reports are believed, for half of a pool at most. A request is sent to an engine only if its first token is predicted within 0.6 of its target, by a speed of reading that is learned from first tokens; less urgent requests yield while more urgent ones find no room. A kept connection that its server dropped says nothing of the server's health.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -36,6 +36,7 @@
     Log(gateway_events::kBackendGone, {{"backend", row.key}});
     backends().Remove(id, now);
     dispatcher_.connections().Drop(id);
+    dispatcher_.state().health().Forget(id);
     return;
   }
   const auto server = decoder_.DecodeBackend(row.key, row.value);
@@ -58,7 +59,7 @@
   const bool restarted = known && known->started_at_ms != server.started_at_ms;
   if (restarted) {
     dispatcher_.connections().Drop(server.id);
-    dispatcher_.state().loads().Forget(server.id);
+    dispatcher_.state().health().Forget(server.id);
   }
   Log(gateway_events::kBackendListed,
       {{"backend", server.id.value()},
--- a/src/gateway/forwarding/backend_attempt.cc
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -36,7 +36,8 @@
 void BackendAttempt::Start() {
   connection_ = environment_.connections.Take(
       server_.id, options_.fresh_connection, BootClock::now());
-  if (connection_)
+  reused_ = connection_ != nullptr;
+  if (reused_)
     SendRequest();
   else
     Connect();
@@ -63,7 +64,9 @@
           return;
         self->connect_timer_.cancel();
         if (error) {
-          self->End(AttemptEnd::kNotSent);
+          self->End(error == asio::error::connection_refused
+                        ? AttemptEnd::kConnectionRefused
+                        : AttemptEnd::kNotSent);
           return;
         }
         error_code ignored;
--- a/src/gateway/forwarding/backend_attempt.h
+++ b/src/gateway/forwarding/backend_attempt.h
@@ -17,6 +17,8 @@
   kComplete,
   // No byte of the request was sent.
   kNotSent,
+  // The same, since nobody listens at the address.
+  kConnectionRefused,
   // The request was sent, at least in part, and no whole reply arrived.
   kInterrupted,
 };
@@ -75,6 +77,8 @@
   const BackendServer& server() const { return server_; }
   // Whether a byte of the request may have reached the server.
   bool sent() const { return sent_; }
+  // Whether the connection had served another request before.
+  bool reused() const { return reused_; }
 
  private:
   using Parser = http::response_parser<http::buffer_body>;
@@ -100,6 +104,7 @@
   std::string request_head_;
   Millis idle_timeout_{0};
   bool sent_ = false;
+  bool reused_ = false;
   bool write_done_ = false;
   // The reply that is being read answers another request.
   bool foreign_reply_ = false;
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
+// The server is not the one that the request is for (RFC 9110, 15.5.20).
+constexpr unsigned kMisdirected = 421;
 // A caller's clock starts when it sends; the way here takes about this long.
 constexpr Millis kCallerDelay{3};
 // Whole answers up to this size are kept until they are complete.
@@ -100,9 +102,16 @@
     WaitForRoom();
 }
 
+bool Exchange::IsUrgent() const {
+  return admitted_.urgency.value() + 1 < admitted_.policy->urgency_levels();
+}
+
 PlacementRequest Exchange::MakePlacementRequest() const {
   const GatewayState& state = dispatcher_.state();
-  return {head_.prompt, engine_, state.settings().zone,
+  return {head_.prompt,
+          engine_,
+          {admitted_.urgency, IsUrgent(), admitted_.route->target_latency},
+          state.settings().zone,
           state.backends().Listed(pool_)};
 }
 
@@ -112,13 +121,16 @@
   const PrefixPlan prefix =
       state.selector().PlanPrefix(server, MakePlacementRequest(), now);
   copy_prefix_from_ = prefix.copy_from ? prefix.copy_from->address : "";
-  load_ = {prefix.unread, engine_ && head_.prompt.HasLongAnswer()};
+  load_ = {prefix.unread, engine_ && head_.prompt.HasLongAnswer(), IsUrgent()};
   generating_ = false;
   sent_at_ = now;
   body_mode_ = BodyMode::kCollect;
   collected_.clear();
   reply_head_ = {};
   state.loads().AddRequest(server.id, load_);
+  waiting_tokens_ =
+      Tokens(IsUrgent() ? state.loads().Total(server.id).urgent_tokens
+                        : state.loads().Total(server.id).unread_tokens);
   state.selector().NoteRead(server, head_.prompt, now);
   Log(gateway_events::kRequestPlaced,
       {{"request", head_.id.value()},
@@ -232,7 +244,7 @@
                            std::optional<std::uint64_t> content_length) {
   step_timer_.cancel();
   reply_head_ = head;
-  if (head.not_run || head.status == 421) {
+  if (head.not_run || head.status == kMisdirected) {
     body_mode_ = BodyMode::kDiscard;
     return;
   }
@@ -328,8 +340,11 @@
   GatewayState& state = dispatcher_.state();
   const BackendId& server = attempt_->server().id;
   state.loads().NoteFirstToken(server, load_);
-  state.loads().NoteSuccess(server, ToMillis(now - sent_at_),
-                            admitted_.route->target_latency);
+  if (engine_)
+    state.read_speed().Observe(pool_, waiting_tokens_,
+                               ToMillis(now - sent_at_));
+  state.health().NoteSuccess(server, ToMillis(now - sent_at_),
+                             admitted_.route->target_latency);
   dispatcher_.metrics().Observe("bamboomount_first_bytes_seconds",
                                 {{"route", admitted_.route->name}},
                                 now - request_.received);
@@ -342,13 +357,16 @@
   step_timer_.cancel();
   switch (end) {
     case AttemptEnd::kNotSent:
-      OnNotSent();
+      OnNotSent(ServerFailure::kNoAnswer);
+      return;
+    case AttemptEnd::kConnectionRefused:
+      OnNotSent(ServerFailure::kRefused);
       return;
     case AttemptEnd::kInterrupted:
       OnInterrupted();
       return;
     case AttemptEnd::kComplete:
-      if (reply_head_.not_run || reply_head_.status == 421)
+      if (reply_head_.not_run || reply_head_.status == kMisdirected)
         OnRefusedByServer();
       else
         OnComplete();
@@ -356,7 +374,7 @@
   }
 }
 
-void Exchange::OnNotSent() {
+void Exchange::OnNotSent(ServerFailure failure) {
   const BackendId server = attempt_->server().id;
   const bool still_usable =
       dispatcher_.state().backends().FindUsable(server) != nullptr;
@@ -367,7 +385,7 @@
   }
   if (still_usable && TimeLeft(BootClock::now()) > Millis(0)) {
     ++history_.failed_connects;
-    dispatcher_.state().loads().NoteFailure(server, BootClock::now());
+    dispatcher_.state().health().NoteFailure(server, failure, BootClock::now());
     Log(gateway_events::kAttemptFailed, {{"request", head_.id.value()},
                                          {"backend", server.value()},
                                          {"cause", "no connection"},
@@ -380,10 +398,14 @@
 
 void Exchange::OnInterrupted() {
   const BackendId server = attempt_->server().id;
+  // A server may drop a kept connection; that says nothing of its health.
+  const bool dropped = attempt_->reused() && reply_head_.status == 0;
   ReleaseAttempt();
   ++history_.runs;
   tried_.push_back(server);
-  dispatcher_.state().loads().NoteFailure(server, BootClock::now());
+  if (!dropped)
+    dispatcher_.state().health().NoteFailure(server, ServerFailure::kNoAnswer,
+                                             BootClock::now());
   Log(gateway_events::kAttemptFailed,
       {{"request", head_.id.value()},
        {"backend", server.value()},
@@ -400,6 +422,9 @@
   ReleaseAttempt();
   ++history_.refusals;
   tried_.push_back(server);
+  if (reply_head_.status == kMisdirected)
+    dispatcher_.state().health().NoteFailure(server, ServerFailure::kReplaced,
+                                             BootClock::now());
   Log(gateway_events::kAttemptFailed,
       {{"request", head_.id.value()},
        {"backend", server.value()},
@@ -419,7 +444,7 @@
     return;
   }
   if (!generating_)
-    dispatcher_.state().loads().NoteSuccess(
+    dispatcher_.state().health().NoteSuccess(
         server, ToMillis(BootClock::now() - sent_at_),
         admitted_.route->target_latency);
   ReleaseAttempt();
@@ -493,7 +518,8 @@
   ReleaseAttempt();
   history_ = after;
   tried_.push_back(server);
-  dispatcher_.state().loads().NoteFailure(server, BootClock::now());
+  dispatcher_.state().health().NoteFailure(server, ServerFailure::kNoAnswer,
+                                           BootClock::now());
   Log(gateway_events::kAttemptFailed, {{"request", head_.id.value()},
                                        {"backend", server.value()},
                                        {"cause", "silence"},
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -54,6 +54,8 @@
   bool Admit();
 
   void Place();
+  // Whether it is more urgent than the least urgent requests.
+  bool IsUrgent() const;
   PlacementRequest MakePlacementRequest() const;
   void SendTo(const BackendServer& server);
   void WaitForRoom();
@@ -63,7 +65,7 @@
   void OnSilence();
   void OnCallerGone();
 
-  void OnNotSent();
+  void OnNotSent(ServerFailure failure);
   void OnInterrupted();
   void OnRefusedByServer();
   void OnComplete();
@@ -101,6 +103,8 @@
   std::string copy_prefix_from_;
   // What this request adds to the load of the server that it was sent to.
   RequestLoad load_;
+  // Tokens that this request waits for at its server, its own among them.
+  Tokens waiting_tokens_;
   Instant sent_at_;
   bool generating_ = false;
   // When the last bytes of the answer were passed on, for the pauses between
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -66,6 +66,8 @@
   MemberRegistry& members() { return members_; }
   const MemberRegistry& members() const { return members_; }
   BackendLoads& loads() { return loads_; }
+  ServerHealth& health() { return health_; }
+  ReadSpeed& read_speed() { return read_speed_; }
   BackendSelector& selector() { return selector_; }
   UsageLedger& usage() { return usage_; }
 
@@ -96,7 +98,9 @@
   BackendRegistry backends_;
   MemberRegistry members_;
   BackendLoads loads_;
-  BackendSelector selector_{loads_};
+  ServerHealth health_;
+  ReadSpeed read_speed_;
+  BackendSelector selector_{loads_, health_, read_speed_};
   UsageLedger usage_;
   bool backends_read_ = false;
 };
--- a/src/gateway/placement/backend_loads.cc
+++ b/src/gateway/placement/backend_loads.cc
@@ -6,35 +6,45 @@
 namespace bamboomount {
 namespace {
 
-constexpr int kFailuresUntilEjection = 3;
-constexpr Millis kFirstEjection{500};
-constexpr int kMaxDoublings = 4;
-// Weight of the newest observation.
-constexpr double kSlownessGain = 0.15;
-constexpr double kMaxSlowness = 10;
+// Adds the tokens of a request that was sent, or takes them away.
+void AddUnread(BackendLoad& load, const RequestLoad& request, int sign) {
+  load.unread_tokens += sign * request.unread.value();
+  if (request.urgent)
+    load.urgent_tokens += sign * request.unread.value();
+}
 
 }  // namespace
 
 BackendLoad& BackendLoad::operator+=(const BackendLoad& other) {
   requests += other.requests;
   unread_tokens += other.unread_tokens;
+  urgent_tokens += other.urgent_tokens;
   generating += other.generating;
   long_answers += other.long_answers;
   return *this;
 }
 
+BackendLoad& BackendLoad::operator-=(const BackendLoad& other) {
+  requests -= other.requests;
+  unread_tokens -= other.unread_tokens;
+  urgent_tokens -= other.urgent_tokens;
+  generating -= other.generating;
+  long_answers -= other.long_answers;
+  return *this;
+}
+
 void BackendLoads::AddRequest(const BackendId& server,
                               const RequestLoad& request) {
   BackendLoad& load = records_[server].own;
   ++load.requests;
-  load.unread_tokens += request.unread.value();
+  AddUnread(load, request, 1);
   load.long_answers += request.long_answer ? 1 : 0;
 }
 
 void BackendLoads::NoteFirstToken(const BackendId& server,
                                   const RequestLoad& request) {
   BackendLoad& load = records_[server].own;
-  load.unread_tokens -= request.unread.value();
+  AddUnread(load, request, -1);
   ++load.generating;
 }
 
@@ -47,30 +57,7 @@
   if (generating)
     --load.generating;
   else
-    load.unread_tokens -= request.unread.value();
-}
-
-void BackendLoads::NoteSuccess(const BackendId& server,
-                               Millis latency,
-                               Millis expected) {
-  Record& record = records_[server];
-  record.failures_in_row = 0;
-  record.ejected_until = Instant();
-  const double ratio =
-      static_cast<double>(latency.count()) /
-      static_cast<double>(std::max<Millis::rep>(expected.count(), 1));
-  record.slowness +=
-      kSlownessGain * (std::min(ratio, kMaxSlowness) - record.slowness);
-}
-
-void BackendLoads::NoteFailure(const BackendId& server, Instant now) {
-  Record& record = records_[server];
-  ++record.failures_in_row;
-  const int beyond = record.failures_in_row - kFailuresUntilEjection;
-  if (beyond < 0)
-    return;
-  record.ejected_until =
-      now + kFirstEjection * (1 << std::min(beyond, kMaxDoublings));
+    AddUnread(load, request, -1);
 }
 
 void BackendLoads::SetRemote(const InstanceId& instance,
@@ -85,27 +72,11 @@
   const auto told = remote_.find(instance);
   if (told == remote_.end())
     return;
-  for (const auto& [server, load] : told->second) {
-    BackendLoad& remote = records_[server].remote;
-    remote.requests -= load.requests;
-    remote.unread_tokens -= load.unread_tokens;
-    remote.generating -= load.generating;
-    remote.long_answers -= load.long_answers;
-  }
+  for (const auto& [server, load] : told->second)
+    records_[server].remote -= load;
   remote_.erase(told);
 }
 
-void BackendLoads::Forget(const BackendId& server) {
-  const auto record = records_.find(server);
-  if (record == records_.end())
-    return;
-  // Requests that are still in progress end later, and remote figures are taken
-  // back when they are told anew.
-  record->second.failures_in_row = 0;
-  record->second.ejected_until = Instant();
-  record->second.slowness = 1;
-}
-
 void BackendLoads::KeepRemotes(const std::vector<InstanceId>& alive) {
   std::vector<InstanceId> ended;
   for (const auto& [instance, loads] : remote_) {
@@ -139,19 +110,4 @@
   return record == records_.end() ? 0 : record->second.own.requests;
 }
 
-bool BackendLoads::IsEjected(const BackendId& server, Instant now) const {
-  const auto record = records_.find(server);
-  return record != records_.end() && now < record->second.ejected_until;
-}
-
-bool BackendLoads::HasFailures(const BackendId& server) const {
-  const auto record = records_.find(server);
-  return record != records_.end() && record->second.failures_in_row > 0;
-}
-
-double BackendLoads::Slowness(const BackendId& server) const {
-  const auto record = records_.find(server);
-  return record == records_.end() ? 1 : record->second.slowness;
-}
-
 }  // namespace bamboomount
--- a/src/gateway/placement/backend_loads.h
+++ b/src/gateway/placement/backend_loads.h
@@ -16,12 +16,15 @@
   int requests = 0;
   // Prompt tokens of requests without a first token yet.
   std::int64_t unread_tokens = 0;
+  // Those of requests that are more urgent than the least urgent ones.
+  std::int64_t urgent_tokens = 0;
   // Requests that are generating tokens.
   int generating = 0;
   // Requests that generate for much longer than their prompt takes to read.
   int long_answers = 0;
 
   BackendLoad& operator+=(const BackendLoad& other);
+  BackendLoad& operator-=(const BackendLoad& other);
 };
 
 // What one request adds to the load of its server.
@@ -29,14 +32,12 @@
   // Prompt tokens that the server has to read.
   Tokens unread;
   bool long_answer = false;
+  // It is more urgent than the least urgent ones.
+  bool urgent = false;
 };
 
-// What this instance knows of the load and the health of backend servers:
-// its own requests as they happen, and what the other instances last told.
-//
-// Health answers failures that the servers' own reports hide: refused
-// connections, interrupted answers and silence. A failing server is left out
-// for a time that doubles with each failure in a row.
+// What this instance knows of the load of backend servers: its own requests as
+// they happen, and what the other instances last told.
 class BackendLoads {
  public:
   void AddRequest(const BackendId& server, const RequestLoad& request);
@@ -46,25 +47,16 @@
                   const RequestLoad& request,
                   bool generating);
 
-  void NoteSuccess(const BackendId& server, Millis latency, Millis expected);
-  void NoteFailure(const BackendId& server, Instant now);
   // Another instance's requests at all servers, in place of what it last told.
   void SetRemote(const InstanceId& instance,
                  std::map<BackendId, BackendLoad> loads);
   // Drops what instances that are not in `alive` told.
   void KeepRemotes(const std::vector<InstanceId>& alive);
-  // Drops what is kept of a server that is gone.
-  void Forget(const BackendId& server);
 
   // The load of all instances together.
   BackendLoad Total(const BackendId& server) const;
   std::map<BackendId, BackendLoad> OwnLoads() const;
   int OwnRequests(const BackendId& server) const;
-  bool IsEjected(const BackendId& server, Instant now) const;
-  // Whether the last request that it was sent failed.
-  bool HasFailures(const BackendId& server) const;
-  // Observed against expected latency; 1 is as expected.
-  double Slowness(const BackendId& server) const;
 
  private:
   void ForgetRemote(const InstanceId& instance);
@@ -72,9 +64,6 @@
   struct Record {
     BackendLoad own;
     BackendLoad remote;
-    int failures_in_row = 0;
-    Instant ejected_until;
-    double slowness = 1;
   };
 
   std::unordered_map<BackendId, Record> records_;
--- a/src/gateway/placement/backend_selector.cc
+++ b/src/gateway/placement/backend_selector.cc
@@ -12,6 +12,9 @@
 // time from others, and one that it copies from another engine.
 constexpr double kRepeatedReadWeight = 2;
 constexpr double kCopyWeight = 0.2;
+// What a request costs beyond the slots of an engine, where it waits for others
+// to end.
+constexpr double kTokensPerSlotWait = 6000;
 // What a request to another zone costs, in prompt tokens.
 constexpr double kOtherZoneTokens = 1500;
 // The same for plain services, in requests served.
@@ -42,34 +45,78 @@
 const BackendServer* BackendSelector::Choose(const Servers& candidates,
                                              const PlacementRequest& request,
                                              Instant now) {
+  const Servers sound = Sound(candidates, now);
+  return request.engine ? ChooseEngine(sound, request, now)
+                        : ChooseService(sound, request);
+}
+
+BackendSelector::Servers BackendSelector::Sound(const Servers& candidates,
+                                                Instant now) const {
+  Servers unejected;
   Servers sound;
   for (const BackendServer* server : candidates) {
-    if (!loads_.IsEjected(server->id, now))
+    if (health_.IsEjected(server->id, now))
+      continue;
+    unejected.push_back(server);
+    if (!health_.IsReported(server->id, now))
       sound.push_back(server);
   }
-  const Servers& pool = sound.empty() ? candidates : sound;
-  if (request.engine) {
-    quiet_.Update(request.listed, now);
-    if (!request.prompt.HasLongAnswer()) {
-      if (const BackendServer* server = ChooseByPrefix(pool, request))
-        return server;
-    }
+  // What others tell may leave out half of the servers at most.
+  if (2 * sound.size() >= unejected.size() && !sound.empty())
+    return sound;
+  return unejected.empty() ? candidates : unejected;
+}
+
+const BackendServer* BackendSelector::ChooseService(
+    const Servers& candidates,
+    const PlacementRequest& request) const {
+  const auto least = std::min_element(
+      candidates.begin(), candidates.end(),
+      [&](const BackendServer* a, const BackendServer* b) {
+        return ServiceCost(*a, request) < ServiceCost(*b, request);
+      });
+  return least == candidates.end() ? nullptr : *least;
+}
+
+const BackendServer* BackendSelector::ChooseEngine(
+    const Servers& candidates,
+    const PlacementRequest& request,
+    Instant now) {
+  if (candidates.empty())
+    return nullptr;
+  const PoolId& pool = candidates.front()->pool;
+  if (room_.MustYield(pool, request.room, now))
+    return nullptr;
+  quiet_.Update(request.listed, now);
+  if (!request.prompt.HasLongAnswer()) {
+    if (const BackendServer* server = ChooseByPrefix(candidates, request))
+      return server;
   }
-  const Servers ranked = PrefixLocator::Ranked(pool, request.prompt, 1);
+  const Servers ranked = PrefixLocator::Ranked(candidates, request.prompt, 1);
   const BackendServer* home = ranked.empty() ? nullptr : ranked.front();
   const BackendServer* best = nullptr;
   double best_cost = 0;
-  for (const BackendServer* server : pool) {
-    const double cost = request.engine ? EngineCost(*server, home, request, now)
-                                       : ServiceCost(*server, request);
-    if (best && cost >= best_cost)
+  for (const BackendServer* server : candidates) {
+    const double cost = EngineCost(*server, home, request, now);
+    if ((best && cost >= best_cost) || !IsOpen(*server, request))
       continue;
     best = server;
     best_cost = cost;
   }
+  if (!best)
+    room_.NoteNone(pool, request.room, now);
   return best;
 }
 
+bool BackendSelector::IsOpen(const BackendServer& server,
+                             const PlacementRequest& request) const {
+  // Conversations are not stalled to make room for prompts.
+  if (!request.prompt.HasLongAnswer() && quiet_.Contains(server) &&
+      loads_.Total(server.id).long_answers > 0)
+    return false;
+  return room_.Has(server, request.room);
+}
+
 const BackendServer* BackendSelector::ChooseByPrefix(
     const Servers& candidates,
     const PlacementRequest& request) const {
@@ -86,8 +133,9 @@
        PrefixLocator::Ranked(reading, request.prompt, kTriedRanks)) {
     const BackendLoad load = loads_.Total(server->id);
     if (static_cast<double>(load.unread_tokens) < bound &&
+        room_.Has(*server, request.room) &&
         load.requests < server->slots * kLoadedSlotPart &&
-        loads_.Slowness(server->id) <= kLoadedSlowness)
+        health_.Slowness(server->id) <= kLoadedSlowness)
       return server;
   }
   return nullptr;
@@ -107,7 +155,7 @@
                                     const PlacementRequest& request) const {
   const double served = loads_.Total(server.id).requests + 1.0;
   const bool other_zone = server.zone != request.zone;
-  return served * loads_.Slowness(server.id) +
+  return served * health_.Slowness(server.id) +
          (other_zone ? kOtherZoneRequests : 0);
 }
 
@@ -121,7 +169,9 @@
       static_cast<double>(request.prompt.SharedTokens().value());
   const auto unread = static_cast<double>(load.unread_tokens);
   double cost = (unread + load.requests * kTokensPerServedRequest) *
-                loads_.Slowness(server.id);
+                health_.Slowness(server.id);
+  const int beyond_slots = load.requests + 1 - server.slots;
+  cost += std::max(0, beyond_slots) * kTokensPerSlotWait;
   if (home != &server && !prefixes_.HasSent(server, request.prompt, now))
     cost += shared * (request.engine->CopiesPrefixes() ? kCopyWeight
                                                        : kRepeatedReadWeight);
@@ -146,7 +196,7 @@
   // An engine that fails could keep the request waiting.
   Servers sound = reading;
   std::erase_if(sound, [this, now](const BackendServer* other) {
-    return loads_.HasFailures(other->id) || loads_.IsEjected(other->id, now);
+    return health_.HasFailures(other->id) || health_.IsEjected(other->id, now);
   });
   const BackendServer* holder =
       prefixes_.FindHolder(server, sound, prompt, now);
--- a/src/gateway/placement/backend_selector.h
+++ b/src/gateway/placement/backend_selector.h
@@ -7,8 +7,10 @@
 #include "gateway/forwarding/prompt_shape.h"
 #include "gateway/membership/backend_server.h"
 #include "gateway/placement/backend_loads.h"
+#include "gateway/placement/engine_room.h"
 #include "gateway/placement/prefix_locator.h"
 #include "gateway/placement/quiet_engines.h"
+#include "gateway/placement/server_health.h"
 #include "gateway/traffic/pool.h"
 
 namespace bamboomount {
@@ -19,6 +21,8 @@
   const PromptShape& prompt;
   // Null for plain services.
   const EngineTraits* engine = nullptr;
+  // What an engine must have room for.
+  RoomRequest room;
   // The zone of this instance; bytes to other zones cost money.
   ZoneId zone;
   // All servers of the pool, also those that cannot be chosen now.
@@ -46,11 +50,14 @@
  public:
   using Servers = std::vector<const BackendServer*>;
 
-  explicit BackendSelector(const BackendLoads& loads)
-      : loads_(loads), quiet_(loads) {}
+  BackendSelector(const BackendLoads& loads,
+                  const ServerHealth& health,
+                  const ReadSpeed& speed)
+      : loads_(loads), health_(health), quiet_(loads), room_(loads, speed) {}
 
-  // Null if `candidates` is empty. Ejected servers are chosen only if all are
-  // ejected: a fault on this side must not empty the pool.
+  // Null if `candidates` is empty, or no engine among them has room. Servers
+  // that fail are chosen only if too few others are left: a fault on this side
+  // must not empty the pool.
   const BackendServer* Choose(const Servers& candidates,
                               const PlacementRequest& request,
                               Instant now);
@@ -65,10 +72,19 @@
                         Instant now) const;
 
  private:
+  Servers Sound(const Servers& candidates, Instant now) const;
+  const BackendServer* ChooseEngine(const Servers& candidates,
+                                    const PlacementRequest& request,
+                                    Instant now);
+  const BackendServer* ChooseService(const Servers& candidates,
+                                     const PlacementRequest& request) const;
   // The first engine in the subject's order that is not loaded beyond the
   // bound; null if there is none among the first few.
   const BackendServer* ChooseByPrefix(const Servers& candidates,
                                       const PlacementRequest& request) const;
+  // Whether the engine takes a request like this one now.
+  bool IsOpen(const BackendServer& server,
+              const PlacementRequest& request) const;
   double ServiceCost(const BackendServer& server,
                      const PlacementRequest& request) const;
   double EngineCost(const BackendServer& server,
@@ -79,8 +95,10 @@
   Servers ForReading(const Servers& servers) const;
 
   const BackendLoads& loads_;
+  const ServerHealth& health_;
   PrefixLocator prefixes_;
   QuietEngines quiet_;
+  EngineRoom room_;
 };
 
 }  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/placement/engine_room.h
@@ -0,0 +1,57 @@
+#ifndef GATEWAY_PLACEMENT_ENGINE_ROOM_H_
+#define GATEWAY_PLACEMENT_ENGINE_ROOM_H_
+
+#include <map>
+
+#include "gateway/boot_clock.h"
+#include "gateway/membership/backend_server.h"
+#include "gateway/placement/backend_loads.h"
+#include "gateway/placement/read_speed.h"
+
+namespace bamboomount {
+
+// What an engine must have room for.
+struct RoomRequest {
+  // Rank among all requests, 0 first.
+  Tier rank;
+  // It is more urgent than the least urgent ones, which wait for it at engines.
+  bool urgent = false;
+  Millis target_latency{0};
+};
+
+// Decides whether a request should go to an engine at all.
+//
+// Pattern: a burst beyond capacity. If all of it is sent on, every request
+// waits behind the others and comes late, and engines read prompts of callers
+// that have given up. A request is therefore only sent where its first token is
+// predicted to come within a part of its target; the others are refused at
+// once, with the time at which to come back. Engines serve urgent requests
+// first, so that these wait for urgent ones only. While a more urgent request
+// finds no room, less urgent ones are not sent either.
+class EngineRoom {
+ public:
+  // For so long after a request found no room, less urgent ones get none.
+  static constexpr Millis kPrecedenceTime{1000};
+
+  EngineRoom(const BackendLoads& loads, const ReadSpeed& speed)
+      : loads_(loads), speed_(speed) {}
+
+  // Whether a first token from the server would come in time.
+  bool Has(const BackendServer& server, const RoomRequest& request) const;
+  // Whether more urgent requests found no room a short time ago.
+  bool MustYield(const PoolId& pool,
+                 const RoomRequest& request,
+                 Instant now) const;
+  // No server of the pool had room for the request.
+  void NoteNone(const PoolId& pool, const RoomRequest& request, Instant now);
+
+ private:
+  const BackendLoads& loads_;
+  const ReadSpeed& speed_;
+  // When a request of each rank last found no room.
+  std::map<PoolId, std::map<Tier, Instant>> none_;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_PLACEMENT_ENGINE_ROOM_H_
--- a/src/gateway/placement/quiet_engines.cc
+++ b/src/gateway/placement/quiet_engines.cc
@@ -7,8 +7,10 @@
 namespace bamboomount {
 namespace {
 
-// Part of a quiet engine's slots that conversations are planned for.
-constexpr double kPlannedSlotPart = 0.3;
+// Conversations that are planned for a quiet engine: a part of its slots, and
+// no more than generate without slowing each other down much.
+constexpr double kPlannedSlotPart = 0.7;
+constexpr double kPlannedConversations = 20;
 // At most one in so many engines is kept quiet.
 constexpr std::size_t kMinEnginesPerQuietOne = 3;
 // Their number changes in steps of this part of the pool: instances whose
@@ -69,7 +71,8 @@
     state.peak = conversations;
     state.peak_at = now;
   }
-  const double per_engine = pool.front()->slots * kPlannedSlotPart;
+  const double per_engine =
+      std::min(kPlannedConversations, pool.front()->slots * kPlannedSlotPart);
   auto needed = static_cast<std::size_t>(
       std::ceil(state.peak / std::max(per_engine, 1.0)));
   const std::size_t step = std::max<std::size_t>(1, pool.size() / kStepParts);
--- a/src/gateway/replication/fleet_news.cc
+++ b/src/gateway/replication/fleet_news.cc
@@ -13,6 +13,7 @@
   news.signs.reaches_store = state_.reaches_store();
   news.store_back = state_.store_back();
   news.holder = lease_.Statement(now);
+  news.ejected = state_.health().Ejected(now);
   return news;
 }
 
@@ -34,6 +35,7 @@
   }
   if (news.holder)
     lease_.OnStatement(*news.holder, now);
+  state_.health().NoteReport(news.instance, news.ejected, now);
   if (news.loads)
     state_.loads().SetRemote(news.instance, std::move(*news.loads));
 }
--- a/src/gateway/replication/peer_news.cc
+++ b/src/gateway/replication/peer_news.cc
@@ -31,10 +31,17 @@
   Json loads = Json::array();
   for (const auto& [server, load] : *news.loads)
     loads.push_back({server.value(), load.requests, load.unread_tokens,
-                     load.generating, load.long_answers});
+                     load.urgent_tokens, load.generating, load.long_answers});
   return loads;
 }
 
+Json EncodeEjected(const PeerNews& news) {
+  Json ejected = Json::array();
+  for (const EjectedServer& server : news.ejected)
+    ejected.push_back({server.id.value(), server.left.count()});
+  return ejected;
+}
+
 Millis MillisOf(const Json& value) {
   return Millis(value.get<Millis::rep>());
 }
@@ -60,7 +67,8 @@
   for (const Json& load : loads) {
     decoded[BackendId(load.at(0).get<std::string>())] = {
         load.at(1).get<int>(), load.at(2).get<std::int64_t>(),
-        load.at(3).get<int>(), load.at(4).get<int>()};
+        load.at(3).get<std::int64_t>(), load.at(4).get<int>(),
+        load.at(5).get<int>()};
   }
   return decoded;
 }
@@ -74,7 +82,7 @@
   return Json::to_msgpack(Json::array(
       {news.instance.value(), news.sequence, EncodeTables(news),
        std::move(offset), news.signs.reaches_store, news.store_back.count(),
-       EncodeHolder(news.holder), EncodeLoads(news)}));
+       EncodeHolder(news.holder), EncodeLoads(news), EncodeEjected(news)}));
 }
 
 Result<PeerNews> DecodePeerNews(const std::uint8_t* data, std::size_t size) {
@@ -91,6 +99,9 @@
     news.store_back = MillisOf(json.at(5));
     news.holder = DecodeHolder(json.at(6));
     news.loads = DecodeLoads(json.at(7));
+    for (const Json& server : json.at(8))
+      news.ejected.push_back(
+          {BackendId(server.at(0).get<std::string>()), MillisOf(server.at(1))});
     return news;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/replication/peer_news.h
+++ b/src/gateway/replication/peer_news.h
@@ -9,6 +9,7 @@
 
 #include "gateway/membership/member_registry.h"
 #include "gateway/placement/backend_loads.h"
+#include "gateway/placement/server_health.h"
 #include "gateway/replication/table_news.h"
 
 namespace bamboomount {
@@ -40,6 +41,8 @@
   // The requests that the sender has at backend servers; empty if the message
   // does not tell.
   std::optional<std::map<BackendId, BackendLoad>> loads;
+  // Backend servers that the sender leaves out.
+  std::vector<EjectedServer> ejected;
 };
 
 // MessagePack. Decoding fails with kInternal.
--- a/tests/gateway/peer_news_test.cc
+++ b/tests/gateway/peer_news_test.cc
@@ -14,7 +14,8 @@
   news.signs = {Millis(1'700'000'000'123), false};
   news.store_back = Millis(44);
   news.holder = HolderStatement{InstanceId("h"), FencingToken(9), Millis(120)};
-  news.loads = {{BackendId("e"), {1, 2000, 3, 4}}};
+  news.loads = {{BackendId("e"), {1, 2000, 500, 3, 4}}};
+  news.ejected = {{BackendId("x"), Millis(250)}};
   return news;
 }
 
@@ -40,8 +41,12 @@
   const BackendLoad& load = read.value().loads->at(BackendId("e"));
   BOOST_TEST(load.requests == 1);
   BOOST_TEST(load.unread_tokens == 2000);
+  BOOST_TEST(load.urgent_tokens == 500);
   BOOST_TEST(load.generating == 3);
   BOOST_TEST(load.long_answers == 4);
+  BOOST_REQUIRE(read.value().ejected.size() == 1U);
+  BOOST_TEST(read.value().ejected.front().id == BackendId("x"));
+  BOOST_TEST(read.value().ejected.front().left.count() == 250);
 }
 
 // Guards against news without loads that is taken for "no load".
