Seal and report usage windows one right after the other

A window that was late was sealed before the instances could write their parts after the outage. Change: each step follows the one before it; parts are waited for at least 1.5 s. Instances that may take the lease over look at its row once the holder was not heard for 0.8 s instead of 1.5 s.

--- a/src/gateway/control/duty_runner.cc
+++ b/src/gateway/control/duty_runner.cc
@@ -9,6 +9,9 @@
 namespace bamboomount {
 namespace {
 
+// Figures are waited for at least so long, since instances that could not write
+// them in an outage of the store do so within this time of its return.
+constexpr Millis kShortestWait{1500};
 // Windows for which parts of ended processes are kept.
 constexpr WindowNumber kKeptParts(4);
 // Rows that one transaction drops at most.
@@ -61,14 +64,18 @@
       PlanOrders(now);
     SendOrders();
   }
-  if (!state_.settings().reports_usage || busy_)
+  if (state_.settings().reports_usage && !busy_)
+    AdvanceUsage();
+}
+
+void DutyRunner::AdvanceUsage() {
+  const Instant now = BootClock::now();
+  if (!lease_->HoldsFor(kCallTime, now))
     return;
-  if (!loaded_) {
+  if (!loaded_)
     LoadSeals();
-    return;
-  }
-  if (schedule_.NextToReport())
-    ReportNext(lease);
+  else if (schedule_.NextToReport())
+    ReportNext();
   else
     SealNext(now);
 }
@@ -90,6 +97,7 @@
     }
     schedule_.Load(seals);
     loaded_ = true;
+    AdvanceUsage();
   });
 }
 
@@ -123,9 +131,14 @@
     if (!state_.members().IsSilent(member->instance, now))
       alive.push_back(member->instance);
   }
+  if (awaited_window_ != window) {
+    awaited_window_ = window;
+    awaited_since_ = now;
+  }
   // The next step reads again.
-  if (parts.IsAwaited(window, alive) &&
-      !schedule_.IsLate(window, state_.WallTime(now)))
+  const bool late = schedule_.IsLate(window, state_.WallTime(now)) &&
+                    now - awaited_since_ >= kShortestWait;
+  if (!late && parts.IsAwaited(window, alive))
     return;
   const UsageSeal seal{window, parts.Sum(window), schedule_.reported_through()};
   if (seal.counts.empty())
@@ -153,28 +166,32 @@
   busy_ = true;
   store_.Commit(change, [this, seal](const Result<CommitAnswer>& answer) {
     busy_ = false;
-    if (answer && answer.value().committed)
+    if (answer && answer.value().committed) {
       schedule_.NoteSealed(seal);
-    else
-      // Sealed by another holder, or by a commit whose answer
-      // was lost: the store tells.
-      loaded_ = false;
+      AdvanceUsage();
+      return;
+    }
+    // Sealed by another holder, or by a commit whose answer was lost: the store
+    // tells.
+    loaded_ = false;
   });
 }
 
-void DutyRunner::ReportNext(const DutyLease& lease) {
+void DutyRunner::ReportNext() {
   const UsageSeal* seal = schedule_.NextToReport();
   const WindowNumber window = seal->window;
   busy_ = true;
-  client_.ReportUsage(Holder(lease), window, seal->counts,
+  client_.ReportUsage(Holder(*lease_), window, seal->counts,
                       [this, window](DutyOutcome outcome) {
                         busy_ = false;
                         const bool accepted = outcome == DutyOutcome::kAccepted;
                         Log(accepted ? gateway_events::kUsageReported
                                      : gateway_events::kUsageNotReported,
                             {{"window", std::to_string(window.value())}});
-                        if (accepted)
-                          schedule_.NoteReported(window);
+                        if (!accepted)
+                          return;
+                        schedule_.NoteReported(window);
+                        AdvanceUsage();
                       });
 }
 
--- a/src/gateway/control/duty_runner.h
+++ b/src/gateway/control/duty_runner.h
@@ -31,12 +31,14 @@
   void Begin();
 
  private:
+  // Takes the next step toward the report of a window that has ended.
+  void AdvanceUsage();
   void LoadSeals();
   // Reads what the instances wrote, and seals the next window with it.
   void SealNext(Instant now);
   void OnParts(WindowNumber window, const std::vector<TableRow>& rows);
   void CommitSeal(const UsageSeal& seal, const UsageParts& parts);
-  void ReportNext(const DutyLease& lease);
+  void ReportNext();
   void PlanOrders(Instant now);
   void SendOrders();
   DutyHolder Holder(const DutyLease& lease) const;
@@ -50,6 +52,9 @@
   // The lease of the last step; set while it is held.
   const DutyLease* lease_ = nullptr;
   bool loaded_ = false;
+  // The window whose figures are waited for, and since when.
+  WindowNumber awaited_window_;
+  Instant awaited_since_;
   bool busy_ = false;
   bool order_open_ = false;
 };
--- a/src/gateway/control/lease_keeper.h
+++ b/src/gateway/control/lease_keeper.h
@@ -22,7 +22,7 @@
   // Pause between two looks at the row of a holder that is not heard.
   static constexpr Millis kWatchInterval{1000};
   // The holder tells several times a second, and others pass it on.
-  static constexpr Millis kHolderSilence{1500};
+  static constexpr Millis kHolderSilence{800};
   // Instances that may take the lease over.
   static constexpr std::size_t kCandidates = 3;
 
