--- a/tests/gateway/backend_selector_test.cc
+++ b/tests/gateway/backend_selector_test.cc
@@ -202,6 +202,7 @@
   const PlacementRequest request{prompt, nullptr, kRoom, kHere, {}};
   const auto report = [&](int count) {
     std::vector<EjectedServer> ejected;
+    ejected.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
       ejected.push_back({BackendId("e-" + std::to_string(i)), Millis(1000)});
     for (const char* name : {"a", "b"})
--- a/tests/gateway/table_replica_test.cc
+++ b/tests/gateway/table_replica_test.cc
@@ -29,6 +29,7 @@
         last.insert_or_assign(row.key, row);
     }
     std::vector<TableRow> changes;
+    changes.reserve(last.size());
     for (const auto& [key, row] : last)
       changes.push_back(row);
     return changes;
