Add a fault soak of the entry instances

Change: the stand-ins of tests/entry become the library bamboomount_entry_fixture. fault_soak starts entry instances as processes, store, backend servers and callers, and plays pauses, kills, planned stops, harmed links, a misbehaving store and backend servers, configurations, withdrawn keys and leaving servers, overlapping and by turns with phases of planned work alone. SECONDS=... runs all.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CASES ?= 10000
 JOBS ?= $(shell nproc)
 
-.PHONY: setup packages build test demo bench soak format lint
+.PHONY: setup packages build test demo bench soak fault-soak format lint
 packages:
 	apt-get update
 	apt-get install -y --no-install-recommends $(PACKAGES)
@@ -49,6 +49,14 @@
 	@echo "SEED=$(SEED) CASES=$(CASES)"
 	cd $(BUILD) && RC_PARAMS="seed=$(SEED) max_success=$(CASES)" ctest --output-on-failure -j 4 --timeout 3600
 
+# Plays random faults against entry instances; see tests/soak/SEEDS.md.
+SECONDS ?= 60
+fault-soak: $(SETUP_MARK)
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD) -j $(JOBS) --target fault_soak bamboomount_entry
+	@echo "SEED=$(SEED) SECONDS=$(SECONDS)"
+	$(BUILD)/bin/fault_soak --seed $(SEED) --seconds $(SECONDS) --logs $(BUILD)/fault-soak-$(SEED)
+
 format:
 	git ls-files '*.h' '*.cc' | xargs clang-format -i
 
--- a/tests/entry/fleet_news_test.cc
+++ b/tests/entry/fleet_news_test.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 
-#include "entry/entry_fleet.h"
+#include "entry_fixture/entry_fleet.h"
 #include "support/tcp_proxy.h"
 #include "support/wait_until.h"
 
--- a/tests/entry/forwarding_test.cc
+++ b/tests/entry/forwarding_test.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
-#include "entry/entry_fleet.h"
+#include "entry_fixture/entry_fleet.h"
 #include "support/wait_until.h"
 
 namespace bamboomount::entry_test {
--- a/tests/entry/backend_standin.cc
+++ b/tests/entry_fixture/backend_standin.cc
@@ -1,4 +1,4 @@
-#include "entry/backend_standin.h"
+#include "entry_fixture/backend_standin.h"
 
 #include <nlohmann/json.hpp>
 
@@ -43,11 +43,20 @@
 }
 
 std::vector<HttpRequest> BackendStandin::Ran() {
-  return server_.Run([&] { return ran_; });
+  std::vector<HttpRequest> ran;
+  for (Arrival& arrival : Arrivals()) {
+    if (arrival.ran)
+      ran.push_back(std::move(arrival.request));
+  }
+  return ran;
+}
+
+std::vector<Arrival> BackendStandin::Arrivals() {
+  return server_.Run([&] { return arrivals_; });
 }
 
 int BackendStandin::Arrived() {
-  return server_.Run([&] { return arrived_; });
+  return server_.Run([&] { return static_cast<int>(arrivals_.size()); });
 }
 
 int BackendStandin::Abandoned() {
@@ -65,20 +74,20 @@
 
 boost::asio::awaitable<void> BackendStandin::Handle(
     standin::Exchange& exchange) {
-  ++arrived_;
   const HttpRequest request = exchange.request();
   const std::string request_id = request.header("X-Bamboomount-Request-Id");
   HttpReply reply = Answer(request_id);
   const bool meant = request.header("X-Bamboomount-Expected-Instance") == id_ &&
                      mode_ != BackendMode::kWrongServer;
-  if (!meant || mode_ == BackendMode::kRefuse) {
+  const bool runs = meant && mode_ != BackendMode::kRefuse;
+  arrivals_.push_back({request, std::chrono::steady_clock::now(), runs});
+  if (!runs) {
     reply.status = meant ? kServiceUnavailable : kMisdirected;
     reply.headers = {{"X-Bamboomount-Request-Id", request_id},
                      {"X-Bamboomount-Not-Executed", "1"}};
     co_await exchange.Reply(std::move(reply));
     co_return;
   }
-  ran_.push_back(request);
   while (mode_ == BackendMode::kHold) {
     if (exchange.is_abandoned()) {
       ++abandoned_;
--- a/tests/entry/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -1,10 +1,11 @@
-#ifndef TESTS_ENTRY_BACKEND_STANDIN_H_
-#define TESTS_ENTRY_BACKEND_STANDIN_H_
+#ifndef TESTS_ENTRY_FIXTURE_BACKEND_STANDIN_H_
+#define TESTS_ENTRY_FIXTURE_BACKEND_STANDIN_H_
 
+#include <chrono>
 #include <string>
 #include <vector>
 
-#include "entry/server_thread.h"
+#include "entry_fixture/server_thread.h"
 
 namespace bamboomount::entry_test {
 
@@ -29,6 +30,14 @@
   kWrongServer,
 };
 
+// A request that reached a backend server.
+struct Arrival {
+  standin::HttpRequest request;
+  std::chrono::steady_clock::time_point at;
+  // False if it was refused.
+  bool ran = false;
+};
+
 // A backend server of the platform: checks who it is asked to be, seals its
 // answers, streams events on paths that end with "stream". Thread-safe.
 class BackendStandin {
@@ -45,6 +54,7 @@
   std::vector<standin::HttpRequest> Ran();
   // Requests that arrived, whether they ran or not.
   int Arrived();
+  std::vector<Arrival> Arrivals();
   // Requests whose caller left while they were held.
   int Abandoned();
 
@@ -56,8 +66,7 @@
 
   const std::string id_;
   BackendMode mode_ = BackendMode::kAnswer;
-  std::vector<standin::HttpRequest> ran_;
-  int arrived_ = 0;
+  std::vector<Arrival> arrivals_;
   int abandoned_ = 0;
   ServerThread server_;
 };
@@ -67,4 +76,4 @@
 
 }  // namespace bamboomount::entry_test
 
-#endif  // TESTS_ENTRY_BACKEND_STANDIN_H_
+#endif  // TESTS_ENTRY_FIXTURE_BACKEND_STANDIN_H_
--- a/tests/entry/entry_fleet.cc
+++ b/tests/entry_fixture/entry_fleet.cc
@@ -1,4 +1,4 @@
-#include "entry/entry_fleet.h"
+#include "entry_fixture/entry_fleet.h"
 
 #include <unistd.h>
 
@@ -40,7 +40,9 @@
   return path.string();
 }
 
-json RouteJson(const std::string& prefix,
+}  // namespace
+
+json MakeRoute(const std::string& prefix,
                const std::string& kind,
                bool resumable) {
   return {{"name", prefix},
@@ -56,7 +58,24 @@
           {"resume_streams", resumable}};
 }
 
-}  // namespace
+json MakeConfig(int version, const json& customers) {
+  json open = MakeRoute("/open/", "safe", false);
+  open["allow_anonymous"] = true;
+  return json{
+      {"version", version},
+      {"routes",
+       {MakeRoute("/lookup/", "safe", false),
+        MakeRoute("/book/", "unsafe", false),
+        MakeRoute("/talk/", "streaming", false),
+        MakeRoute("/resume/", "streaming", true), open}},
+      {"services", {{{"name", "pool"}, {"max_connections", 100}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 100000},
+        {"header_timeout_ms", 3000},
+        {"idle_timeout_ms", 15000}}},
+      {"tenants", customers}};
+}
 
 EntryInstance::EntryInstance(const std::string& name,
                              const std::string& store_address,
@@ -137,23 +156,7 @@
 }
 
 void EntryFleet::Configure(int version, const json& customers) {
-  json open = RouteJson("/open/", "safe", false);
-  open["allow_anonymous"] = true;
-  const json config{
-      {"version", version},
-      {"routes",
-       {RouteJson("/lookup/", "safe", false),
-        RouteJson("/book/", "unsafe", false),
-        RouteJson("/talk/", "streaming", false),
-        RouteJson("/resume/", "streaming", true), open}},
-      {"services", {{{"name", "pool"}, {"max_connections", 100}}}},
-      {"limits",
-       {{"max_header_bytes", 16384},
-        {"max_body_bytes", 100000},
-        {"header_timeout_ms", 3000},
-        {"idle_timeout_ms", 15000}}},
-      {"tenants", customers}};
-  store_.Put("op", "config", config.dump());
+  store_.Put("op", "config", MakeConfig(version, customers).dump());
 }
 
 support::ClientRequest MakeRequest(const std::string& method,
--- a/tests/entry/entry_fleet.h
+++ b/tests/entry_fixture/entry_fleet.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_ENTRY_ENTRY_FLEET_H_
-#define TESTS_ENTRY_ENTRY_FLEET_H_
+#ifndef TESTS_ENTRY_FIXTURE_ENTRY_FLEET_H_
+#define TESTS_ENTRY_FIXTURE_ENTRY_FLEET_H_
 
 #include <atomic>
 #include <filesystem>
@@ -9,8 +9,8 @@
 #include <thread>
 #include <vector>
 
-#include "entry/backend_standin.h"
-#include "entry/store_standin.h"
+#include "entry_fixture/backend_standin.h"
+#include "entry_fixture/store_standin.h"
 #include "support/child_process.h"
 #include "support/http_client.h"
 
@@ -48,6 +48,14 @@
   std::thread reader_;
 };
 
+// A configuration of the operator's with the usual routes; `customers` has the
+// form of the operator's.
+nlohmann::json MakeConfig(int version, const nlohmann::json& customers);
+// A route to the pool that `MakeConfig` names.
+nlohmann::json MakeRoute(const std::string& prefix,
+                         const std::string& kind,
+                         bool resumable);
+
 // The programs and stand-ins of one test.
 class EntryFleet {
  public:
@@ -62,8 +70,6 @@
   EntryInstance& AddInstance(
       const std::string& name = "i-1",
       const nlohmann::json& settings = nlohmann::json::object());
-  // Writes a configuration with the usual routes; `customers` has the form of
-  // the operator's.
   void Configure(int version, const nlohmann::json& customers);
   nlohmann::json DefaultCustomers() const;
 
@@ -84,4 +90,4 @@
 
 }  // namespace bamboomount::entry_test
 
-#endif  // TESTS_ENTRY_ENTRY_FLEET_H_
+#endif  // TESTS_ENTRY_FIXTURE_ENTRY_FLEET_H_
--- a/tests/entry/server_thread.h
+++ b/tests/entry_fixture/server_thread.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_ENTRY_SERVER_THREAD_H_
-#define TESTS_ENTRY_SERVER_THREAD_H_
+#ifndef TESTS_ENTRY_FIXTURE_SERVER_THREAD_H_
+#define TESTS_ENTRY_FIXTURE_SERVER_THREAD_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -48,4 +48,4 @@
 
 }  // namespace bamboomount::entry_test
 
-#endif  // TESTS_ENTRY_SERVER_THREAD_H_
+#endif  // TESTS_ENTRY_FIXTURE_SERVER_THREAD_H_
--- a/tests/entry/store_standin.cc
+++ b/tests/entry_fixture/store_standin.cc
@@ -1,4 +1,4 @@
-#include "entry/store_standin.h"
+#include "entry_fixture/store_standin.h"
 
 #include <algorithm>
 
@@ -66,6 +66,13 @@
 }
 
 std::map<std::int64_t, json> StoreStandin::Reports() {
+  std::map<std::int64_t, json> counts;
+  for (const UsageReport& report : UsageReports())
+    counts[report.window] = report.counts;
+  return counts;
+}
+
+std::vector<UsageReport> StoreStandin::UsageReports() {
   return server_.Run([&] { return reports_; });
 }
 
@@ -102,8 +109,7 @@
       co_return;
     }
   } else if (path == "/usage") {
-    const json report = json::parse(exchange.request().body);
-    reports_[report.at("window_number")] = report.at("counts");
+    AcceptUsage(exchange.request());
   } else if (path != "/scaling") {
     reply.status = 404;
   }
@@ -202,6 +208,14 @@
   return version == condition.at("schema_version").get<std::uint64_t>();
 }
 
+void StoreStandin::AcceptUsage(const HttpRequest& request) {
+  const json report = json::parse(request.body);
+  reports_.push_back({request.header("X-Bamboomount-Duty-Holder"),
+                      std::stoll(request.header("X-Bamboomount-Fencing-Token")),
+                      report.at("window_number"), report.at("counts"),
+                      std::chrono::steady_clock::now()});
+}
+
 void StoreStandin::Write(const Key& key,
                          const std::string& value,
                          bool deleted) {
--- a/tests/entry/store_standin.h
+++ b/tests/entry_fixture/store_standin.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_ENTRY_STORE_STANDIN_H_
-#define TESTS_ENTRY_STORE_STANDIN_H_
+#ifndef TESTS_ENTRY_FIXTURE_STORE_STANDIN_H_
+#define TESTS_ENTRY_FIXTURE_STORE_STANDIN_H_
 
 #include <chrono>
 #include <cstdint>
@@ -7,8 +7,9 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
+#include <vector>
 
-#include "entry/server_thread.h"
+#include "entry_fixture/server_thread.h"
 
 namespace bamboomount::entry_test {
 
@@ -23,6 +24,15 @@
   kSilent,
 };
 
+// A usage report that was accepted.
+struct UsageReport {
+  std::string holder;
+  std::int64_t token = 0;
+  std::int64_t window = 0;
+  nlohmann::json counts;
+  std::chrono::steady_clock::time_point at;
+};
+
 // A small stand-in for the platform's table service: rows, changes, atomic
 // writes under conditions; and for its interface for usage reports and orders.
 // Public functions may be called from any thread.
@@ -48,7 +58,9 @@
   // Drops all changes so far: calls for older ones get 410.
   void ForgetHistory();
   int calls();
-  // Usage reports that were accepted, by window.
+  // The usage reports that were accepted, in order.
+  std::vector<UsageReport> UsageReports();
+  // The counts last reported for each window.
   std::map<std::int64_t, nlohmann::json> Reports();
 
  private:
@@ -66,6 +78,7 @@
   nlohmann::json Moment() const;
   static nlohmann::json RowJson(const Key& key, const Row& row);
   bool Holds(const nlohmann::json& condition) const;
+  void AcceptUsage(const standin::HttpRequest& request);
   void Write(const Key& key, const std::string& value, bool deleted);
 
   std::map<Key, Row> rows_;
@@ -74,7 +87,7 @@
   StoreMode mode_ = StoreMode::kUp;
   int lost_answers_ = 0;
   int calls_ = 0;
-  std::map<std::int64_t, nlohmann::json> reports_;
+  std::vector<UsageReport> reports_;
   const std::chrono::steady_clock::time_point start_ =
       std::chrono::steady_clock::now();
   ServerThread server_;
@@ -82,4 +95,4 @@
 
 }  // namespace bamboomount::entry_test
 
-#endif  // TESTS_ENTRY_STORE_STANDIN_H_
+#endif  // TESTS_ENTRY_FIXTURE_STORE_STANDIN_H_
--- /dev/null
+++ b/tests/soak/fault_soak/callers.cc
@@ -0,0 +1,180 @@
+#include "soak/fault_soak/callers.h"
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string_view>
+
+#include "support/http_client.h"
+
+namespace bamboomount::soak {
+namespace {
+
+using support::ClientAnswer;
+using support::ClientRequest;
+using support::HttpClient;
+
+constexpr int kOk = 200;
+// The caller's own time limit, and the one that the request carries.
+constexpr Millis kPatience{4000};
+constexpr std::string_view kDeadlineMs = "3000";
+constexpr int kKeepConnectionPercent = 85;
+constexpr int kAbandonPercent = 3;
+constexpr int kWithdrawnKeyPercent = 15;
+constexpr std::size_t kOldestProbedVersion = 3;
+constexpr int kMaxPauseMs = 30;
+
+struct KindRule {
+  RequestKind kind;
+  std::string_view method;
+  std::string_view target;
+};
+
+constexpr std::array<KindRule, 5> kKinds{{
+    {RequestKind::kLookup, "GET", "/lookup/x"},
+    {RequestKind::kBooking, "POST", "/book/x"},
+    {RequestKind::kTalk, "POST", "/talk/stream"},
+    {RequestKind::kResumableTalk, "POST", "/resume/stream"},
+    {RequestKind::kVersionProbe, "GET", ""},
+}};
+
+// One caller and its open connection.
+class Caller {
+ public:
+  Caller(SoakFleet& fleet, std::uint64_t seed) : fleet_(fleet), random_(seed) {}
+
+  // Sends one request. Empty if no process could be connected.
+  std::optional<RequestRecord> SendOne() {
+    const CallerView view = fleet_.View();
+    if (!Connect(view))
+      return std::nullopt;
+    const KindRule& rule = kKinds[random_.Below(kKinds.size())];
+    RequestRecord record = Describe(view, rule);
+    ClientRequest request = entry_test::MakeRequest(
+        std::string(rule.method), TargetOf(rule, record.version), record.key);
+    for (auto& [name, value] : request.headers) {
+      if (name == "X-Bamboomount-Deadline-Milliseconds")
+        value = kDeadlineMs;
+      if (name == "X-Bamboomount-Request-Id")
+        record.id = value;
+    }
+    record.process = process_;
+    record.sent = std::chrono::steady_clock::now();
+    client_->Send(request);
+    if (random_.Chance(kAbandonPercent)) {
+      record.abandoned = true;
+      client_.reset();
+    } else {
+      ReadAnswer(record);
+    }
+    record.ended = std::chrono::steady_clock::now();
+    return record;
+  }
+
+  void Pause() { std::this_thread::sleep_for(random_.Between(0, kMaxPauseMs)); }
+
+ private:
+  bool Connect(const CallerView& view) {
+    if (client_ && random_.Chance(kKeepConnectionPercent))
+      return true;
+    client_.reset();
+    if (view.targets.empty())
+      return false;
+    const Target& target = random_.Pick(view.targets);
+    process_ = target.process;
+    try {
+      client_ = std::make_unique<HttpClient>(target.address, kPatience);
+    } catch (const std::runtime_error&) {
+      return false;
+    }
+    return true;
+  }
+
+  RequestRecord Describe(const CallerView& view, const KindRule& rule) {
+    RequestRecord record;
+    record.kind = rule.kind;
+    const bool withdrawn =
+        !view.withdrawn.empty() && random_.Chance(kWithdrawnKeyPercent);
+    const Credential& credential =
+        random_.Pick(withdrawn ? view.withdrawn : view.keys);
+    record.key = credential.key;
+    record.customer = credential.customer;
+    if (rule.kind == RequestKind::kVersionProbe)
+      record.version =
+          view.version - static_cast<int>(random_.Below(kOldestProbedVersion));
+    return record;
+  }
+
+  static std::string TargetOf(const KindRule& rule, int version) {
+    if (rule.kind == RequestKind::kVersionProbe)
+      return "/v" + std::to_string(version) + "/x";
+    return std::string(rule.target);
+  }
+
+  void ReadAnswer(RequestRecord& record) {
+    const ClientAnswer head = client_->ReadHead();
+    record.status = head.status;
+    record.seal = head.header("X-Bamboomount-Response-Seal");
+    if (head.status != 0) {
+      const bool stream = record.kind == RequestKind::kTalk ||
+                          record.kind == RequestKind::kResumableTalk;
+      if (head.status == kOk && stream)
+        ReadEvents(record);
+      else
+        record.body = client_->ReadRest();
+      record.complete = client_->ended_cleanly();
+    }
+    if (!record.complete || head.header("Connection") == "close")
+      client_.reset();
+  }
+
+  void ReadEvents(RequestRecord& record) {
+    constexpr std::string_view kIdField = "id: ";
+    while (const auto event = client_->ReadEvent()) {
+      const bool numbered = event->starts_with(kIdField);
+      record.events.push_back(
+          numbered ? std::stoi(event->substr(kIdField.size())) : 0);
+    }
+  }
+
+  SoakFleet& fleet_;
+  Random random_;
+  std::unique_ptr<HttpClient> client_;
+  std::string process_;
+};
+
+}  // namespace
+
+Callers::Callers(SoakFleet& fleet, int count, std::uint64_t seed)
+    : fleet_(fleet) {
+  for (int i = 0; i < count; ++i)
+    threads_.emplace_back(
+        [this, own = seed + static_cast<std::uint64_t>(i)] { Run(own); });
+}
+
+Callers::~Callers() {
+  Stop();
+}
+
+std::vector<RequestRecord> Callers::Stop() {
+  stopping_ = true;
+  for (std::thread& thread : threads_)
+    thread.join();
+  threads_.clear();
+  return records_;
+}
+
+void Callers::Run(std::uint64_t seed) {
+  Caller caller(fleet_, seed);
+  while (!stopping_) {
+    const auto record = caller.SendOne();
+    if (record) {
+      const std::lock_guard lock(mutex_);
+      records_.push_back(*record);
+    }
+    caller.Pause();
+  }
+}
+
+}  // namespace bamboomount::soak
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -80,7 +80,8 @@
     : pid_(std::exchange(other.pid_, -1)),
       output_(std::exchange(other.output_, -1)),
       buffer_(std::move(other.buffer_)),
-      status_(other.status_) {}
+      status_(other.status_),
+      stopped_(other.stopped_) {}
 
 ChildProcess& ChildProcess::operator=(ChildProcess&& other) noexcept {
   if (this == &other)
@@ -90,6 +91,7 @@
   output_ = std::exchange(other.output_, -1);
   buffer_ = std::move(other.buffer_);
   status_ = other.status_;
+  stopped_ = other.stopped_;
   return *this;
 }
 
@@ -147,15 +149,21 @@
 }
 
 void ChildProcess::Stop() {
-  Signal(SIGSTOP);
-  if (pid_ < 0 || status_)
+  // The kernel reports a stop once; waiting for it again would never end.
+  if (pid_ < 0 || status_ || stopped_)
     return;
+  Signal(SIGSTOP);
   int status = 0;
-  if (waitpid(pid_, &status, WUNTRACED) == pid_ && !WIFSTOPPED(status))
+  if (waitpid(pid_, &status, WUNTRACED) != pid_)
+    return;
+  if (WIFSTOPPED(status))
+    stopped_ = true;
+  else
     status_ = status;
 }
 
 void ChildProcess::Continue() {
+  stopped_ = false;
   Signal(SIGCONT);
 }
 
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -42,7 +42,8 @@
 
   // Sends `signal` unless the process was reaped.
   void Signal(int signal);
-  // Sends SIGSTOP and waits until the process is stopped or has ended.
+  // Sends SIGSTOP and waits until the process is stopped or has ended. Does
+  // nothing if it is stopped already.
   void Stop();
   // Sends SIGCONT.
   void Continue();
@@ -61,6 +62,7 @@
   int output_ = -1;
   std::string buffer_;
   std::optional<int> status_;
+  bool stopped_ = false;
 };
 
 }  // namespace bamboomount::support
