--- a/tests/entry_fixture/entry_fleet.cc
+++ b/tests/entry_fixture/entry_fleet.cc
@@ -61,20 +61,19 @@
 json MakeConfig(int version, const json& customers) {
   json open = MakeRoute("/open/", "safe", false);
   open["allow_anonymous"] = true;
-  return json{
-      {"version", version},
-      {"routes",
-       {MakeRoute("/lookup/", "safe", false),
-        MakeRoute("/book/", "unsafe", false),
-        MakeRoute("/talk/", "streaming", false),
-        MakeRoute("/resume/", "streaming", true), open}},
-      {"services", {{{"name", "pool"}, {"max_connections", 100}}}},
-      {"limits",
-       {{"max_header_bytes", 16384},
-        {"max_body_bytes", 100000},
-        {"header_timeout_ms", 3000},
-        {"idle_timeout_ms", 15000}}},
-      {"tenants", customers}};
+  return json{{"version", version},
+              {"routes",
+               {MakeRoute("/lookup/", "safe", false),
+                MakeRoute("/book/", "unsafe", false),
+                MakeRoute("/talk/", "streaming", false),
+                MakeRoute("/resume/", "streaming", true), open}},
+              {"services", {{{"name", "pool"}, {"max_connections", 100}}}},
+              {"limits",
+               {{"max_header_bytes", 16384},
+                {"max_body_bytes", 100000},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", 15000}}},
+              {"tenants", customers}};
 }
 
 EntryInstance::EntryInstance(const std::string& name,
--- a/tests/soak/checks/promises.cc
+++ b/tests/soak/checks/promises.cc
@@ -99,10 +99,9 @@
                                report.counts.dump()});
       const auto holder = holders.emplace(report.token, report.holder).first;
       if (holder->second != report.holder)
-        broken_.push_back(
-            {"one holder for each fencing token",
-             std::to_string(report.token) + ": " + holder->second + " and " +
-                 report.holder});
+        broken_.push_back({"one holder for each fencing token",
+                           std::to_string(report.token) + ": " +
+                               holder->second + " and " + report.holder});
     }
   }
 
@@ -171,9 +170,9 @@
     for (const entry_test::UsageReport& report : seen_.usage) {
       if (report.token < highest &&
           IsCalm(report.at - bounds_.thaw_slack, report.at))
-        broken_.push_back(
-            {"fencing tokens grow", std::to_string(report.token) + " after " +
-                                        std::to_string(highest)});
+        broken_.push_back({"fencing tokens grow", std::to_string(report.token) +
+                                                      " after " +
+                                                      std::to_string(highest)});
       highest = std::max(highest, report.token);
     }
   }
--- a/tests/soak/fault_soak/main.cc
+++ b/tests/soak/fault_soak/main.cc
@@ -61,8 +61,8 @@
   std::vector<BrokenPromise> broken;
   FaultInjector injector(fleet, options.seed);
   Callers callers(fleet, options.callers, options.seed);
-  const Time end = std::chrono::steady_clock::now() +
-                   std::chrono::seconds(options.seconds);
+  const Time end =
+      std::chrono::steady_clock::now() + std::chrono::seconds(options.seconds);
   while (std::chrono::steady_clock::now() < end) {
     injector.Step();
     std::this_thread::sleep_for(kTick);
