--- a/tests/soak/fault_soak/soak_fleet.cc
+++ b/tests/soak/fault_soak/soak_fleet.cc
@@ -18,9 +18,6 @@
 using support::TcpProxy;
 
 constexpr int kOk = 200;
-// Routes of this many versions stand side by side, so that requests on the way
-// to the newest one are served.
-constexpr int kVersionsListed = 1;
 constexpr char kPool[] = "pool";
 
 std::filesystem::path MakeFolder() {
@@ -117,10 +114,9 @@
     view_.keys = next.keys;
   }
   json config = entry_test::MakeConfig(next.version, Customers());
-  for (int version = next.version;
-       version > next.version - kVersionsListed && version > 0; --version)
-    config["routes"].push_back(entry_test::MakeRoute(
-        "/v" + std::to_string(version) + "/", "safe", false));
+  // Each version has a route that no other one has.
+  config["routes"].push_back(entry_test::MakeRoute(
+      "/v" + std::to_string(next.version) + "/", "safe", false));
   store_.Put("op", "config", config.dump());
   if (rotate)
     withdrawals_.push_back({old.key, std::chrono::steady_clock::now()});
