--- a/src/gateway/control/membership_keeper.cc
+++ b/src/gateway/control/membership_keeper.cc
@@ -54,16 +54,16 @@
   StoreChange change;
   change.Put(tables::kInstances, member.instance.value(), EncodeMember(member));
   commit_open_ = true;
-  store_.Commit(change,
-                [this, leaving = member.leaving](Result<CommitAnswer> answer) {
-                  commit_open_ = false;
-                  state_.NoteCommit(answer);
-                  if (answer)
-                    written_ = BootClock::now();
-                  // The stop began while an older row was written.
-                  if (leaving != leaving_)
-                    AnnounceLeaving();
-                });
+  store_.Commit(change, [this, leaving = member.leaving](
+                            const Result<CommitAnswer>& answer) {
+    commit_open_ = false;
+    state_.NoteCommit(answer);
+    if (answer)
+      written_ = BootClock::now();
+    // The stop began while an older row was written.
+    if (leaving != leaving_)
+      AnnounceLeaving();
+  });
 }
 
 void MembershipKeeper::DropFailed() {
