Deliver usage to the holder of the duty lease by gossip, with receipts

Change: gossiped counts complete a window. The holder and its three likely successors get them, the holder answers with a receipt bound to its fencing token, and an instance writes its row only if no receipt arrives in time. Failed writes back off, and a flush waits for a write in flight instead of beginning a second one.

--- a/src/gateway/control/duty_lease_manager.cc
+++ b/src/gateway/control/duty_lease_manager.cc
@@ -128,9 +128,9 @@
 
 std::optional<HolderStatement> DutyLeaseManager::LatestHolderStatement(
     Instant now) const {
-  if (lease_.HoldsFor(Millis(0), now) && !leaving_)
-    return HolderStatement{state_.settings().instance, lease_.token(),
-                           Millis(0)};
+  const FencingToken held = HeldToken(now);
+  if (held != FencingToken())
+    return HolderStatement{state_.settings().instance, held, Millis(0)};
   if (!last_received_)
     return std::nullopt;
   HolderStatement statement = last_received_->statement;
@@ -138,6 +138,11 @@
   return statement;
 }
 
+FencingToken DutyLeaseManager::HeldToken(Instant now) const {
+  const bool holds = lease_.HoldsFor(Millis(0), now) && !leaving_;
+  return holds ? lease_.token() : FencingToken();
+}
+
 void DutyLeaseManager::OnHolderStatement(const HolderStatement& statement,
                                          Instant now) {
   // Other instances relay this instance's own statements back to it.
--- a/src/gateway/control/duty_lease_manager.h
+++ b/src/gateway/control/duty_lease_manager.h
@@ -50,6 +50,9 @@
   // empty if none is known.
   std::optional<HolderStatement> LatestHolderStatement(Instant now) const;
   void OnHolderStatement(const HolderStatement& statement, Instant now);
+  // The fencing token if this instance holds the lease and is not leaving;
+  // otherwise 0.
+  FencingToken HeldToken(Instant now) const;
 
  private:
   void Step();
--- a/src/gateway/control/duty_runner.cc
+++ b/src/gateway/control/duty_runner.cc
@@ -43,10 +43,12 @@
 
 DutyRunner::DutyRunner(AsyncTableStore& store,
                        DutyClient& client,
-                       GatewayState& state)
+                       GatewayState& state,
+                       Incarnation incarnation)
     : store_(store),
       client_(client),
       state_(state),
+      incarnation_(std::move(incarnation)),
       schedule_(state.settings().usage_window) {}
 
 void DutyRunner::OnLeaseTaken() {
@@ -72,6 +74,8 @@
   const Instant now = BootClock::now();
   if (!lease_->HoldsFor(kMinLeaseForCall, now))
     return;
+  state_.usage_delivery().RecordReceived(lease_->token(),
+                                         state_.LastEndedWindow(now));
   if (!seals_loaded_)
     LoadSeals();
   else if (schedule_.NextToReport())
@@ -96,6 +100,7 @@
             {{"row", row.key}, {"cause", seal.error().message}});
     }
     schedule_.Load(seals);
+    state_.usage_delivery().ObserveSealed(schedule_.sealed_through());
     seals_loaded_ = true;
     AdvanceUsage();
   });
@@ -126,10 +131,7 @@
       Log(gateway_events::kMemberUnreadable,
           {{"row", row.key}, {"cause", usage.error().message}});
   }
-  // An instance that ended before it stored its counts may have sent some of
-  // them to other instances.
-  UsageByIncarnation known = stored;
-  known.MergeMaximum(state_.peer_usage());
+  const UsageByIncarnation known = CollectUsage(stored);
   const Instant now = BootClock::now();
   std::vector<InstanceId> live_instances;
   for (const Member* member : state_.members().All()) {
@@ -148,11 +150,28 @@
   const UsageSeal seal{window, known.Sum(window), schedule_.reported_through()};
   if (seal.counts.empty())
     // No requests started in the window, so there is nothing to report.
-    schedule_.MarkSealed(seal);
+    MarkSealed(seal);
   else
     CommitSeal(seal, stored);
 }
 
+UsageByIncarnation DutyRunner::CollectUsage(
+    const UsageByIncarnation& stored) const {
+  UsageByIncarnation own;
+  const IncarnationUsage usage = state_.LocalUsage(BootClock::now());
+  if (!usage.windows.empty())
+    own.Put(incarnation_.value(), usage);
+  UsageByIncarnation collected = stored;
+  collected.MergeMaximum(state_.peer_usage());
+  collected.MergeMaximum(own);
+  return collected;
+}
+
+void DutyRunner::MarkSealed(const UsageSeal& seal) {
+  schedule_.MarkSealed(seal);
+  state_.usage_delivery().ObserveSealed(schedule_.sealed_through());
+}
+
 void DutyRunner::CommitSeal(const UsageSeal& seal,
                             const UsageByIncarnation& stored) {
   if (!lease_->HoldsFor(kMinLeaseForCall, BootClock::now()))
@@ -175,7 +194,7 @@
                 [this, seal](const Result<CommitResponse>& response) {
                   usage_call_in_flight_ = false;
                   if (response && response.value().committed) {
-                    schedule_.MarkSealed(seal);
+                    MarkSealed(seal);
                     AdvanceUsage();
                     return;
                   }
--- a/src/gateway/control/duty_runner.h
+++ b/src/gateway/control/duty_runner.h
@@ -23,7 +23,10 @@
   // Remaining lease time that a call needs: its timeout plus transit time.
   static constexpr Millis kMinLeaseForCall{1000};
 
-  DutyRunner(AsyncTableStore& store, DutyClient& client, GatewayState& state);
+  DutyRunner(AsyncTableStore& store,
+             DutyClient& client,
+             GatewayState& state,
+             Incarnation incarnation);
 
   // Starts the calls that are due, if the lease is held for long enough. Called
   // after each write of the lease's row. `lease` must outlive this object.
@@ -38,6 +41,9 @@
   void LoadSeals();
   // Reads the stored counts of all incarnations and seals the next window.
   void SealNext(Instant now);
+  // The counts of all incarnations, as far as they have arrived here.
+  UsageByIncarnation CollectUsage(const UsageByIncarnation& stored) const;
+  void MarkSealed(const UsageSeal& seal);
   void OnUsageRead(WindowNumber window, const std::vector<TableRow>& rows);
   void CommitSeal(const UsageSeal& seal, const UsageByIncarnation& stored);
   void ReportNext();
@@ -48,6 +54,7 @@
   AsyncTableStore& store_;
   DutyClient& client_;
   GatewayState& state_;
+  const Incarnation incarnation_;
   UsageSchedule schedule_;
   FleetPlanner planner_;
   std::deque<BackendOrder> orders_;
--- a/src/gateway/control/usage_writer.cc
+++ b/src/gateway/control/usage_writer.cc
@@ -1,5 +1,6 @@
 #include "gateway/control/usage_writer.h"
 
+#include <random>
 #include <utility>
 
 #include "gateway/control/table_names.h"
@@ -13,7 +14,10 @@
     : store_(store),
       state_(state),
       incarnation_(std::move(incarnation)),
-      random_(std::random_device{}()),
+      schedule_(state.settings().peer_address.empty()
+                    ? Millis(0)
+                    : UsageWriteSchedule::kReceiptTimeout,
+                std::random_device{}()),
       timer_(context) {}
 
 void UsageWriter::Start() {
@@ -29,60 +33,50 @@
   if (!state_.settings().reports_usage || write_in_flight_)
     return;
   const Instant now = BootClock::now();
-  const WindowNumber ended = state_.LastEndedWindow(now);
-  if (ended != last_ended_window_) {
-    last_ended_window_ = ended;
-    std::uniform_int_distribution<Millis::rep> spread(0, kWriteJitter.count());
-    write_due_at_ = now + Millis(spread(random_));
-  }
-  if (IsDue(ended, now))
-    Write(nullptr);
+  const UsageWriteSchedule::Conditions conditions{
+      state_.LastEndedWindow(now), state_.usage_delivery().delivered_through(),
+      state_.members().Count()};
+  if (schedule_.IsDue(state_.usage(), conditions, now))
+    Write();
 }
 
-bool UsageWriter::IsDue(WindowNumber ended, Instant now) const {
-  const UsageLedger& usage = state_.usage();
-  if (usage.windows().empty() || now - last_write_at_ < kMinWriteInterval)
-    return false;
-  const bool changed = usage.revision() != written_revision_;
-  const bool has_ended_window =
-      written_through_ < ended &&
-      usage.windows().rbegin()->first > written_through_;
-  if (has_ended_window)
-    return now >= write_due_at_;
-  return changed && state_.members().Count() <= kMidWindowMaxInstances &&
-         now - last_write_at_ >= kMidWindowWriteInterval;
+void UsageWriter::Flush(std::function<void()> done) {
+  on_flushed_ = std::move(done);
+  if (!write_in_flight_)
+    ContinueFlush(false);
 }
 
-void UsageWriter::Flush(std::function<void()> done) {
-  if (!state_.settings().reports_usage ||
-      state_.usage().revision() == written_revision_) {
-    done();
+void UsageWriter::ContinueFlush(bool write_failed) {
+  if (!on_flushed_)
     return;
-  }
-  Write(std::move(done));
+  const bool has_unwritten =
+      state_.settings().reports_usage &&
+      state_.usage().revision() != schedule_.written_revision();
+  if (has_unwritten && !write_failed)
+    Write();
+  else
+    std::exchange(on_flushed_, nullptr)();
 }
 
-void UsageWriter::Write(std::function<void()> done) {
+void UsageWriter::Write() {
   const Instant now = BootClock::now();
   const IncarnationUsage usage_row = state_.LocalUsage(now);
   StoreTransaction transaction;
   transaction.Put(tables::kIncarnationUsage, incarnation_.value(),
                   EncodeIncarnationUsage(usage_row));
   write_in_flight_ = true;
-  last_write_at_ = now;
-  store_.Commit(transaction,
-                [this, revision = state_.usage().revision(),
-                 through = usage_row.complete_through, done = std::move(done)](
-                    const Result<CommitResponse>& response) {
-                  write_in_flight_ = false;
-                  state_.RecordCommitResult(response);
-                  if (response) {
-                    written_revision_ = revision;
-                    written_through_ = through;
-                  }
-                  if (done)
-                    done();
-                });
+  schedule_.OnWriteStarted(now);
+  store_.Commit(transaction, [this, revision = state_.usage().revision(),
+                              through = usage_row.complete_through](
+                                 const Result<CommitResponse>& response) {
+    write_in_flight_ = false;
+    state_.RecordCommitResult(response);
+    if (response)
+      schedule_.OnWritten(revision, through);
+    else
+      schedule_.OnWriteFailed();
+    ContinueFlush(!response);
+  });
 }
 
 }  // namespace bamboomount
--- a/src/gateway/duties/incarnation_usage.cc
+++ b/src/gateway/duties/incarnation_usage.cc
@@ -58,6 +58,8 @@
   for (const auto& [key, other_usage] : other.usage_by_key_) {
     IncarnationUsage& usage = usage_by_key_[key];
     usage.instance = other_usage.instance;
+    usage.complete_through =
+        std::max(usage.complete_through, other_usage.complete_through);
     for (const auto& [window, counts] : other_usage.windows) {
       for (const auto& [customer, count] : counts) {
         std::int64_t& known = usage.windows[window][customer];
--- a/src/gateway/duties/incarnation_usage.h
+++ b/src/gateway/duties/incarnation_usage.h
@@ -27,17 +27,18 @@
 class UsageByIncarnation {
  public:
   void Put(const std::string& key, IncarnationUsage usage);
-  // Raises the counts to those in `other` where these are larger. The counts of
-  // an incarnation never decrease, so the larger one is the more recent one.
-  // `other` may lack windows; merging it never marks a window as complete.
+  // Raises the counts, and the windows through which they are final, to those
+  // in `other` where these are larger. Neither ever decreases for an
+  // incarnation, so the larger value is the more recent one. `other` may lack
+  // windows.
   void MergeMaximum(const UsageByIncarnation& other);
   // Drops the entries that OutdatedKeys returns for `window`.
   void DropOutdated(WindowNumber window);
   // Total usage in `window` by customer.
   UsageCounts Sum(WindowNumber window) const;
-  // Whether an instance in `live_instances` has not yet stored its final counts
-  // for `window`. An instance without a row has not served any customer and is
-  // not waited for.
+  // Whether the final counts for `window` of an instance in `live_instances`
+  // are missing. An instance without an entry has not served any customer and
+  // is not waited for.
   bool IsIncomplete(WindowNumber window,
                     const std::vector<InstanceId>& live_instances) const;
   // Keys of entries that have no counts for windows after `window` and are not
--- a/src/gateway/duties/usage_seal.cc
+++ b/src/gateway/duties/usage_seal.cc
@@ -87,6 +87,10 @@
   reported_through_ = std::max(reported_through_, window);
 }
 
+WindowNumber UsageSchedule::sealed_through() const {
+  return seals_.empty() ? WindowNumber() : seals_.rbegin()->first;
+}
+
 std::vector<WindowNumber> UsageSchedule::OutdatedSeals() const {
   std::vector<WindowNumber> outdated;
   if (seals_.empty())
--- a/src/gateway/duties/usage_seal.h
+++ b/src/gateway/duties/usage_seal.h
@@ -26,8 +26,8 @@
 // Decides which usage windows to seal and to report next. Not thread-safe.
 class UsageSchedule {
  public:
-  // Time after the end of a window within which instances normally store their
-  // counts.
+  // Time after the end of a window within which the counts of all instances
+  // normally arrive.
   static constexpr Millis kWriteGracePeriod{2000};
   // Time after the end of a window from which on it is sealed even if counts
   // are missing. Reports are due 10 s after the end.
@@ -55,6 +55,8 @@
   const UsageSeal* NextToReport() const;
   void MarkReported(WindowNumber window);
   WindowNumber reported_through() const { return reported_through_; }
+  // The newest sealed window; 0 if none is known.
+  WindowNumber sealed_through() const;
   // Windows whose seals can be removed from the store.
   std::vector<WindowNumber> OutdatedSeals() const;
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include "gateway/boot_clock.h"
 #include "gateway/control/async_table_store.h"
 #include "gateway/duties/incarnation_usage.h"
+#include "gateway/duties/usage_delivery.h"
 #include "gateway/duties/usage_ledger.h"
 #include "gateway/instance_settings.h"
 #include "gateway/membership/backend_registry.h"
@@ -81,8 +82,10 @@
   WindowNumber LastEndedWindow(Instant now) const;
   // Usage of the requests that this instance caused to run.
   IncarnationUsage LocalUsage(Instant now) const;
-  // Usage that other instances reported to this one. It may be missing in the
-  // store, because a process may end before it has written its usage.
+  UsageDelivery& usage_delivery() { return usage_delivery_; }
+  const UsageDelivery& usage_delivery() const { return usage_delivery_; }
+  // Usage that other instances sent to this one by gossip. Most of it is never
+  // written to the store.
   const UsageByIncarnation& peer_usage() const { return peer_usage_; }
   // Adds usage that another instance reported and drops windows that are no
   // longer kept.
@@ -122,6 +125,7 @@
   BackendSelector selector_{loads_, health_, prefill_throughput_};
   UsageLedger usage_;
   UsageByIncarnation peer_usage_;
+  UsageDelivery usage_delivery_;
   bool backends_loaded_ = false;
 };
 
--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -36,6 +36,7 @@
   const bool restarted = entry.member.incarnation != member.incarnation;
   entry.member = member;
   entry.version = version;
+  entry.rank_hash = StableHash(member.instance.value());
   if (restarted && !member.peer_address.empty())
     entry.last_heartbeat = now;
 }
@@ -127,22 +128,38 @@
   return std::max<int>(1, static_cast<int>(entries_.size()));
 }
 
+MemberRegistry::RankKey MemberRegistry::RankKeyOf(const Entry& entry,
+                                                  Instant now) const {
+  const bool ineligible = entry.member.leaving || IsSilent(entry, now) ||
+                          !entry.status.store_reachable;
+  return {ineligible, -entry.member.capacity, entry.rank_hash};
+}
+
 std::size_t MemberRegistry::CandidateRank(const InstanceId& instance,
                                           Instant now) const {
-  // Instances with smaller keys rank first.
-  const auto order_key = [now, this](const Entry& entry) {
-    const bool ineligible = entry.member.leaving || IsSilent(entry, now) ||
-                            !entry.status.store_reachable;
-    return std::tuple(ineligible, -entry.member.capacity,
-                      StableHash(entry.member.instance.value()));
-  };
   const auto own = entries_.find(instance);
   if (own == entries_.end())
     return entries_.size();
-  const auto own_key = order_key(own->second);
+  const RankKey own_key = RankKeyOf(own->second, now);
   return static_cast<std::size_t>(std::count_if(
       entries_.begin(), entries_.end(),
-      [&](const auto& item) { return order_key(item.second) < own_key; }));
+      [&](const auto& item) { return RankKeyOf(item.second, now) < own_key; }));
+}
+
+std::vector<const Member*> MemberRegistry::FirstCandidates(std::size_t count,
+                                                           Instant now) const {
+  std::vector<std::pair<RankKey, const Member*>> ranked;
+  ranked.reserve(entries_.size());
+  for (const auto& [instance, entry] : entries_)
+    ranked.emplace_back(RankKeyOf(entry, now), &entry.member);
+  count = std::min(count, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end());
+  std::vector<const Member*> first;
+  for (std::size_t i = 0; i < count; ++i)
+    first.push_back(ranked[i].second);
+  return first;
 }
 
 Millis MemberRegistry::MedianWallOffset(Millis local_offset,
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "gateway/boot_clock.h"
@@ -72,6 +73,9 @@
   // not leaving rank first; among them, those with more capacity. Returns the
   // number of instances if the instance has no row.
   std::size_t CandidateRank(const InstanceId& instance, Instant now) const;
+  // The first `count` instances by that rank.
+  std::vector<const Member*> FirstCandidates(std::size_t count,
+                                             Instant now) const;
   // Median of the `wall_offset` values of the instances that are not silent and
   // of this instance's `local_offset`, so that a single wrong clock has no
   // effect.
@@ -84,11 +88,18 @@
   struct Entry {
     Member member;
     RowVersion version;
+    // Decides the rank among instances of equal capacity.
+    std::uint64_t rank_hash = 0;
     // Empty if the instance does not take part in gossip.
     std::optional<Instant> last_heartbeat;
     MemberStatus status;
   };
 
+  // Instances with smaller keys rank first: whether the instance is ineligible,
+  // its negated capacity, and its hash.
+  using RankKey = std::tuple<bool, double, std::uint64_t>;
+
+  RankKey RankKeyOf(const Entry& entry, Instant now) const;
   Millis HeartbeatTimeout() const;
   bool IsSilent(const Entry& entry, Instant now) const;
   // Whether more than half of the instances that take part in gossip are
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -14,16 +14,37 @@
   message.store_recovery_time = state_.store_recovery_time();
   message.holder_statement = lease_.LatestHolderStatement(now);
   message.ejected = state_.health().EjectedServers(now);
+  message.usage_sealed_through = state_.usage_delivery().sealed_through();
   return message;
 }
 
-void FleetGossipHandler::OnMessage(GossipMessage message,
-                                   const Member& sender) {
+std::optional<UsageReceipt> FleetGossipHandler::OnMessage(
+    GossipMessage message,
+    const Member& sender) {
   const Instant now = BootClock::now();
   // Must precede the tables: whether a removed backend row is dropped at once
   // depends on the time of the last store recovery.
   state_.RecordStoreRecovery(message.store_recovery_time, now);
-  const std::string& address = sender.peer_address;
+  ApplyTables(message, sender.peer_address);
+  UsageDelivery& delivery = state_.usage_delivery();
+  if (message.holder_statement) {
+    lease_.OnHolderStatement(*message.holder_statement, now);
+    delivery.ObserveHolder(message.holder_statement->token);
+  }
+  delivery.ObserveSealed(message.usage_sealed_through);
+  const auto& receipt = message.usage_receipt;
+  if (receipt && receipt->incarnation == incarnation_)
+    delivery.RecordReceived(receipt->token, receipt->complete_through);
+  state_.health().SetRemoteEjections(message.instance, message.ejected, now);
+  if (message.loads)
+    state_.loads().SetRemoteLoads(message.instance, std::move(*message.loads));
+  if (!message.usage_update)
+    return std::nullopt;
+  return ApplyUsage(std::move(*message.usage_update), now);
+}
+
+void FleetGossipHandler::ApplyTables(const GossipMessage& message,
+                                     const std::string& address) {
   for (std::size_t i = 0; i < kSharedTableCount; ++i) {
     // Version 0: the sender has not loaded the table yet.
     if (message.tables[i].position == RowVersion())
@@ -36,14 +57,16 @@
           client_.Fetch(address, {follower.table(), after}, std::move(done));
         });
   }
-  if (message.holder_statement)
-    lease_.OnHolderStatement(*message.holder_statement, now);
-  state_.health().SetRemoteEjections(message.instance, message.ejected, now);
-  if (message.usage_update)
-    state_.RecordPeerUsage(message.usage_update->incarnation,
-                           std::move(message.usage_update->usage));
-  if (message.loads)
-    state_.loads().SetRemoteLoads(message.instance, std::move(*message.loads));
+}
+
+std::optional<UsageReceipt> FleetGossipHandler::ApplyUsage(UsageUpdate update,
+                                                           Instant now) {
+  const UsageReceipt receipt{update.incarnation, lease_.HeldToken(now),
+                             update.usage.complete_through};
+  state_.RecordPeerUsage(update.incarnation, std::move(update.usage));
+  if (!update.needs_receipt || receipt.token == FencingToken())
+    return std::nullopt;
+  return receipt;
 }
 
 void FleetGossipHandler::OnUnknownSender(const InstanceId& instance) {
--- a/src/gateway/replication/fleet_gossip_handler.h
+++ b/src/gateway/replication/fleet_gossip_handler.h
@@ -1,7 +1,9 @@
 #ifndef GATEWAY_REPLICATION_FLEET_GOSSIP_HANDLER_H_
 #define GATEWAY_REPLICATION_FLEET_GOSSIP_HANDLER_H_
 
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/control/duty_lease_manager.h"
@@ -22,15 +24,18 @@
                      GatewayState& state,
                      const StoreWatchCoordinator::Followers& followers,
                      StoreWatchCoordinator& watch_coordinator,
-                     DutyLeaseManager& lease)
+                     DutyLeaseManager& lease,
+                     Incarnation incarnation)
       : state_(state),
         followers_(followers),
         watch_coordinator_(watch_coordinator),
         lease_(lease),
+        incarnation_(std::move(incarnation)),
         client_(context) {}
 
   GossipMessage BuildMessage() override;
-  void OnMessage(GossipMessage message, const Member& sender) override;
+  std::optional<UsageReceipt> OnMessage(GossipMessage message,
+                                        const Member& sender) override;
   void OnUnknownSender(const InstanceId& instance) override;
   void OnPeersExpired(const std::vector<InstanceId>& live_peers) override;
 
@@ -39,10 +44,16 @@
   std::optional<std::string> AnswerRowsQuery(const std::string& target) const;
 
  private:
+  void ApplyTables(const GossipMessage& message, const std::string& address);
+  // Stores the usage in an update. Returns a receipt if the update needs one
+  // and this instance holds the lease.
+  std::optional<UsageReceipt> ApplyUsage(UsageUpdate update, Instant now);
+
   GatewayState& state_;
   const StoreWatchCoordinator::Followers followers_;
   StoreWatchCoordinator& watch_coordinator_;
   DutyLeaseManager& lease_;
+  const Incarnation incarnation_;
   PeerRowsClient client_;
 };
 
--- a/src/gateway/replication/gossip_exchange.cc
+++ b/src/gateway/replication/gossip_exchange.cc
@@ -1,6 +1,7 @@
 #include "gateway/replication/gossip_exchange.h"
 
 #include <algorithm>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -80,13 +81,19 @@
   peer = {message.value().sequence, now};
   state_.members().RecordHeartbeat(instance, message.value().member_status,
                                    now);
-  handler_.OnMessage(std::move(message.value()), *member);
+  // A further datagram may replace sender_ before the receipt is sent.
+  const udp::endpoint sender = sender_;
+  const auto receipt = handler_.OnMessage(std::move(message.value()), *member);
+  if (receipt)
+    SendReceipt(*receipt, sender);
 }
 
 void GossipExchange::SendRounds() {
   ExpireSilentPeers(BootClock::now());
-  SendMessage(true, state_.settings().reports_usage &&
-                        ++round_count_ % kRoundsPerUsageMessage == 0);
+  SendRound(true);
+  if (state_.settings().reports_usage &&
+      ++round_count_ % kRoundsPerUsageMessage == 0)
+    SendUsage();
   round_timer_.expires_after(kRoundInterval);
   round_timer_.async_wait([this](const error_code& error) {
     if (!error)
@@ -101,7 +108,7 @@
   if (early_round_cooldown_)
     return;
   early_round_cooldown_ = true;
-  SendMessage(false, false);
+  SendRound(false);
   early_round_timer_.expires_after(kMinRoundInterval);
   early_round_timer_.async_wait([this](const error_code& error) {
     early_round_cooldown_ = false;
@@ -111,38 +118,60 @@
   });
 }
 
-void GossipExchange::SendMessage(bool with_loads, bool with_usage) {
+GossipMessage GossipExchange::NewMessage() {
   GossipMessage message = handler_.BuildMessage();
   message.instance = state_.settings().instance;
   message.sequence = ++sequence_;
+  return message;
+}
+
+void GossipExchange::SendRound(bool with_loads) {
+  GossipMessage message = NewMessage();
   if (with_loads)
     message.loads = state_.loads().LocalLoads();
-  std::optional<InstanceId> required_target;
-  if (with_usage) {
-    message.usage_update = RecentUsage();
-    if (message.holder_statement)
-      required_target = message.holder_statement->holder;
-  }
   state_.members().RecordHeartbeat(message.instance, message.member_status,
                                    BootClock::now());
+  Send(message, ChooseTargets());
+}
+
+void GossipExchange::SendUsage() {
+  auto usage = UnsealedUsage();
+  if (!usage)
+    return;
+  GossipMessage message = NewMessage();
+  message.usage_update = std::move(usage);
+  Send(message, UsageTargets(message.holder_statement));
+}
+
+void GossipExchange::SendReceipt(const UsageReceipt& receipt,
+                                 const udp::endpoint& target) {
+  GossipMessage message = NewMessage();
+  message.usage_receipt = receipt;
+  Send(message, {target});
+}
+
+void GossipExchange::Send(const GossipMessage& message,
+                          const std::vector<udp::endpoint>& targets) {
   const std::vector<std::uint8_t> bytes = EncodeGossipMessage(message);
-  for (const std::string& target : ChooseTargets(required_target)) {
+  for (const udp::endpoint& target : targets) {
     error_code ignored;
-    socket_.send_to(asio::buffer(bytes), UdpEndpoint(target), 0, ignored);
+    socket_.send_to(asio::buffer(bytes), target, 0, ignored);
   }
 }
 
-std::optional<UsageUpdate> GossipExchange::RecentUsage() const {
+std::optional<UsageUpdate> GossipExchange::UnsealedUsage() const {
   IncarnationUsage usage = state_.LocalUsage(BootClock::now());
-  usage.windows.erase(usage.windows.begin(),
-                      usage.windows.lower_bound(usage.complete_through));
   if (usage.windows.empty())
     return std::nullopt;
-  return UsageUpdate{incarnation_, std::move(usage)};
+  const UsageDelivery& delivery = state_.usage_delivery();
+  usage.windows.erase(usage.windows.begin(),
+                      usage.windows.upper_bound(delivery.sealed_through()));
+  const bool needs_receipt =
+      delivery.delivered_through() < usage.complete_through;
+  return UsageUpdate{incarnation_, std::move(usage), needs_receipt};
 }
 
-std::vector<std::string> GossipExchange::ChooseTargets(
-    const std::optional<InstanceId>& required_target) {
+std::vector<udp::endpoint> GossipExchange::ChooseTargets() {
   std::vector<const Member*> others;
   for (const Member* member : state_.members().All()) {
     if (member->instance != state_.settings().instance &&
@@ -151,17 +180,31 @@
   }
   if (others.size() > kFanout) {
     std::shuffle(others.begin(), others.end(), random_);
-    if (required_target)
-      std::partition(others.begin(), others.end(),
-                     [&required_target](const Member* member) {
-                       return member->instance == *required_target;
-                     });
     others.resize(kFanout);
   }
-  std::vector<std::string> targets;
+  std::vector<udp::endpoint> targets;
   targets.reserve(others.size());
   for (const Member* member : others)
-    targets.push_back(member->peer_address);
+    targets.push_back(UdpEndpoint(member->peer_address));
+  return targets;
+}
+
+std::vector<udp::endpoint> GossipExchange::UsageTargets(
+    const std::optional<HolderStatement>& holder) const {
+  const MemberRegistry& members = state_.members();
+  std::vector<const Member*> receivers =
+      members.FirstCandidates(kUsageReplicas, BootClock::now());
+  if (holder)
+    receivers.push_back(members.Find(holder->holder));
+  std::set<std::string> addresses;
+  for (const Member* member : receivers) {
+    if (member && member->instance != state_.settings().instance &&
+        !member->peer_address.empty())
+      addresses.insert(member->peer_address);
+  }
+  std::vector<udp::endpoint> targets;
+  for (const std::string& address : addresses)
+    targets.push_back(UdpEndpoint(address));
   return targets;
 }
 
--- a/src/gateway/replication/gossip_exchange.h
+++ b/src/gateway/replication/gossip_exchange.h
@@ -23,8 +23,9 @@
   // exchange adds these.
   virtual GossipMessage BuildMessage() = 0;
   // Called for each message from a known instance that is newer than the last
-  // one from it.
-  virtual void OnMessage(GossipMessage message, const Member& sender) = 0;
+  // one from it. Returns the receipt to send back, if the message needs one.
+  virtual std::optional<UsageReceipt> OnMessage(GossipMessage message,
+                                                const Member& sender) = 0;
   // A message came from an instance that has no row in the store, as far as
   // this instance knows.
   virtual void OnUnknownSender(const InstanceId& instance) = 0;
@@ -45,9 +46,10 @@
   static constexpr std::size_t kFanout = 10;
   // A peer from which no message arrived within this time counts as silent.
   static constexpr Millis kPeerTimeout{3000};
-  // One round in this many carries usage, and goes to the holder of the duty
-  // lease in any case.
+  // Usage is sent once in this many rounds, to the holder of the duty lease and
+  // to the kUsageReplicas instances that come first as its successors.
   static constexpr int kRoundsPerUsageMessage = 3;
+  static constexpr std::size_t kUsageReplicas = 3;
   // Minimum time between two early rounds.
   static constexpr Millis kMinRoundInterval{30};
 
@@ -76,15 +78,22 @@
   void Receive();
   void OnDatagram(std::size_t size);
   void SendRounds();
-  void SendMessage(bool with_loads, bool with_usage);
-  // This process's usage of the window that ended last and of the current one;
-  // empty if there is none.
-  std::optional<UsageUpdate> RecentUsage() const;
+  // A message with sender and sequence number.
+  GossipMessage NewMessage();
+  void SendRound(bool with_loads);
+  void SendUsage();
+  void SendReceipt(const UsageReceipt& receipt, const udp::endpoint& target);
+  void Send(const GossipMessage& message,
+            const std::vector<udp::endpoint>& targets);
+  // This process's usage of all windows that are not sealed; empty if it has
+  // served no customer.
+  std::optional<UsageUpdate> UnsealedUsage() const;
   void ExpireSilentPeers(Instant now);
-  // Peer addresses of at most kFanout random instances. `required_target` is
-  // among them if it is another instance.
-  std::vector<std::string> ChooseTargets(
-      const std::optional<InstanceId>& required_target);
+  // Peer addresses of at most kFanout random instances.
+  std::vector<udp::endpoint> ChooseTargets();
+  // Peer addresses of the holder of the duty lease and of its successors.
+  std::vector<udp::endpoint> UsageTargets(
+      const std::optional<HolderStatement>& holder) const;
 
   GatewayState& state_;
   const Incarnation incarnation_;
--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -57,7 +57,14 @@
   }
   return {message.usage_update->incarnation.value(),
           message.usage_update->usage.complete_through.value(),
-          std::move(windows)};
+          std::move(windows), message.usage_update->needs_receipt};
+}
+
+Json EncodeReceipt(const std::optional<UsageReceipt>& receipt) {
+  if (!receipt)
+    return nullptr;
+  return {receipt->incarnation.value(), receipt->token.value(),
+          receipt->complete_through.value()};
 }
 
 Millis MillisOf(const Json& value) {
@@ -107,9 +114,18 @@
       counts[CustomerId(row.at(i).get<std::string>())] =
           row.at(i + 1).get<std::int64_t>();
   }
+  decoded.needs_receipt = usage.at(3).get<bool>();
   return decoded;
 }
 
+std::optional<UsageReceipt> DecodeReceipt(const Json& receipt) {
+  if (receipt.is_null())
+    return std::nullopt;
+  return UsageReceipt{Incarnation(receipt.at(0).get<std::string>()),
+                      FencingToken(receipt.at(1).get<std::uint64_t>()),
+                      WindowNumber(receipt.at(2).get<std::int64_t>())};
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> EncodeGossipMessage(const GossipMessage& message) {
@@ -121,7 +137,9 @@
        std::move(offset), message.member_status.store_reachable,
        message.store_recovery_time.count(),
        EncodeHolder(message.holder_statement), EncodeLoads(message),
-       EncodeEjected(message), EncodeUsage(message)}));
+       EncodeEjected(message), EncodeUsage(message),
+       message.usage_sealed_through.value(),
+       EncodeReceipt(message.usage_receipt)}));
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::uint8_t* data,
@@ -143,6 +161,9 @@
       message.ejected.push_back(
           {BackendId(server.at(0).get<std::string>()), MillisOf(server.at(1))});
     message.usage_update = DecodeUsage(json.at(9), message.instance);
+    message.usage_sealed_through =
+        WindowNumber(json.at(10).get<std::int64_t>());
+    message.usage_receipt = DecodeReceipt(json.at(11));
     return message;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/replication/gossip_message.h
+++ b/src/gateway/replication/gossip_message.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/duties/incarnation_usage.h"
+#include "gateway/duties/usage_delivery.h"
 #include "gateway/membership/member_registry.h"
 #include "gateway/placement/backend_loads.h"
 #include "gateway/placement/server_health.h"
@@ -28,10 +29,12 @@
   Millis age{0};
 };
 
-// Recent usage of one incarnation.
+// Usage of one incarnation in the windows that are not sealed yet.
 struct UsageUpdate {
   Incarnation incarnation;
   IncarnationUsage usage;
+  // Whether the holder of the duty lease is to respond with a UsageReceipt.
+  bool needs_receipt = false;
 };
 
 // The state that an instance sends to its peers several times a second.
@@ -52,9 +55,13 @@
   std::optional<std::map<BackendId, BackendLoad>> loads;
   // Backend servers that the sender has ejected.
   std::vector<EjectedServer> ejected;
-  // Usage of the sender in its newest windows, so that little is lost if its
-  // process fails; empty if the message carries no usage.
+  // Usage of the sender; empty if the message carries no usage.
   std::optional<UsageUpdate> usage_update;
+  // Every usage window up to and including this one is sealed, as far as the
+  // sender knows.
+  WindowNumber usage_sealed_through;
+  // Set in the response to a usage update that needs it.
+  std::optional<UsageReceipt> usage_receipt;
 };
 
 // MessagePack encoding. Decoding fails with kInternal if the data is malformed.
--- a/tests/entry/fleet_gossip_test.cc
+++ b/tests/entry/fleet_gossip_test.cc
@@ -1,8 +1,14 @@
+#include <array>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <sstream>
 #include <thread>
 
 #include "entry_fixture/entry_fleet.h"
+#include "gateway/control/table_names.h"
+#include "gateway/forwarding/endpoint.h"
+#include "gateway/replication/gossip_message.h"
 #include "support/tcp_proxy.h"
 #include "support/wait_until.h"
 
@@ -61,6 +67,55 @@
   BackendStandin* backend_ = nullptr;
 };
 
+// An instance of which only the gossip is simulated.
+class GossipPeer {
+ public:
+  explicit GossipPeer(const std::string& name)
+      : socket_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    socket_.non_blocking(true);
+    member_.instance = InstanceId(name);
+    member_.incarnation = Incarnation(name + "-1");
+    std::ostringstream address;
+    address << socket_.local_endpoint();
+    member_.peer_address = address.str();
+  }
+
+  const Member& member() const { return member_; }
+
+  void SendUsage(const std::string& address, const UsageUpdate& update) {
+    GossipMessage message;
+    message.instance = member_.instance;
+    message.sequence = ++sequence_;
+    message.usage_update = update;
+    const auto bytes = EncodeGossipMessage(message);
+    const auto endpoint = ParseIpEndpoint(address).value();
+    socket_.send_to(boost::asio::buffer(bytes),
+                    {endpoint.address(), endpoint.port()});
+  }
+
+  // The first receipt among the messages that have arrived; empty if there is
+  // none.
+  std::optional<UsageReceipt> ReceiveReceipt() {
+    std::array<std::uint8_t, 65536> buffer;
+    boost::system::error_code error;
+    while (true) {
+      const std::size_t size =
+          socket_.receive(boost::asio::buffer(buffer), 0, error);
+      if (error)
+        return std::nullopt;
+      auto message = DecodeGossipMessage(buffer.data(), size);
+      if (message && message.value().usage_receipt)
+        return message.value().usage_receipt;
+    }
+  }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::udp::socket socket_;
+  Member member_;
+  std::uint64_t sequence_ = 0;
+};
+
 std::size_t CountLogEvents(EntryInstance& instance, const std::string& event) {
   std::size_t count = 0;
   for (const json& line : instance.LogLines())
@@ -202,6 +257,46 @@
   BOOST_TEST(WaitUntil([&] { return reported() == 2 * kCalls; }));
 }
 
+// Guards against usage that reaches the holder of the duty lease by gossip but
+// is reported without it, and against instances that must write a row for every
+// window because the holder confirms nothing.
+BOOST_AUTO_TEST_CASE(gossiped_usage_is_confirmed_and_reported) {
+  AddGossipInstance("i-1", {{"orders_address", store().address()},
+                            {"duties", {"usage_reporting"}},
+                            {"usage_window_s", 2},
+                            {"lease_ms", 1500}});
+  // The row is written once the instance is ready.
+  BOOST_TEST(WaitUntil(
+      [&] { return !store().Get(tables::kInstances, "i-1").empty(); }));
+  const Member holder =
+      DecodeMember(store().Get(tables::kInstances, "i-1")).value();
+  GossipPeer peer("i-2");
+  store().Put(tables::kInstances, "i-2", EncodeMember(peer.member()));
+  constexpr std::int64_t kCount = 7;
+  // Windows are numbered by the wall clock.
+  const WindowNumber window =
+      WindowAt(std::chrono::duration_cast<Millis>(
+                   std::chrono::system_clock::now().time_since_epoch()),
+               std::chrono::seconds(2));
+  UsageUpdate update{
+      peer.member().incarnation,
+      {InstanceId("i-2"), window, {{window, {{CustomerId("mill"), kCount}}}}},
+      true};
+  BOOST_TEST(WaitUntil([&] {
+    peer.SendUsage(holder.peer_address, update);
+    const auto receipt = peer.ReceiveReceipt();
+    return receipt && receipt->incarnation == peer.member().incarnation &&
+           receipt->complete_through == window;
+  }));
+  BOOST_TEST(WaitUntil([&] {
+    const auto reported = store().LatestUsageCounts();
+    const auto counts = reported.find(window.value());
+    return counts != reported.end() &&
+           counts->second.value("mill", 0) == kCount;
+  }));
+  BOOST_TEST(store().Table(tables::kIncarnationUsage).empty());
+}
+
 // Guards against usage that omits requests which ran but whose response was
 // lost. With a quarter of the responses lost, a usage report was off by 9 %.
 BOOST_AUTO_TEST_CASE(a_request_with_a_lost_response_counts_as_usage) {
--- a/tests/gateway/gossip_message_test.cc
+++ b/tests/gateway/gossip_message_test.cc
@@ -21,7 +21,11 @@
                           {message.instance,
                            WindowNumber(6),
                            {{WindowNumber(6), {{CustomerId("mill"), 3}}},
-                            {WindowNumber(7), {{CustomerId("kennel"), 5}}}}}};
+                            {WindowNumber(7), {{CustomerId("kennel"), 5}}}}},
+                          true};
+  message.usage_sealed_through = WindowNumber(5);
+  message.usage_receipt =
+      UsageReceipt{Incarnation("b-1"), FencingToken(9), WindowNumber(6)};
   return message;
 }
 
@@ -60,6 +64,12 @@
   BOOST_TEST((update.usage.instance == message.instance));
   BOOST_TEST((update.usage.complete_through == WindowNumber(6)));
   BOOST_TEST((update.usage.windows == message.usage_update->usage.windows));
+  BOOST_TEST(update.needs_receipt);
+  BOOST_TEST(read.value().usage_sealed_through == WindowNumber(5));
+  const UsageReceipt& receipt = *read.value().usage_receipt;
+  BOOST_TEST(receipt.incarnation == Incarnation("b-1"));
+  BOOST_TEST(receipt.token == FencingToken(9));
+  BOOST_TEST(receipt.complete_through == WindowNumber(6));
 }
 
 // Guards against an absent optional field that is decoded as a value: a message
@@ -69,12 +79,14 @@
   message.loads.reset();
   message.usage_update.reset();
   message.holder_statement.reset();
+  message.usage_receipt.reset();
   message.member_status.wall_offset.reset();
   const auto bytes = EncodeGossipMessage(message);
   const auto read = DecodeGossipMessage(bytes.data(), bytes.size());
   BOOST_TEST(!read.value().loads.has_value());
   BOOST_TEST(!read.value().usage_update.has_value());
   BOOST_TEST(!read.value().holder_statement.has_value());
+  BOOST_TEST(!read.value().usage_receipt.has_value());
   BOOST_TEST(!read.value().member_status.wall_offset.has_value());
 }
 
--- a/tests/gateway/incarnation_usage_test.cc
+++ b/tests/gateway/incarnation_usage_test.cc
@@ -48,9 +48,13 @@
   gossiped.Put("c-1", MakeUsage("c", 6, 7, 1));
   stored.MergeMaximum(gossiped);
   BOOST_TEST(stored.Sum(WindowNumber(7)).at(kMill) == 10);
-  // Gossip does not make a window complete: the live instance still has to
-  // write its final counts.
+  // Counts that are not final do not make a window complete, neither by gossip
+  // nor in the store.
   BOOST_TEST(stored.IsIncomplete(WindowNumber(7), {InstanceId("a")}));
+  gossiped.Put("a-1", MakeUsage("a", 7, 7, 6));
+  stored.MergeMaximum(gossiped);
+  BOOST_TEST(!stored.IsIncomplete(WindowNumber(7), {InstanceId("a")}));
+  BOOST_TEST(stored.Sum(WindowNumber(7)).at(kMill) == 11);
 }
 
 // Guards against gossiped counts of old windows that accumulate in memory.
--- a/tests/gateway/member_registry_test.cc
+++ b/tests/gateway/member_registry_test.cc
@@ -138,6 +138,26 @@
   BOOST_TEST(!DecodeMember("[]"));
 }
 
+// Guards against copies of usage that are kept where no successor of the holder
+// looks: the first candidates must be those that CandidateRank ranks first.
+BOOST_AUTO_TEST_CASE(first_candidates_agree_with_their_ranks) {
+  MemberRegistry registry;
+  for (const char* name : {"a", "b", "c", "d", "e"})
+    Add(registry, MakeMember(name));
+  Member larger = MakeMember("f");
+  larger.capacity = 2;
+  Add(registry, larger);
+  MemberStatus cut_off;
+  cut_off.store_reachable = false;
+  registry.RecordHeartbeat(InstanceId("a"), cut_off, At(0));
+  const auto first = registry.FirstCandidates(3, At(0));
+  BOOST_REQUIRE(first.size() == 3U);
+  BOOST_TEST(first.front()->instance == InstanceId("f"));
+  for (std::size_t i = 0; i < first.size(); ++i)
+    BOOST_TEST(registry.CandidateRank(first[i]->instance, At(0)) == i);
+  BOOST_TEST(registry.FirstCandidates(9, At(0)).size() == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
