Relay heartbeats once so that a failed instance is noticed in a large fleet

A round of gossip reaches ten instances, so the heartbeat timeout grew by 40 ms for each instance, to 13.8 s at 295. Change: a regular round carries the heartbeats that the sender has received from the instances themselves within 200 ms, at most 16 of them, as hash and age. The timeout grows by 4 ms for each instance.

--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -37,12 +37,14 @@
   entry.member = member;
   entry.version = version;
   entry.rank_hash = StableHash(member.instance.value());
+  instance_by_hash_[HashOf(member.instance)] = member.instance;
   if (restarted && !member.peer_address.empty())
     entry.last_heartbeat = now;
 }
 
 void MemberRegistry::Remove(const InstanceId& instance) {
   entries_.erase(instance);
+  instance_by_hash_.erase(HashOf(instance));
 }
 
 void MemberRegistry::RetainOnly(const std::vector<InstanceId>& listed) {
@@ -59,9 +61,47 @@
   if (entry == entries_.end())
     return;
   entry->second.last_heartbeat = now;
+  entry->second.last_direct_heartbeat = now;
   entry->second.status = status;
 }
 
+std::uint32_t MemberRegistry::HashOf(const InstanceId& instance) {
+  return static_cast<std::uint32_t>(StableHash(instance.value()));
+}
+
+std::vector<RelayedHeartbeat> MemberRegistry::HeartbeatsToRelay(
+    Instant now) const {
+  std::vector<RelayedHeartbeat> recent;
+  for (const auto& [instance, entry] : entries_) {
+    if (!entry.last_direct_heartbeat)
+      continue;
+    const Millis age = ToMillis(now - *entry.last_direct_heartbeat);
+    if (age < kRelayPeriod)
+      recent.push_back({static_cast<std::uint32_t>(entry.rank_hash), age});
+  }
+  const std::size_t count = std::min(recent.size(), kMaxRelayed);
+  std::partial_sort(
+      recent.begin(), recent.begin() + static_cast<std::ptrdiff_t>(count),
+      recent.end(), [](const RelayedHeartbeat& a, const RelayedHeartbeat& b) {
+        return a.age < b.age;
+      });
+  recent.resize(count);
+  return recent;
+}
+
+void MemberRegistry::RecordRelayedHeartbeat(const RelayedHeartbeat& heartbeat,
+                                            Instant now) {
+  const auto instance = instance_by_hash_.find(heartbeat.instance_hash);
+  if (instance == instance_by_hash_.end())
+    return;
+  const auto entry = entries_.find(instance->second);
+  if (entry == entries_.end())
+    return;
+  const Instant sent = now - heartbeat.age;
+  std::optional<Instant>& last = entry->second.last_heartbeat;
+  last = last ? std::max(*last, sent) : sent;
+}
+
 bool MemberRegistry::IsSilent(const InstanceId& instance, Instant now) const {
   const auto entry = entries_.find(instance);
   return entry != entries_.end() && IsSilent(entry->second, now);
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -1,10 +1,12 @@
 #ifndef GATEWAY_MEMBERSHIP_MEMBER_REGISTRY_H_
 #define GATEWAY_MEMBERSHIP_MEMBER_REGISTRY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <tuple>
+#include <unordered_map>
 #include <vector>
 
 #include "gateway/boot_clock.h"
@@ -20,16 +22,31 @@
   bool store_reachable = true;
 };
 
+// A heartbeat of another instance that the sender of a gossip message received
+// a short time ago.
+struct RelayedHeartbeat {
+  // See MemberRegistry::HashOf(). Short, because messages carry several.
+  std::uint32_t instance_hash = 0;
+  // Time since the heartbeat arrived.
+  Millis age{0};
+};
+
 // The instances of the fleet. Their rows in the store define the membership;
-// their gossip messages serve as heartbeats. Not thread-safe.
+// their gossip messages serve as heartbeats. In a large fleet most heartbeats
+// arrive through others, because a round of gossip reaches only a few
+// instances. Not thread-safe.
 class MemberRegistry {
  public:
   // An instance without a heartbeat for longer than this has failed, unless
   // most others are silent too. The timeout grows by kHeartbeatTimeoutPerMember
-  // for each instance, because each round of gossip reaches only a few
-  // instances.
+  // for each instance, because each round of gossip, with the relayed
+  // heartbeats, reaches a constant number of instances.
   static constexpr Millis kHeartbeatTimeout{2000};
-  static constexpr Millis kHeartbeatTimeoutPerMember{40};
+  static constexpr Millis kHeartbeatTimeoutPerMember{4};
+  // Heartbeats are relayed once, within this time of their arrival, and at most
+  // kMaxRelayed of them in one message.
+  static constexpr Millis kRelayPeriod{200};
+  static constexpr std::size_t kMaxRelayed = 16;
   // The row of an instance that is silent for this multiple of the timeout is
   // to be removed from the store.
   static constexpr int kRowRemovalFactor = 3;
@@ -51,6 +68,13 @@
   void RecordHeartbeat(const InstanceId& instance,
                        const MemberStatus& status,
                        Instant now);
+  // Identifies an instance in relayed heartbeats.
+  static std::uint32_t HashOf(const InstanceId& instance);
+  // The latest heartbeats that arrived within kRelayPeriod.
+  std::vector<RelayedHeartbeat> HeartbeatsToRelay(Instant now) const;
+  // Handles a heartbeat that another instance relayed. Ignored if no known
+  // instance has the hash, or if a later heartbeat is known.
+  void RecordRelayedHeartbeat(const RelayedHeartbeat& heartbeat, Instant now);
   // Whether the instance's heartbeat has timed out; false for instances that
   // are unknown or do not take part in gossip.
   bool IsSilent(const InstanceId& instance, Instant now) const;
@@ -92,6 +116,8 @@
     std::uint64_t rank_hash = 0;
     // Empty if the instance does not take part in gossip.
     std::optional<Instant> last_heartbeat;
+    // The last heartbeat that arrived from the instance itself.
+    std::optional<Instant> last_direct_heartbeat;
     MemberStatus status;
   };
 
@@ -107,6 +133,7 @@
   bool IsLikelyIsolated(Instant now) const;
 
   std::map<InstanceId, Entry> entries_;
+  std::unordered_map<std::uint32_t, InstanceId> instance_by_hash_;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -35,6 +35,8 @@
   const auto& receipt = message.usage_receipt;
   if (receipt && receipt->incarnation == incarnation_)
     delivery.RecordReceived(receipt->token, receipt->complete_through);
+  for (const RelayedHeartbeat& heartbeat : message.heartbeats)
+    state_.members().RecordRelayedHeartbeat(heartbeat, now);
   state_.health().SetRemoteEjections(message.instance, message.ejected, now);
   if (message.loads)
     state_.loads().SetRemoteLoads(message.instance, std::move(*message.loads));
--- a/src/gateway/replication/gossip_exchange.cc
+++ b/src/gateway/replication/gossip_exchange.cc
@@ -129,8 +129,11 @@
   GossipMessage message = NewMessage();
   if (with_loads)
     message.loads = state_.loads().LocalLoads();
-  state_.members().RecordHeartbeat(message.instance, message.member_status,
-                                   BootClock::now());
+  const Instant now = BootClock::now();
+  MemberRegistry& members = state_.members();
+  if (members.All().size() > kFanout)
+    message.heartbeats = members.HeartbeatsToRelay(now);
+  members.RecordHeartbeat(message.instance, message.member_status, now);
   Send(message, ChooseTargets());
 }
 
--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -43,6 +43,16 @@
   return ejected;
 }
 
+// Pairs of hash and age in ms, as one flat array.
+Json EncodeHeartbeats(const GossipMessage& message) {
+  Json heartbeats = Json::array();
+  for (const RelayedHeartbeat& heartbeat : message.heartbeats) {
+    heartbeats.push_back(heartbeat.instance_hash);
+    heartbeats.push_back(heartbeat.age.count());
+  }
+  return heartbeats;
+}
+
 Json EncodeUsage(const GossipMessage& message) {
   if (!message.usage_update)
     return nullptr;
@@ -139,7 +149,7 @@
        EncodeHolder(message.holder_statement), EncodeLoads(message),
        EncodeEjected(message), EncodeUsage(message),
        message.usage_sealed_through.value(),
-       EncodeReceipt(message.usage_receipt)}));
+       EncodeReceipt(message.usage_receipt), EncodeHeartbeats(message)}));
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::uint8_t* data,
@@ -164,6 +174,10 @@
     message.usage_sealed_through =
         WindowNumber(json.at(10).get<std::int64_t>());
     message.usage_receipt = DecodeReceipt(json.at(11));
+    const Json& heartbeats = json.at(12);
+    for (std::size_t i = 0; i < heartbeats.size(); i += 2)
+      message.heartbeats.push_back({heartbeats.at(i).get<std::uint32_t>(),
+                                    MillisOf(heartbeats.at(i + 1))});
     return message;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/replication/gossip_message.h
+++ b/src/gateway/replication/gossip_message.h
@@ -55,6 +55,9 @@
   std::optional<std::map<BackendId, BackendLoad>> loads;
   // Backend servers that the sender has ejected.
   std::vector<EjectedServer> ejected;
+  // Heartbeats of other instances that the sender received lately; empty in
+  // fleets in which a round reaches all instances.
+  std::vector<RelayedHeartbeat> heartbeats;
   // Usage of the sender; empty if the message carries no usage.
   std::optional<UsageUpdate> usage_update;
   // Every usage window up to and including this one is sealed, as far as the
--- a/tests/gateway/gossip_message_test.cc
+++ b/tests/gateway/gossip_message_test.cc
@@ -24,6 +24,7 @@
                             {WindowNumber(7), {{CustomerId("kennel"), 5}}}}},
                           true};
   message.usage_sealed_through = WindowNumber(5);
+  message.heartbeats = {{0xffff'fff0, Millis(150)}, {1, Millis(0)}};
   message.usage_receipt =
       UsageReceipt{Incarnation("b-1"), FencingToken(9), WindowNumber(6)};
   return message;
@@ -66,6 +67,9 @@
   BOOST_TEST((update.usage.windows == message.usage_update->usage.windows));
   BOOST_TEST(update.needs_receipt);
   BOOST_TEST(read.value().usage_sealed_through == WindowNumber(5));
+  BOOST_REQUIRE(read.value().heartbeats.size() == 2U);
+  BOOST_TEST(read.value().heartbeats.front().instance_hash == 0xffff'fff0);
+  BOOST_TEST(read.value().heartbeats.front().age.count() == 150);
   const UsageReceipt& receipt = *read.value().usage_receipt;
   BOOST_TEST(receipt.incarnation == Incarnation("b-1"));
   BOOST_TEST(receipt.token == FencingToken(9));
