Bound the polls of a stale fleet instead of polling from every instance

Cause: in an outage of the store all instances become stale together and each one polled two tables with its own back-off: 5 polls each in 6 s, which is 1,500 polls of 300 instances, although one response reaches all by gossip. Change: StalePollSchedule spreads the polls over the peers that an instance hears from, about 20 a second for a fleet of any size. Up to 16 peers, and for an instance that hears few, polls stay as they were.

--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -65,6 +65,14 @@
   entry->second.status = status;
 }
 
+std::size_t MemberRegistry::CountHeard(Millis period, Instant now) const {
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(), [period, now](const auto& item) {
+        const auto& last = item.second.last_heartbeat;
+        return last && now - *last < period;
+      }));
+}
+
 std::uint32_t MemberRegistry::HashOf(const InstanceId& instance) {
   return static_cast<std::uint32_t>(StableHash(instance.value()));
 }
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -75,6 +75,8 @@
   // Handles a heartbeat that another instance relayed. Ignored if no known
   // instance has the hash, or if a later heartbeat is known.
   void RecordRelayedHeartbeat(const RelayedHeartbeat& heartbeat, Instant now);
+  // Number of instances with a heartbeat within `period`, this one included.
+  std::size_t CountHeard(Millis period, Instant now) const;
   // Whether the instance's heartbeat has timed out; false for instances that
   // are unknown or do not take part in gossip.
   bool IsSilent(const InstanceId& instance, Instant now) const;
--- a/src/gateway/replication/store_watch_coordinator.cc
+++ b/src/gateway/replication/store_watch_coordinator.cc
@@ -1,6 +1,7 @@
 #include "gateway/replication/store_watch_coordinator.h"
 
 #include <algorithm>
+#include <random>
 
 namespace bamboomount {
 namespace {
@@ -20,9 +21,6 @@
 // instance table. It does not delay changes, because the store ends a long poll
 // as soon as there is one.
 constexpr Millis kBackupWatchWait{25000};
-// Pause after a poll that left a table stale; doubles up to the maximum.
-constexpr Millis kInitialPollBackoff{300};
-constexpr Millis kMaxPollBackoff{2400};
 // The instance table is polled if messages from an unknown sender arrive for
 // longer than this. The row of a new instance normally arrives sooner.
 constexpr Millis kUnknownSenderGrace{1000};
@@ -38,7 +36,11 @@
                                              GatewayState& state,
                                              AsyncTableStore& store,
                                              const Followers& followers)
-    : state_(state), store_(store), followers_(followers), timer_(context) {}
+    : state_(state),
+      store_(store),
+      followers_(followers),
+      poll_schedule_(std::random_device{}()),
+      timer_(context) {}
 
 void StoreWatchCoordinator::Start() {
   Tick();
@@ -85,13 +87,13 @@
   const bool backends_are_stale =
       !state_.backend_freshness().IsConfirmedWithin(limit, now);
   if (!config_is_stale && !backends_are_stale) {
-    poll_backoff_ = kInitialPollBackoff;
+    poll_schedule_.OnFresh();
     return;
   }
-  if (now < next_poll_)
+  const std::size_t peers_heard =
+      state_.members().CountHeard(StalePollSchedule::kHeardPeriod, now);
+  if (!poll_schedule_.IsDue(peers_heard, now))
     return;
-  next_poll_ = now + poll_backoff_;
-  poll_backoff_ = std::min(poll_backoff_ * 2, kMaxPollBackoff);
   if (config_is_stale)
     followers_[static_cast<std::size_t>(SharedTable::kConfig)]->PollOnce(
         store_);
--- a/src/gateway/replication/store_watch_coordinator.h
+++ b/src/gateway/replication/store_watch_coordinator.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/internal/asio.h"
 #include "gateway/replication/gossip_message.h"
+#include "gateway/replication/stale_poll_schedule.h"
 #include "gateway/replication/table_follower.h"
 
 namespace bamboomount {
@@ -36,7 +37,7 @@
  private:
   void Tick();
   void AssignWatchRole(Instant now);
-  // Polls the store for the tables that are stale, with exponential back-off.
+  // Polls the store for the tables that are stale, when the schedule allows it.
   void PollIfStale(Instant now);
   // Staleness above which this instance polls the store itself. Grows with the
   // rank.
@@ -49,8 +50,7 @@
   const Followers followers_;
   std::size_t rank_ = 0;
   Instant assigned_at_;
-  Instant next_poll_;
-  Millis poll_backoff_{0};
+  StalePollSchedule poll_schedule_;
   // First of the current series of messages from unknown senders.
   std::optional<Instant> unknown_sender_since_;
   asio::steady_timer timer_;
