Close connections of servers whose bytes never become an answer

Cause: bytes that are no answer were read until a timer of the request ended: 1xx heads without a bound in number, bodies of other requests and unsealed bodies without a bound in bytes, and a chunk header without an end into a buffer without a bound. One request read 86 MB of 1xx heads, 34 MB of a foreign body and let 2.9 GB of a chunk header pass. Change: at most 8 informational heads, 1 MB of a foreign or discarded body and 1 MB of one event; the buffer of a connection holds at most 128 KB. Beyond, the attempt ends as interrupted and the connection is closed. Result: bytes_without_an_end_are_cut_off failed in three of its first four cases and passes; the event and the unsealed body were not seen failing.

--- a/src/gateway/forwarding/backend_attempt.cc
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -18,6 +18,9 @@
 // A server that sends more responses to other requests than this is considered
 // faulty.
 constexpr int kMaxMismatchedReplies = 2;
+// The same for the bytes of their bodies, and for 1xx responses.
+constexpr std::size_t kMaxMismatchedBytes = 1'048'576;
+constexpr int kMaxInformationalHeads = 8;
 
 }  // namespace
 
@@ -123,7 +126,10 @@
 void BackendAttempt::OnHead() {
   const auto& header = parser_->get().base();
   if (header.result_int() / 100 == 1) {
-    ReadHead();
+    if (++informational_heads_ > kMaxInformationalHeads)
+      EndAttempt(AttemptOutcome::kInterrupted);
+    else
+      ReadHead();
     return;
   }
   const ReplyHead head = environment_.protocol.DecodeReplyHead(header);
@@ -172,7 +178,10 @@
     if (!observer_)
       return;
   }
-  if (error && error != http::error::need_buffer) {
+  if (mismatched_reply_)
+    mismatched_bytes_ += size;
+  const bool broken = error && error != http::error::need_buffer;
+  if (broken || mismatched_bytes_ > kMaxMismatchedBytes) {
     EndAttempt(AttemptOutcome::kInterrupted);
     return;
   }
--- a/src/gateway/forwarding/backend_attempt.h
+++ b/src/gateway/forwarding/backend_attempt.h
@@ -120,6 +120,8 @@
   // The response that is being read belongs to another request.
   bool mismatched_reply_ = false;
   int mismatched_replies_ = 0;
+  std::size_t mismatched_bytes_ = 0;
+  int informational_heads_ = 0;
   bool close_counted_ = false;
 };
 
--- a/src/gateway/forwarding/backend_connection_pool.h
+++ b/src/gateway/forwarding/backend_connection_pool.h
@@ -10,12 +10,15 @@
 
 namespace bamboomount {
 
-// A connection to a backend server. All reads go through `buffer`.
+// A connection to a backend server. All reads go through `buffer`, whose size
+// is bounded: it grows with a head, or with a chunk header that never ends.
 struct BackendConnection {
+  static constexpr std::size_t kMaxBufferedBytes = 131072;
+
   explicit BackendConnection(asio::io_context& context) : socket(context) {}
 
   tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   // How long the server keeps the connection open while it is idle.
   Millis idle_timeout{0};
   Instant idle_since;
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -22,6 +22,10 @@
 // Responses up to this size are buffered until they are complete, so that
 // another server can still be tried.
 constexpr std::size_t kMaxBufferedBodyBytes = 262144;
+// A server that sends more bytes than this which are not an answer, or a longer
+// event, is considered faulty.
+constexpr std::size_t kMaxDiscardedBytes = 1'048'576;
+constexpr std::size_t kMaxEventBytes = 1'048'576;
 // Reading from the backend server pauses while the caller has more unsent bytes
 // than this.
 constexpr std::size_t kMaxUnsentBytes = 65536;
@@ -282,7 +286,8 @@
 bool Exchange::OnReplyBody(std::string_view piece) {
   switch (body_mode_) {
     case BodyMode::kDiscard:
-      return true;
+      discarded_bytes_ += piece.size();
+      return discarded_bytes_ <= kMaxDiscardedBytes || AbandonReply();
     case BodyMode::kBuffer:
       buffered_body_.append(piece);
       if (buffered_body_.size() <= kMaxBufferedBodyBytes)
@@ -299,6 +304,8 @@
 bool Exchange::Forward(std::string_view piece) {
   std::string bytes =
       IsStream(admitted_.route->kind) ? framer_.Add(piece) : std::string(piece);
+  if (framer_.partial_bytes() > kMaxEventBytes)
+    return AbandonReply();
   if (bytes.empty())
     return true;
   RecordForwardTime();
@@ -316,6 +323,12 @@
   return false;
 }
 
+bool Exchange::AbandonReply() {
+  attempt_->Cancel();
+  OnAttemptEnd(AttemptOutcome::kInterrupted);
+  return false;
+}
+
 void Exchange::RecordForwardTime() {
   const Instant now = BootClock::now();
   if (history_.reply_started)
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -80,6 +80,9 @@
   void RecordForwardTime();
   void ReleaseAttempt();
   bool Forward(std::string_view piece);
+  // Ends the attempt because the server sends bytes that are no answer. Returns
+  // false, so that nothing more is read.
+  bool AbandonReply();
   void BeginForwarding();
 
   void Refuse(http::status status, std::string_view reason);
@@ -125,6 +128,7 @@
   std::optional<std::uint64_t> reply_length_;
   BodyMode body_mode_ = BodyMode::kBuffer;
   std::string buffered_body_;
+  std::size_t discarded_bytes_ = 0;
   SseFramer framer_;
 
   std::optional<Dispatcher::WaitTicket> ticket_;
--- a/src/gateway/forwarding/sse_framer.h
+++ b/src/gateway/forwarding/sse_framer.h
@@ -16,6 +16,8 @@
   std::string Add(std::string_view bytes);
   // Discards an event that the server did not complete.
   void DropPartialEvent() { partial_.clear(); }
+  // Number of buffered bytes of the event that is not complete yet.
+  std::size_t partial_bytes() const { return partial_.size(); }
   bool at_boundary() const { return partial_.empty(); }
   // The id of the last complete event that had one; empty if none had.
   const std::string& last_event_id() const { return last_event_id_; }
