Answer the requests in the listener's backlog at a planned stop

Cause: the end of the accept period closed the listener, which reset the connections that the kernel had completed and the process had not accepted yet; an accept that had completed just before was dropped as well, and the process did not wait for a request that had arrived and was not read. Change: pending connections are accepted before the listener is closed, and an unread request counts as work that a stop waits for.

--- a/src/gateway/forwarding/caller_connection.cc
+++ b/src/gateway/forwarding/caller_connection.cc
@@ -349,13 +349,15 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (phase_ != Phase::kIdle)
-    return;
-  error_code error;
-  if (socket_.available(error) == 0)
+  if (phase_ == Phase::kIdle && !HasUnreadRequest())
     Linger();
 }
 
+bool CallerConnection::HasUnreadRequest() const {
+  error_code error;
+  return phase_ == Phase::kIdle && socket_.available(error) > 0;
+}
+
 void CallerConnection::Close() {
   if (phase_ == Phase::kClosed)
     return;
--- a/src/gateway/forwarding/caller_connection.h
+++ b/src/gateway/forwarding/caller_connection.h
@@ -53,6 +53,8 @@
   void CheckTimeouts(Instant now);
   // Closes the connection if no request is in progress.
   void CloseIfIdle();
+  // Whether bytes of a request have arrived that were not read yet.
+  bool HasUnreadRequest() const;
   void Close();
   bool closed() const { return phase_ == Phase::kClosed; }
   bool busy() const { return phase_ == Phase::kResponding; }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -96,6 +96,9 @@
   }
 
   void StopAccepting() {
+    if (!acceptor_.is_open())
+      return;
+    AcceptPendingConnections();
     error_code ignored;
     acceptor_.close(ignored);
   }
@@ -107,8 +110,9 @@
 
   bool IsBusy() const {
     return std::any_of(
-        connections_.begin(), connections_.end(),
-        [](const auto& connection) { return connection->busy(); });
+        connections_.begin(), connections_.end(), [](const auto& connection) {
+          return connection->busy() || connection->HasUnreadRequest();
+        });
   }
 
   // "ip:port" with the port that is actually bound.
@@ -121,17 +125,33 @@
  private:
   void Accept() {
     acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
-      if (error == asio::error::operation_aborted || !acceptor_.is_open())
-        return;
-      if (!error) {
-        connections_.push_back(
-            std::make_shared<CallerConnection>(std::move(socket), *this));
-        connections_.back()->Start();
-      }
-      Accept();
+      // Also if the listener was closed after the accept.
+      if (!error)
+        StartConnection(std::move(socket));
+      if (acceptor_.is_open())
+        Accept();
     });
   }
 
+  // Accepts the connections that the kernel has completed. Closing the listener
+  // would reset them, although their callers may have sent a request.
+  void AcceptPendingConnections() {
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      tcp::socket socket(server_.dispatcher_.context());
+      acceptor_.accept(socket, error);
+      if (!error)
+        StartConnection(std::move(socket));
+    }
+  }
+
+  void StartConnection(tcp::socket socket) {
+    connections_.push_back(
+        std::make_shared<CallerConnection>(std::move(socket), *this));
+    connections_.back()->Start();
+  }
+
   GatewayServer& server_;
   const Handler handler_;
   tcp::acceptor acceptor_;
--- a/tests/entry/store_sync_test.cc
+++ b/tests/entry/store_sync_test.cc
@@ -1,4 +1,7 @@
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
+#include <vector>
 
 #include "entry_fixture/entry_fleet.h"
 #include "support/wait_until.h"
@@ -197,6 +200,34 @@
   BOOST_TEST(instance.process().Wait() == 0);
 }
 
+// Guards against requests that are cut off without an answer because their
+// connections are still in the backlog of the listener when it is closed, as
+// under load or after a pause of the process.
+BOOST_AUTO_TEST_CASE(requests_in_the_backlog_at_a_stop_are_answered) {
+  constexpr int kCallers = 20;
+  // Longer than callers are accepted after the signal.
+  constexpr std::chrono::seconds kPause{3};
+  AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  instance.process().Signal(SIGTERM);
+  BOOST_TEST(WaitUntil([&] { return !instance.IsReady(); }));
+  instance.process().Signal(SIGSTOP);
+  std::vector<support::HttpClient> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(instance.caller_address());
+    callers.back().Send(MakeRequest("GET", "/lookup/x"));
+  }
+  const auto paused = std::chrono::steady_clock::now();
+  BOOST_TEST(WaitUntil(
+      [&] { return std::chrono::steady_clock::now() - paused > kPause; }));
+  instance.process().Signal(SIGCONT);
+  for (support::HttpClient& caller : callers)
+    BOOST_TEST(caller.ReadResponse().status == 503);
+  BOOST_TEST(instance.process().Wait() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
