Send loads with the usage to the holder of the duty lease

Change: these messages carry the loads again; names say that they are for the holder and its successors. Result: usage_comes_with_the_loads fails without the loads and passes with them.

--- a/src/gateway/replication/gossip_exchange.cc
+++ b/src/gateway/replication/gossip_exchange.cc
@@ -92,8 +92,8 @@
   ExpireSilentPeers(BootClock::now());
   SendRound(true);
   if (state_.settings().reports_usage &&
-      ++round_count_ % kRoundsPerUsageMessage == 0)
-    SendUsage();
+      ++round_count_ % kRoundsPerDutyMessage == 0)
+    SendToDutyHolder();
   round_timer_.expires_after(kRoundInterval);
   round_timer_.async_wait([this](const error_code& error) {
     if (!error)
@@ -137,13 +137,11 @@
   Send(message, ChooseTargets());
 }
 
-void GossipExchange::SendUsage() {
-  auto usage = UnsealedUsage();
-  if (!usage)
-    return;
+void GossipExchange::SendToDutyHolder() {
   GossipMessage message = NewMessage();
-  message.usage_update = std::move(usage);
-  Send(message, UsageTargets(message.holder_statement));
+  message.loads = state_.loads().LocalLoads();
+  message.usage_update = UnsealedUsage();
+  Send(message, DutyTargets(message.holder_statement));
 }
 
 void GossipExchange::SendReceipt(const UsageReceipt& receipt,
@@ -192,11 +190,11 @@
   return targets;
 }
 
-std::vector<udp::endpoint> GossipExchange::UsageTargets(
+std::vector<udp::endpoint> GossipExchange::DutyTargets(
     const std::optional<HolderStatement>& holder) const {
   const MemberRegistry& members = state_.members();
   std::vector<const Member*> receivers =
-      members.FirstCandidates(kUsageReplicas, BootClock::now());
+      members.FirstCandidates(kDutySuccessors, BootClock::now());
   if (holder)
     receivers.push_back(members.Find(holder->holder));
   std::set<std::string> addresses;
--- a/src/gateway/replication/gossip_exchange.h
+++ b/src/gateway/replication/gossip_exchange.h
@@ -46,10 +46,11 @@
   static constexpr std::size_t kFanout = 10;
   // A peer from which no message arrived within this time counts as silent.
   static constexpr Millis kPeerTimeout{3000};
-  // Usage is sent once in this many rounds, to the holder of the duty lease and
-  // to the kUsageReplicas instances that come first as its successors.
-  static constexpr int kRoundsPerUsageMessage = 3;
-  static constexpr std::size_t kUsageReplicas = 3;
+  // Once in this many rounds, loads and usage go to the holder of the duty
+  // lease, which orders backend servers by them, and to the kDutySuccessors
+  // instances that come first as its successors.
+  static constexpr int kRoundsPerDutyMessage = 3;
+  static constexpr std::size_t kDutySuccessors = 3;
   // Minimum time between two early rounds.
   static constexpr Millis kMinRoundInterval{30};
 
@@ -81,7 +82,7 @@
   // A message with sender and sequence number.
   GossipMessage NewMessage();
   void SendRound(bool with_loads);
-  void SendUsage();
+  void SendToDutyHolder();
   void SendReceipt(const UsageReceipt& receipt, const udp::endpoint& target);
   void Send(const GossipMessage& message,
             const std::vector<udp::endpoint>& targets);
@@ -92,7 +93,7 @@
   // Peer addresses of at most kFanout random instances.
   std::vector<udp::endpoint> ChooseTargets();
   // Peer addresses of the holder of the duty lease and of its successors.
-  std::vector<udp::endpoint> UsageTargets(
+  std::vector<udp::endpoint> DutyTargets(
       const std::optional<HolderStatement>& holder) const;
 
   GatewayState& state_;
--- a/tests/entry/fleet_gossip_test.cc
+++ b/tests/entry/fleet_gossip_test.cc
@@ -96,17 +96,22 @@
   // The first receipt among the messages that have arrived; empty if there is
   // none.
   std::optional<UsageReceipt> ReceiveReceipt() {
+    while (const auto message = Receive()) {
+      if (message->usage_receipt)
+        return message->usage_receipt;
+    }
+    return std::nullopt;
+  }
+
+  // The next message that has arrived; empty if there is none.
+  std::optional<GossipMessage> Receive() {
     std::array<std::uint8_t, 65536> buffer;
     boost::system::error_code error;
-    while (true) {
-      const std::size_t size =
-          socket_.receive(boost::asio::buffer(buffer), 0, error);
-      if (error)
-        return std::nullopt;
-      auto message = DecodeGossipMessage(buffer.data(), size);
-      if (message && message.value().usage_receipt)
-        return message.value().usage_receipt;
-    }
+    const std::size_t size =
+        socket_.receive(boost::asio::buffer(buffer), 0, error);
+    if (error)
+      return std::nullopt;
+    return DecodeGossipMessage(buffer.data(), size).value();
   }
 
  private:
@@ -297,6 +302,25 @@
   BOOST_TEST(store().Table(tables::kIncarnationUsage).empty());
 }
 
+// Guards against a holder that orders backend servers by old loads because
+// regular rounds of a large fleet rarely reach it.
+BOOST_AUTO_TEST_CASE(usage_comes_with_the_loads) {
+  EntryInstance& instance = AddGossipInstance(
+      "i-1",
+      {{"orders_address", store().address()}, {"duties", {"usage_reporting"}}});
+  GossipPeer peer("i-2");
+  store().Put(tables::kInstances, "i-2", EncodeMember(peer.member()));
+  BOOST_TEST(StatusOf(instance, "/lookup/x") == 200);
+  std::optional<GossipMessage> with_usage;
+  BOOST_TEST(WaitUntil([&] {
+    const auto message = peer.Receive();
+    if (message && message->usage_update)
+      with_usage = message;
+    return with_usage.has_value();
+  }));
+  BOOST_TEST(with_usage->loads.has_value());
+}
+
 // Guards against usage that omits requests which ran but whose response was
 // lost. With a quarter of the responses lost, a usage report was off by 9 %.
 BOOST_AUTO_TEST_CASE(a_request_with_a_lost_response_counts_as_usage) {
