--- a/src/gateway/replication/gossip_exchange.cc
+++ b/src/gateway/replication/gossip_exchange.cc
@@ -204,6 +204,7 @@
       addresses.insert(member->peer_address);
   }
   std::vector<udp::endpoint> targets;
+  targets.reserve(addresses.size());
   for (const std::string& address : addresses)
     targets.push_back(UdpEndpoint(address));
   return targets;
--- a/tests/gateway/stale_poll_schedule_test.cc
+++ b/tests/gateway/stale_poll_schedule_test.cc
@@ -23,6 +23,7 @@
   // Consecutive seeds would give the schedules similar first random numbers.
   std::mt19937 seeds(7);
   std::vector<StalePollSchedule> schedules;
+  schedules.reserve(static_cast<std::size_t>(instances));
   for (int i = 0; i < instances; ++i)
     schedules.emplace_back(static_cast<std::uint32_t>(seeds()));
   OutagePolls polls;
