--- a/src/gateway/control/http_channel.cc
+++ b/src/gateway/control/http_channel.cc
@@ -29,6 +29,7 @@
   void Run(const HttpCall& call, Done done) {
     done_ = std::move(done);
     response_ = {};
+    parser_.reset();
     request_ = {call.method, call.target, kHttp11};
     request_.set(http::field::host, address_);
     for (const auto& [name, value] : call.headers)
@@ -155,6 +156,7 @@
   void Fail(std::string failure) {
     keep_alive_ = false;
     response_.failure = std::move(failure);
+    response_.received_bytes = parser_ ? parser_->get().body().size() : 0;
     Close();
     const auto self = shared_from_this();
     std::exchange(done_, nullptr)(std::move(response_));
--- a/src/gateway/control/http_channel.h
+++ b/src/gateway/control/http_channel.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_CONTROL_HTTP_CHANNEL_H_
 #define GATEWAY_CONTROL_HTTP_CHANNEL_H_
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -37,6 +38,8 @@
   bool may_have_run = false;
   // Why no response was received; empty if one was.
   std::string failure;
+  // Bytes of the body that had arrived when the call failed.
+  std::size_t received_bytes = 0;
 
   bool answered() const { return status != 0; }
 };
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -45,6 +45,10 @@
     7014, Severity::kWarning, "store_history_lost",
     "The store no longer has the changes since its last response; the whole "
     "table is read again."};
+inline constexpr LogEvent kStorePollFailed{
+    7015, Severity::kInfo, "store_poll_failed",
+    "A stale replica of this table could not get the changes from the store; "
+    "it polls again later."};
 inline constexpr LogEvent kBackendListed{
     7020, Severity::kInfo, "backend_listed",
     "A backend server was added, or its state changed."};
@@ -109,13 +113,13 @@
     "An order for backend servers failed; other zones are tried."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,           kStopRequested,    kStopped,          kSettingsReloaded,
-    kSettingsRefused,   kConfigApplied,    kConfigUnreadable, kStoreLost,
-    kStoreRegained,     kHistoryLost,      kBackendListed,    kBackendGone,
-    kBackendUnreadable, kMemberUnreadable, kMemberListed,     kMemberGone,
-    kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,   kAttemptFailed,
-    kRequestEnded,      kLeaseTaken,       kLeaseLost,        kUsageReported,
-    kUsageNotReported,  kBackendsOrdered,  kOrderFailed};
+    kStarted,         kStopRequested,     kStopped,          kSettingsReloaded,
+    kSettingsRefused, kConfigApplied,     kConfigUnreadable, kStoreLost,
+    kStoreRegained,   kHistoryLost,       kStorePollFailed,  kBackendListed,
+    kBackendGone,     kBackendUnreadable, kMemberUnreadable, kMemberListed,
+    kMemberGone,      kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,
+    kAttemptFailed,   kRequestEnded,      kLeaseTaken,       kLeaseLost,
+    kUsageReported,   kUsageNotReported,  kBackendsOrdered,  kOrderFailed};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/replication/peer_rows.cc
+++ b/src/gateway/replication/peer_rows.cc
@@ -107,7 +107,11 @@
               {{"peer", address},
                {"table", table},
                {"status", std::to_string(response.status)},
-               {"cause", failure}});
+               {"cause", failure},
+               {"received_bytes", std::to_string(response.received_bytes)},
+               {"elapsed_ms",
+                std::to_string(
+                    ToMillis(BootClock::now() - response.sent).count())}});
         done(std::move(received));
       });
 }
--- a/src/gateway/replication/table_follower.cc
+++ b/src/gateway/replication/table_follower.cc
@@ -133,10 +133,13 @@
             if (!stopped_ && table)
               OnTableRead(table.value());
           });
-        } else if (!watch_call_pending_) {
+        } else {
+          Log(gateway_events::kStorePollFailed,
+              {{"table", options_.table}, {"cause", response.error().message}});
           // While not watching, the follower has no other call that would
           // detect a store outage.
-          ++failures_;
+          if (!watch_call_pending_)
+            ++failures_;
         }
       });
 }
