Let transfers between instances and from the store take as long as their bytes arrive

What callers saw: 51 of 59 instances refused every request with a key for 20 s, and requests on routes without keys ran under a configuration that had been replaced (CONFIG, TIER). Cause: each call of HttpChannel had one time limit for the whole response, 400 ms between instances. A link of 10 Mbit/s carries 500 KB in that time. Once the configuration was larger, every transfer ended at its limit and began again from the first byte, which kept the link full for good. Reads of the store (600 ms) failed in the same way, so that polls of stale instances did not help. Class of fault: a time limit that does not depend on the size of the work, together with repetitions that lose all progress. Change: the limit holds until the response begins. Later it grows with the bytes that have arrived, at 64 KB/s, and a response that stalls for 600 ms fails. The same channel carries all calls to the store and to other instances.

--- a/src/gateway/control/http_channel.cc
+++ b/src/gateway/control/http_channel.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 
 #include "gateway/forwarding/endpoint.h"
@@ -29,7 +30,7 @@
   void Run(const HttpCall& call, Done done) {
     done_ = std::move(done);
     response_ = {};
-    parser_.reset();
+    received_bytes_ = 0;
     request_ = {call.method, call.target, kHttp11};
     request_.set(http::field::host, address_);
     for (const auto& [name, value] : call.headers)
@@ -122,18 +123,35 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMaxResponseBytes);
-    http::async_read(
+    ReadSome();
+  }
+
+  void ReadSome() {
+    http::async_read_some(
         socket_, buffer_, *parser_,
-        [self = shared_from_this()](const error_code& error, std::size_t) {
+        [self = shared_from_this()](const error_code& error, std::size_t size) {
           if (!self->done_)
             return;
           if (error)
             self->Fail("receive: " + error.message());
           else
-            self->Succeed();
+            self->OnReceived(size);
         });
   }
 
+  void OnReceived(std::size_t size) {
+    if (parser_->is_done()) {
+      Succeed();
+      return;
+    }
+    received_bytes_ += size;
+    const Millis allowed =
+        timeout_ + Millis(received_bytes_ / kMinBytesPerMilli);
+    const Millis elapsed = ToMillis(BootClock::now() - response_.sent);
+    ArmTimer(std::clamp(allowed - elapsed, Millis(0), kStallTimeout));
+    ReadSome();
+  }
+
   void ArmTimer(Millis time) {
     timer_.expires_after(time);
     timer_.async_wait([self = shared_from_this()](const error_code& error) {
@@ -156,7 +174,7 @@
   void Fail(std::string failure) {
     keep_alive_ = false;
     response_.failure = std::move(failure);
-    response_.received_bytes = parser_ ? parser_->get().body().size() : 0;
+    response_.received_bytes = received_bytes_;
     Close();
     const auto self = shared_from_this();
     std::exchange(done_, nullptr)(std::move(response_));
@@ -176,6 +194,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   Millis timeout_{0};
   Millis connect_timeout_{0};
+  std::size_t received_bytes_ = 0;
   HttpResponse response_;
   Done done_;
   bool keep_alive_ = true;
--- a/src/gateway/control/http_channel.h
+++ b/src/gateway/control/http_channel.h
@@ -22,6 +22,8 @@
   // JSON; empty if the request has no body.
   std::string body;
   std::vector<std::pair<std::string, std::string>> headers;
+  // Time in which the response must begin. One that has begun may take longer
+  // while its bytes arrive, see HttpChannel.
   Millis timeout{1500};
   Millis connect_timeout{700};
 };
@@ -38,7 +40,7 @@
   bool may_have_run = false;
   // Why no response was received; empty if one was.
   std::string failure;
-  // Bytes of the body that had arrived when the call failed.
+  // Bytes of an incomplete response that arrived before the call failed.
   std::size_t received_bytes = 0;
 
   bool answered() const { return status != 0; }
@@ -46,11 +48,22 @@
 
 // Sends calls to one HTTP service, one after the other, over one persistent
 // connection. A call that gets no response in time closes the connection, since
-// a late response could otherwise be mistaken for that of a later call. Not
-// thread-safe. Destroying the channel drops outstanding calls without their
+// a late response could otherwise be mistaken for that of a later call.
+//
+// The time for a response grows with the bytes that arrive, because a limit for
+// the whole transfer would end every transfer that is too large for the link,
+// and each repetition would start from the first byte. A response still fails
+// if it stalls or if it arrives more slowly than a sound link delivers it.
+//
+// Not thread-safe. Destroying the channel drops outstanding calls without their
 // callbacks.
 class HttpChannel {
  public:
+  // Longest time without a further byte of a response that has begun.
+  static constexpr Millis kStallTimeout{600};
+  // Slowest rate at which a response may arrive.
+  static constexpr std::size_t kMinBytesPerMilli = 64;
+
   using Callback = std::function<void(HttpResponse)>;
 
   HttpChannel(asio::io_context& context, std::string address);
--- a/src/gateway/replication/peer_rows.h
+++ b/src/gateway/replication/peer_rows.h
@@ -38,7 +38,8 @@
   explicit PeerRowsClient(asio::io_context& context) : context_(context) {}
 
   // Queries the instance at `address` ("ip:port"). `done` gets an empty value
-  // if there is no valid response within 400 ms.
+  // if no valid response begins within 400 ms or if it does not arrive, see
+  // HttpChannel.
   void Fetch(const std::string& address,
              const PeerRowsQuery& query,
              Callback done);
--- a/tests/entry/slow_link_test.cc
+++ b/tests/entry/slow_link_test.cc
@@ -54,6 +54,26 @@
   ServerThread server_;
 };
 
+// Sends a byte of its response now and then until the caller closes.
+class TricklingServer {
+ public:
+  std::string address() const { return server_.address(); }
+
+ private:
+  static boost::asio::awaitable<void> Serve(standin::Exchange& exchange) {
+    constexpr std::int64_t kPauseMs = 20;
+    const standin::HttpReply head;
+    co_await exchange.StartStream(head);
+    while (!exchange.is_disconnected()) {
+      co_await exchange.WriteChunk("x");
+      co_await exchange.Wait(kPauseMs);
+    }
+  }
+
+  ServerThread server_{
+      [](standin::Exchange& exchange) { return Serve(exchange); }};
+};
+
 PeerRows LargeRows() {
   PeerRows rows;
   rows.rows.push_back(
@@ -103,6 +123,19 @@
   BOOST_TEST(received == kLargeRowBytes);
 }
 
+// Guards against a transfer that is never given up because a byte arrives now
+// and then. Does not return if that happens.
+BOOST_AUTO_TEST_CASE(a_response_that_trickles_is_given_up) {
+  const TricklingServer peer;
+  boost::asio::io_context context;
+  PeerRowsClient client(context);
+  bool failed = false;
+  client.Fetch(peer.address(), {"op", RowVersion(1)},
+               [&](const std::optional<PeerRows>& rows) { failed = !rows; });
+  context.run();
+  BOOST_TEST(failed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
