Compress the rows that instances send each other

What callers saw: with a large configuration, 51 instances on links of 10 Mbit/s had no room on them for requests. Cause: each instance sends the whole configuration, several hundred KB, to each peer that asks. With transfers that may take as long as their bytes arrive, nothing is repeated any more, but a link still carries the full text. Ruled out: sending only the routes that changed; the store delivers the configuration as one row, so that the receiver could not prove that the parts add up to it. Change: rows are compressed with libzstd. After a change many peers ask for the same rows, so the last frame of each table is kept and encoded once. The size of the text that a frame announces is bounded.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD := build
 SETUP_MARK := $(BUILD)/.setup-done
 PACKAGES := libcxxtools-dev libboost-dev libboost-test-dev libssl-dev libnng-dev libmsgpack-cxx-dev \
-  nlohmann-json3-dev libtclap-dev libspdlog-dev librapidcheck-dev prometheus-cpp-dev libxxhash-dev \
+  nlohmann-json3-dev libtclap-dev libspdlog-dev librapidcheck-dev prometheus-cpp-dev libxxhash-dev libzstd-dev \
   libbenchmark-dev ccache ninja-build cmake g++ git pkg-config clang-format clang-tidy curl openssl python3
 # Lets checkouts in different folders share one compiler cache.
 export CCACHE_BASEDIR := $(CURDIR)
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -81,13 +81,13 @@
 }
 
 std::optional<std::string> FleetGossipHandler::AnswerRowsQuery(
-    const std::string& target) const {
+    const std::string& target) {
   const auto query = DecodePeerRowsTarget(target);
   if (!query)
     return std::nullopt;
   for (const TableFollower* follower : followers_) {
     if (follower->table() == query->table && follower->is_loaded())
-      return EncodePeerRows(follower->RowsSince(query->after));
+      return encoder_.Encode(*query, follower->RowsSince(query->after));
   }
   return std::nullopt;
 }
--- a/src/gateway/replication/fleet_gossip_handler.h
+++ b/src/gateway/replication/fleet_gossip_handler.h
@@ -41,7 +41,7 @@
 
   // Returns the response body for a PeerRowsQuery. Empty if `target` is another
   // call, or if the table is unknown or not loaded yet.
-  std::optional<std::string> AnswerRowsQuery(const std::string& target) const;
+  std::optional<std::string> AnswerRowsQuery(const std::string& target);
 
  private:
   void ApplyTables(const GossipMessage& message, const std::string& address);
@@ -55,6 +55,7 @@
   DutyLeaseManager& lease_;
   const Incarnation incarnation_;
   PeerRowsClient client_;
+  PeerRowsEncoder encoder_;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/replication/peer_rows.cc
+++ b/src/gateway/replication/peer_rows.cc
@@ -2,11 +2,13 @@
 
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "gateway/events.h"
 #include "gateway/forwarding/request_target.h"
+#include "gateway/replication/compression.h"
 #include "telemetry/log.h"
 
 namespace bamboomount {
@@ -18,6 +20,34 @@
 constexpr unsigned kOk = 200;
 // After this time, the rows are fetched from another instance or the store.
 constexpr Millis kTimeout{400};
+// Bound on the rows of a response, before compression.
+constexpr std::size_t kMaxRowsBytes = 33'554'432;
+
+std::vector<std::uint8_t> CompressRows(const std::vector<TableRow>& rows) {
+  Json list = Json::array();
+  for (const TableRow& row : rows) {
+    Json value = row.deleted ? Json(nullptr) : Json(row.value);
+    list.push_back({row.key, row.version.value(), std::move(value)});
+  }
+  const auto text = Json::to_msgpack(list);
+  const std::string frame = Compress(std::string_view(
+      reinterpret_cast<const char*>(text.data()), text.size()));
+  return {frame.begin(), frame.end()};
+}
+
+std::vector<TableRow> DecodeRowList(const std::string& table,
+                                    const Json& list) {
+  std::vector<TableRow> rows;
+  for (const Json& item : list) {
+    TableRow row{table, item.at(0).get<std::string>(), "",
+                 RowVersion(item.at(1).get<std::uint64_t>()),
+                 item.at(2).is_null()};
+    if (!row.deleted)
+      row.value = item.at(2).get<std::string>();
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
 
 }  // namespace
 
@@ -38,14 +68,17 @@
   return PeerRowsQuery{QueryValue(target, "table"), RowVersion(version)};
 }
 
-std::string EncodePeerRows(const PeerRows& rows) {
-  Json list = Json::array();
-  for (const TableRow& row : rows.rows) {
-    Json value = row.deleted ? Json(nullptr) : Json(row.value);
-    list.push_back({row.key, row.version.value(), std::move(value)});
-  }
+std::string PeerRowsEncoder::Encode(const PeerRowsQuery& query,
+                                    const PeerRows& rows) {
+  CompressedRows& last = last_by_table_[query.table];
+  const bool reusable = !last.bytes.empty() && last.after == query.after &&
+                        last.revision == rows.status.revision &&
+                        last.is_snapshot == rows.is_snapshot;
+  if (!reusable)
+    last = {query.after, rows.status.revision, rows.is_snapshot,
+            CompressRows(rows.rows)};
   const Json body{{"whole", rows.is_snapshot},
-                  {"rows", std::move(list)},
+                  {"rows", Json::binary(last.bytes)},
                   {"revision", rows.status.revision.value()},
                   {"position", rows.status.position.value()},
                   {"confirmed_ms", rows.status.confirmed.count()}};
@@ -62,14 +95,13 @@
     rows.status.revision = RowVersion(json.at("revision").get<std::uint64_t>());
     rows.status.position = RowVersion(json.at("position").get<std::uint64_t>());
     rows.status.confirmed = Millis(json.at("confirmed_ms").get<Millis::rep>());
-    for (const Json& item : json.at("rows")) {
-      TableRow row{table, item.at(0).get<std::string>(), "",
-                   RowVersion(item.at(1).get<std::uint64_t>()),
-                   item.at(2).is_null()};
-      if (!row.deleted)
-        row.value = item.at(2).get<std::string>();
-      rows.rows.push_back(std::move(row));
-    }
+    const Json::binary_t& frame = json.at("rows").get_binary();
+    BOOST_OUTCOME_TRY(
+        list,
+        Decompress(std::string_view(reinterpret_cast<const char*>(frame.data()),
+                                    frame.size()),
+                   kMaxRowsBytes));
+    rows.rows = DecodeRowList(table, Json::from_msgpack(list));
     return rows;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/replication/peer_rows.h
+++ b/src/gateway/replication/peer_rows.h
@@ -1,8 +1,10 @@
 #ifndef GATEWAY_REPLICATION_PEER_ROWS_H_
 #define GATEWAY_REPLICATION_PEER_ROWS_H_
 
+#include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,9 +25,26 @@
 // Empty if the target is another call or lacks the version.
 std::optional<PeerRowsQuery> DecodePeerRowsTarget(const std::string& target);
 
-// MessagePack encoding for the response body. Decoding fails with kInternal if
-// the body is malformed. The digest of the status is not sent.
-std::string EncodePeerRows(const PeerRows& rows);
+// Encodes the responses to queries of peers: MessagePack, with the rows
+// compressed. After a change many peers query the same rows, so the compressed
+// rows of the last response of each table are kept. Not thread-safe.
+class PeerRowsEncoder {
+ public:
+  // `rows` is the response to `query`. The digest of the status is not sent.
+  std::string Encode(const PeerRowsQuery& query, const PeerRows& rows);
+
+ private:
+  struct CompressedRows {
+    RowVersion after;
+    RowVersion revision;
+    bool is_snapshot = false;
+    std::vector<std::uint8_t> bytes;
+  };
+
+  std::map<std::string, CompressedRows> last_by_table_;
+};
+
+// Decodes the response of a peer. Fails with kInternal if it is malformed.
 Result<PeerRows> DecodePeerRows(const std::string& table,
                                 const std::string& body);
 
--- a/tests/entry/slow_link_test.cc
+++ b/tests/entry/slow_link_test.cc
@@ -89,7 +89,8 @@
 // fetched a large configuration again and again, filled their links with it and
 // never got it.
 BOOST_AUTO_TEST_CASE(a_large_configuration_arrives_from_a_peer) {
-  const BodyServer peer(EncodePeerRows(LargeRows()));
+  const PeerRowsQuery query{"op", RowVersion(1)};
+  const BodyServer peer(PeerRowsEncoder().Encode(query, LargeRows()));
   TcpProxy link(peer.address());
   link.SetDelay(kSlowLinkDelay);
   boost::asio::io_context context;
