Limit requests at engines by observed latency, with strict priorities

Cause: an engine took a request if its predicted wait fitted 0.6 of the request's own target. The last class has the longest target, so engines took it where they refused urgent requests, which they would have served first. The figures were loads reported by gossip, 0.9 s old, so that all instances sent and stopped at the same time. Change: a limit on each instance's own requests, lowered by late answers and raised by answers in time, from which priorities lose room in reverse order; urgent requests are sent late before they are refused; waiting requests of higher priority go first.

--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -100,8 +100,9 @@
   }
 }
 
-bool Dispatcher::HasWaiters(const PoolId& pool) const {
-  return waiters_.contains(pool);
+bool Dispatcher::HasMoreUrgentWaiter(const PoolId& pool, Tier tier) const {
+  const auto queue = waiters_.find(pool);
+  return queue != waiters_.end() && queue->second.begin()->first.first < tier;
 }
 
 double Dispatcher::Random() {
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "gateway/forwarding/backend_attempt.h"
 #include "gateway/gateway_state.h"
+#include "gateway/placement/concurrency_limit.h"
 #include "gateway/placement/retry_budget_share.h"
 #include "telemetry/metrics.h"
 
@@ -63,7 +64,12 @@
   void WakeOne(const PoolId& pool);
   // Wakes all waiting requests. Called when the set of backend servers changes.
   void WakeAll();
-  bool HasWaiters(const PoolId& pool) const;
+  // Whether a request of the pool with a higher priority is queued.
+  bool HasMoreUrgentWaiter(const PoolId& pool, Tier tier) const;
+  // Limit on this instance's requests at the engines of the pool.
+  ConcurrencyLimit& concurrency_limit(const PoolId& pool) {
+    return concurrency_limits_[pool];
+  }
 
   // Uniform in [0, 1).
   double Random();
@@ -77,6 +83,7 @@
   Metrics& metrics_;
   BackendConnectionPool connections_;
   std::map<PoolId, RetryBudgetShare> retry_budgets_;
+  std::map<PoolId, ConcurrencyLimit> concurrency_limits_;
   std::map<PoolId, std::map<WaitTicket, WakeCallback>> waiters_;
   std::uint64_t next_ticket_ = 0;
   std::mt19937_64 random_;
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -106,6 +106,10 @@
     FailWithoutResponse("no other backend server left to try");
     return;
   }
+  if (engine_ && !HasRoomAtEngines()) {
+    WaitForCapacity();
+    return;
+  }
   const auto candidates = dispatcher_.BelowConnectionLimit(untried, pool_);
   const BackendServer* server = dispatcher_.state().selector().Choose(
       candidates, MakePlacementRequest(), now);
@@ -115,6 +119,12 @@
     WaitForCapacity();
 }
 
+bool Exchange::HasRoomAtEngines() const {
+  return dispatcher_.concurrency_limit(pool_).HasRoom(admitted_.urgency,
+                                                      IsUrgent()) &&
+         !dispatcher_.HasMoreUrgentWaiter(pool_, admitted_.urgency);
+}
+
 bool Exchange::IsUrgent() const {
   return admitted_.urgency.value() + 1 < admitted_.policy->urgency_levels();
 }
@@ -142,6 +152,11 @@
   buffered_body_.clear();
   reply_head_ = {};
   state.loads().AddRequest(server.id, load_);
+  if (engine_) {
+    dispatcher_.concurrency_limit(pool_).Add(admitted_.urgency);
+    engine_is_busy_ =
+        2 * state.loads().Total(server.id).requests > server.slots;
+  }
   queued_tokens_ = Tokens(
       IsUrgent() ? state.loads().Total(server.id).urgent_prefill_tokens
                  : state.loads().Total(server.id).pending_prefill_tokens);
@@ -170,6 +185,11 @@
   // A copy, because the attempt may end within Start and reset the member.
   const auto attempt = attempt_;
   attempt->Start();
+  // There may be room for the next waiting request as well.
+  if (engine_)
+    asio::post(dispatcher_.context(), [self = shared_from_this()] {
+      self->dispatcher_.WakeOne(self->pool_);
+    });
 }
 
 void Exchange::ArmResponseTimer() {
@@ -365,9 +385,11 @@
   GatewayState& state = dispatcher_.state();
   const BackendId& server = attempt_->server().id;
   state.loads().RecordFirstToken(server, load_);
-  if (engine_)
+  if (engine_) {
     state.prefill_throughput().Observe(pool_, queued_tokens_,
                                        ToMillis(now - sent_at_));
+    RecordFirstTokenLatency(now);
+  }
   state.health().RecordSuccess(server, ToMillis(now - sent_at_),
                                admitted_.route->target_latency);
   dispatcher_.metrics().Observe("bamboomount_first_bytes_seconds",
@@ -375,6 +397,13 @@
                                 now - request_.received);
 }
 
+void Exchange::RecordFirstTokenLatency(Instant now) {
+  dispatcher_.concurrency_limit(pool_).Record(
+      {admitted_.urgency, IsUrgent(), sent_at_, ToMillis(now - sent_at_),
+       admitted_.route->target_latency, engine_is_busy_},
+      now);
+}
+
 void Exchange::OnAttemptEnd(AttemptOutcome outcome) {
   const auto self = shared_from_this();
   if (ended_)
@@ -574,6 +603,14 @@
     return;
   dispatcher_.state().loads().EndRequest(attempt_->server().id, load_,
                                          generating_);
+  if (engine_) {
+    const Instant now = BootClock::now();
+    const bool gave_up =
+        ToMillis(now - sent_at_) >= admitted_.route->target_latency;
+    if (!generating_ && gave_up)
+      RecordFirstTokenLatency(now);
+    dispatcher_.concurrency_limit(pool_).Remove(admitted_.urgency);
+  }
   attempt_.reset();
   dispatcher_.WakeOne(pool_);
 }
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -57,6 +57,7 @@
   bool Admit();
 
   void SelectBackend();
+  bool HasRoomAtEngines() const;
   // Whether the request ranks above the lowest urgency level.
   bool IsUrgent() const;
   PlacementRequest MakePlacementRequest() const;
@@ -78,6 +79,7 @@
   void CountUsageOnce();
   void RecordFirstBytes();
   void RecordForwardTime();
+  void RecordFirstTokenLatency(Instant now);
   void ReleaseAttempt();
   bool Forward(std::string_view piece);
   // Ends the attempt because the server sends bytes that are no answer. Returns
@@ -114,6 +116,8 @@
   // Pending prefill tokens at the selected server when the request was sent,
   // its own included; for urgent requests, only those of urgent ones.
   Tokens queued_tokens_;
+  // Whether the selected engine had many requests when the request was sent.
+  bool engine_is_busy_ = false;
   Instant sent_at_;
   bool generating_ = false;
   // When bytes of the response were last forwarded; the longest pause is
--- a/src/gateway/placement/backend_selector.cc
+++ b/src/gateway/placement/backend_selector.cc
@@ -98,6 +98,22 @@
     if (const BackendServer* server = ChooseByPrefix(candidates, request))
       return server;
   }
+  const BackendServer* server =
+      CheapestEngine(candidates, request, &EngineAdmission::Admits, now);
+  if (server)
+    return server;
+  server =
+      CheapestEngine(candidates, request, &EngineAdmission::AdmitsLate, now);
+  if (!server)
+    admission_.RecordRejection(pool, request.admission, now);
+  return server;
+}
+
+const BackendServer* BackendSelector::CheapestEngine(
+    const Servers& candidates,
+    const PlacementRequest& request,
+    AdmissionRule rule,
+    Instant now) const {
   const Servers ranked =
       PrefixLocator::RankServers(candidates, request.prompt, 1);
   const BackendServer* home = ranked.empty() ? nullptr : ranked.front();
@@ -105,24 +121,23 @@
   double best_cost = 0;
   for (const BackendServer* server : candidates) {
     const double cost = EngineCost(*server, home, request, now);
-    if ((best && cost >= best_cost) || !AcceptsRequest(*server, request))
+    if ((best && cost >= best_cost) || !AcceptsRequest(*server, request, rule))
       continue;
     best = server;
     best_cost = cost;
   }
-  if (!best)
-    admission_.RecordRejection(pool, request.admission, now);
   return best;
 }
 
 bool BackendSelector::AcceptsRequest(const BackendServer& server,
-                                     const PlacementRequest& request) const {
+                                     const PlacementRequest& request,
+                                     AdmissionRule rule) const {
   // The prefill of a long prompt would stall the conversations that run on a
   // reserved engine.
   if (!request.prompt.HasLongAnswer() && reserved_engines_.Contains(server) &&
       loads_.Total(server.id).long_answers > 0)
     return false;
-  return admission_.Admits(server, request.admission);
+  return (admission_.*rule)(server, request.admission);
 }
 
 const BackendServer* BackendSelector::ChooseByPrefix(
--- a/src/gateway/placement/backend_selector.h
+++ b/src/gateway/placement/backend_selector.h
@@ -80,6 +80,10 @@
                         Instant now) const;
 
  private:
+  using AdmissionRule =
+      bool (EngineAdmission::*)(const BackendServer&,
+                                const EngineAdmissionRequest&) const;
+
   Servers FilterHealthy(const Servers& candidates, Instant now) const;
   const BackendServer* ChooseEngine(const Servers& candidates,
                                     const PlacementRequest& request,
@@ -90,9 +94,15 @@
   // null if there is none among the first few.
   const BackendServer* ChooseByPrefix(const Servers& candidates,
                                       const PlacementRequest& request) const;
-  // Whether the engine may get the request now.
+  // Returns the engine with the lowest expected cost among those that `rule`
+  // admits the request to; null if there is none.
+  const BackendServer* CheapestEngine(const Servers& candidates,
+                                      const PlacementRequest& request,
+                                      AdmissionRule rule,
+                                      Instant now) const;
   bool AcceptsRequest(const BackendServer& server,
-                      const PlacementRequest& request) const;
+                      const PlacementRequest& request,
+                      AdmissionRule rule) const;
   double ServiceCost(const BackendServer& server,
                      const PlacementRequest& request) const;
   double EngineCost(const BackendServer& server,
--- a/src/gateway/placement/engine_admission.cc
+++ b/src/gateway/placement/engine_admission.cc
@@ -7,6 +7,10 @@
 // The rest is for its own prefill and for requests that other instances send at
 // the same time.
 constexpr double kQueueTimeFraction = 0.6;
+// Multiple of the target latency that an urgent request may wait if no engine
+// serves it in time. Callers leave a stream that has not begun after a few
+// times the target latency.
+constexpr double kMaxLateTargets = 3;
 // Requests per slot from which on an engine admits no more.
 constexpr double kMaxRequestsPerSlot = 1.25;
 // The same limit for urgent requests. It is higher because engines serve urgent
@@ -17,6 +21,17 @@
 
 bool EngineAdmission::Admits(const BackendServer& server,
                              const EngineAdmissionRequest& request) const {
+  return FitsQueue(server, request, kQueueTimeFraction);
+}
+
+bool EngineAdmission::AdmitsLate(const BackendServer& server,
+                                 const EngineAdmissionRequest& request) const {
+  return request.urgent && FitsQueue(server, request, kMaxLateTargets);
+}
+
+bool EngineAdmission::FitsQueue(const BackendServer& server,
+                                const EngineAdmissionRequest& request,
+                                double max_targets) const {
   const BackendLoad load = loads_.Total(server.id);
   const double max_requests_per_slot =
       request.urgent ? kMaxUrgentRequestsPerSlot : kMaxRequestsPerSlot;
@@ -24,8 +39,8 @@
     return false;
   const Tokens tokens_ahead(request.urgent ? load.urgent_prefill_tokens
                                            : load.pending_prefill_tokens);
-  const auto limit = std::chrono::duration_cast<Millis>(request.target_latency *
-                                                        kQueueTimeFraction);
+  const auto limit =
+      std::chrono::duration_cast<Millis>(request.target_latency * max_targets);
   return throughput_.PrefillTime(server.pool, tokens_ahead) <= limit;
 }
 
--- a/src/gateway/placement/engine_admission.h
+++ b/src/gateway/placement/engine_admission.h
@@ -29,11 +29,15 @@
 // predicted to arrive within a fraction of its target latency; other requests
 // wait for a limited time and are then rejected with a time to retry. Engines
 // serve urgent requests first, so only urgent tokens count as queued ahead of
-// an urgent request. After a request found no engine, less urgent requests are
-// held back for kPriorityHoldTime.
+// an urgent request.
+//
+// Requests are shed in reverse order of priority: an urgent request that finds
+// no engine in time for its target is still sent to one that serves it late.
+// After a request was rejected, those of lower priority are held back for
+// kPriorityHoldTime.
 class EngineAdmission {
  public:
-  // Time for which less urgent requests are held back after a rejection.
+  // Time for which less urgent requests are held back.
   static constexpr Millis kPriorityHoldTime{1000};
 
   EngineAdmission(const BackendLoads& loads,
@@ -44,17 +48,25 @@
   // there fits the request's target latency.
   bool Admits(const BackendServer& server,
               const EngineAdmissionRequest& request) const;
+  // The same for a request that may miss its target because requests that are
+  // not urgent are shed before it. False for requests that are not urgent.
+  bool AdmitsLate(const BackendServer& server,
+                  const EngineAdmissionRequest& request) const;
   // Whether a request of higher priority was rejected in the pool within
   // kPriorityHoldTime.
   bool MustYield(const PoolId& pool,
                  const EngineAdmissionRequest& request,
                  Instant now) const;
-  // Records that no server of the pool admitted the request.
+  // Records that no server of the pool admitted the request, late or not.
   void RecordRejection(const PoolId& pool,
                        const EngineAdmissionRequest& request,
                        Instant now);
 
  private:
+  bool FitsQueue(const BackendServer& server,
+                 const EngineAdmissionRequest& request,
+                 double max_targets) const;
+
   const BackendLoads& loads_;
   const PrefillThroughput& throughput_;
   // Time of the last rejection for each priority.
