Send no requests to servers for as long as their Retry-After asks

What callers would see: a server that refuses with 503 and Retry-After is asked again at once by every request of the instance. Cause: Retry-After of backend servers was decoded and not used. Change: a server that asks for a pause is left out until its end, also by requests whose connection is still being set up; requests that wait for capacity are woken at the end of the pause. New event 7028.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -64,6 +64,10 @@
     "A backend server said in a reply that it is about to leave; it gets no "
     "new "
     "requests."};
+inline constexpr LogEvent kBackendPaused{
+    7028, Severity::kInfo, "backend_paused",
+    "A backend server refused a request and asked for a pause; it gets no "
+    "requests of this instance for that time."};
 inline constexpr LogEvent kMemberUnreadable{
     7023, Severity::kWarning, "member_row_unreadable",
     "The row of an instance cannot be parsed. Check that all instances run "
@@ -118,14 +122,14 @@
     "An order for backend servers failed; other zones are tried."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,         kStopRequested,     kStopped,          kSettingsReloaded,
-    kSettingsRefused, kConfigApplied,     kConfigUnreadable, kStoreLost,
-    kStoreRegained,   kHistoryLost,       kStorePollFailed,  kBackendListed,
-    kBackendGone,     kBackendUnreadable, kBackendLeaving,   kMemberUnreadable,
-    kMemberListed,    kMemberGone,        kPeerRowsFailed,   kRequestPlaced,
-    kRequestRefused,  kAttemptFailed,     kRequestEnded,     kLeaseTaken,
-    kLeaseLost,       kUsageReported,     kUsageNotReported, kBackendsOrdered,
-    kOrderFailed};
+    kStarted,          kStopRequested,     kStopped,          kSettingsReloaded,
+    kSettingsRefused,  kConfigApplied,     kConfigUnreadable, kStoreLost,
+    kStoreRegained,    kHistoryLost,       kStorePollFailed,  kBackendListed,
+    kBackendGone,      kBackendUnreadable, kBackendLeaving,   kBackendPaused,
+    kMemberUnreadable, kMemberListed,      kMemberGone,       kPeerRowsFailed,
+    kRequestPlaced,    kRequestRefused,    kAttemptFailed,    kRequestEnded,
+    kLeaseTaken,       kLeaseLost,         kUsageReported,    kUsageNotReported,
+    kBackendsOrdered,  kOrderFailed};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -9,6 +9,8 @@
 // Fraction of a backend server's connection limit that all instances together
 // may use.
 constexpr double kConnectionFraction = 0.9;
+// Longest pause that a backend server may ask for.
+constexpr Millis kMaxPause{3'600'000};
 // Lower limit of an instance's share of the connections, however many instances
 // there are.
 constexpr int kMinConnections = 2;
@@ -28,14 +30,37 @@
 std::vector<const BackendServer*> Dispatcher::UntriedBackends(
     const PoolId& pool,
     const std::vector<BackendId>& tried) const {
+  const Instant now = BootClock::now();
   std::vector<const BackendServer*> untried;
   for (const BackendServer* server : state_.backends().Usable(pool)) {
-    if (std::find(tried.begin(), tried.end(), server->id) == tried.end())
-      untried.push_back(server);
+    if (state_.health().IsBackingOff(server->id, now) ||
+        std::find(tried.begin(), tried.end(), server->id) != tried.end())
+      continue;
+    untried.push_back(server);
   }
   return untried;
 }
 
+bool Dispatcher::AcceptsRequests(const BackendId& server) const {
+  return state_.backends().FindUsable(server) &&
+         !state_.health().IsBackingOff(server, BootClock::now());
+}
+
+void Dispatcher::PauseBackend(const BackendId& server, Millis duration) {
+  const Instant now = BootClock::now();
+  const Instant end = state_.health().RecordRetryAfter(
+      server, std::min(duration, kMaxPause), now);
+  asio::steady_timer& timer =
+      pause_timers_.try_emplace(server, context_).first->second;
+  timer.expires_after(ToMillis(end - now));
+  timer.async_wait([this, server](const error_code& error) {
+    if (error)
+      return;
+    pause_timers_.erase(server);
+    WakeAll();
+  });
+}
+
 std::vector<const BackendServer*> Dispatcher::BelowConnectionLimit(
     std::vector<const BackendServer*> servers,
     const PoolId& pool) const {
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -39,7 +39,8 @@
   }
   BackendConnectionPool& connections() { return connections_; }
 
-  // Usable backend servers of the pool that are not in `tried`.
+  // Usable backend servers of the pool that are not in `tried` and have not
+  // asked for a pause.
   std::vector<const BackendServer*> UntriedBackends(
       const PoolId& pool,
       const std::vector<BackendId>& tried) const;
@@ -48,6 +49,12 @@
   std::vector<const BackendServer*> BelowConnectionLimit(
       std::vector<const BackendServer*> servers,
       const PoolId& pool) const;
+  // Whether the server may get a new request now: it is neither leaving nor has
+  // asked for a pause.
+  bool AcceptsRequests(const BackendId& server) const;
+  // Sends the server no requests for `duration`, as it asked when it refused
+  // one.
+  void PauseBackend(const BackendId& server, Millis duration);
   // Consumes one retry from this instance's share of the pool's retry budget.
   // Returns false if the budget is exhausted.
   bool TryConsumeRetry(const PoolId& pool);
@@ -86,6 +93,9 @@
   std::map<PoolId, ConcurrencyLimit> concurrency_limits_;
   std::map<PoolId, std::map<WaitTicket, WakeCallback>> waiters_;
   std::uint64_t next_ticket_ = 0;
+  // One timer for each server that has asked for a pause; wakes the waiting
+  // requests at its end.
+  std::map<BackendId, asio::steady_timer> pause_timers_;
   std::mt19937_64 random_;
 };
 
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -16,6 +16,7 @@
 // Misdirected Request (RFC 9110, 15.5.20): the server is not the one that the
 // request was addressed to.
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kServiceUnavailable = 503;
 // Subtracted from the caller's time limit, which starts when the caller sends
 // the request, not when it arrives here.
 constexpr Millis kCallerTransitTime{3};
@@ -245,8 +246,9 @@
     return std::nullopt;
   GatewayState& state = dispatcher_.state();
   const BackendServer& server = attempt_->server();
-  // The server may have started to leave while the connection was being set up.
-  if (!state.backends().FindUsable(server.id))
+  // The server may have started to leave, or asked for a pause, while the
+  // connection was being set up.
+  if (!dispatcher_.AcceptsRequests(server.id))
     return std::nullopt;
   if (!admitted_.customer.empty() && !state.KeysAreCurrent(now)) {
     keys_stale_ = true;
@@ -311,6 +313,14 @@
       dispatcher_.state().backends().MarkLeaving(server, now))
     Log(gateway_events::kBackendLeaving,
         {{"backend", server.id.value()}, {"request", head_.id.value()}});
+  if (head.status != kServiceUnavailable || !head.retry_after)
+    return;
+  if (dispatcher_.AcceptsRequests(server.id))
+    Log(gateway_events::kBackendPaused,
+        {{"backend", server.id.value()},
+         {"request", head_.id.value()},
+         {"retry_after_ms", std::to_string(head.retry_after->count())}});
+  dispatcher_.PauseBackend(server.id, *head.retry_after);
 }
 
 bool Exchange::OnReplyBody(std::string_view piece) {
@@ -440,14 +450,13 @@
 
 void Exchange::OnNotSent(ServerFailure failure) {
   const BackendId server = attempt_->server().id;
-  const bool still_usable =
-      dispatcher_.state().backends().FindUsable(server) != nullptr;
+  const bool accepts_requests = dispatcher_.AcceptsRequests(server);
   ReleaseAttempt();
   if (keys_stale_) {
     FailWithoutResponse("configuration too old to exclude withdrawn keys");
     return;
   }
-  if (still_usable && TimeLeft(BootClock::now()) > Millis(0)) {
+  if (accepts_requests && TimeLeft(BootClock::now()) > Millis(0)) {
     ++history_.failed_connects;
     dispatcher_.state().health().RecordFailure(server, failure,
                                                BootClock::now());
--- a/src/gateway/placement/server_health.cc
+++ b/src/gateway/placement/server_health.cc
@@ -59,6 +59,19 @@
       now + kFirstEjection * (1 << std::min(excess_failures, kMaxDoublings));
 }
 
+Instant ServerHealth::RecordRetryAfter(const BackendId& server,
+                                       Millis duration,
+                                       Instant now) {
+  Instant& retry_not_before = records_[server].retry_not_before;
+  retry_not_before = std::max(retry_not_before, now + duration);
+  return retry_not_before;
+}
+
+bool ServerHealth::IsBackingOff(const BackendId& server, Instant now) const {
+  const auto record = records_.find(server);
+  return record != records_.end() && now < record->second.retry_not_before;
+}
+
 void ServerHealth::SetRemoteEjections(const InstanceId& instance,
                                       const std::vector<EjectedServer>& ejected,
                                       Instant now) {
--- a/src/gateway/placement/server_health.h
+++ b/src/gateway/placement/server_health.h
@@ -36,6 +36,9 @@
 // server, the first failure here ejects it too. The ejections of two other
 // instances are enough by themselves; one is not, because that instance alone
 // may have lost its network path to the server.
+//
+// A server may also ask for a pause. That is no failure, but holds whatever
+// else is known of the server.
 class ServerHealth {
  public:
   // Ends the ejection of the server, also by other instances, and updates its
@@ -47,6 +50,13 @@
   void RecordFailure(const BackendId& server,
                      ServerFailure failure,
                      Instant now);
+  // Records that the server wants no requests of this instance for `duration`.
+  // Returns when the longest such time ends.
+  Instant RecordRetryAfter(const BackendId& server,
+                           Millis duration,
+                           Instant now);
+  // Whether that time has not passed yet.
+  bool IsBackingOff(const BackendId& server, Instant now) const;
   // Replaces the ejections that another instance last reported by `ejected`.
   void SetRemoteEjections(const InstanceId& instance,
                           const std::vector<EjectedServer>& ejected,
@@ -70,6 +80,7 @@
   struct Record {
     int failures_in_row = 0;
     Instant ejected_until;
+    Instant retry_not_before;
     double latency_ratio = 1;
     // End of the ejection by each other instance.
     std::map<InstanceId, Instant> remote_ejections;
