Refuse requests with a part of the prompt that crashes engines

Cause: health belongs to servers only. An engine that crashed was avoided, and the next request of the kind went to a sound one, as did the retry of an interrupted stream. Class of fault: a poison message carried on by retries and new requests. Ruled out: slow gossip (a round reaches ten instances in 150 ms), retries alone (each new request crashes an engine without any). Change: PoisonPartDetector relates crashes to the parts of prompts. After three crashes one after the other, with no request with the part served from ten seconds before, all instances refuse it with 503 and the end of the refusal as Retry-After. Served requests clear the parts that they share; engines that crash together count once; instances pass on crashes and served requests by gossip. New event 7034. Test: requests_with_a_part_that_crashes_engines_are_refused.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -99,6 +99,10 @@
     7033, Severity::kInfo, "request_ended",
     "A request ended: the backend server's response was forwarded, completely "
     "or in part, or the caller disconnected."};
+inline constexpr LogEvent kPoisonPartFound{
+    7034, Severity::kWarning, "poison_part_found",
+    "Engines crashed one after the other while they answered requests with a "
+    "part of the prompt; requests with the part are refused."};
 inline constexpr LogEvent kLeaseTaken{
     7040, Severity::kInfo, "duty_lease_taken",
     "This instance acquired the duty lease and now reports usage and orders "
@@ -128,8 +132,8 @@
     kBackendGone,      kBackendUnreadable, kBackendLeaving,   kBackendPaused,
     kMemberUnreadable, kMemberListed,      kMemberGone,       kPeerRowsFailed,
     kRequestPlaced,    kRequestRefused,    kAttemptFailed,    kRequestEnded,
-    kLeaseTaken,       kLeaseLost,         kUsageReported,    kUsageNotReported,
-    kBackendsOrdered,  kOrderFailed};
+    kPoisonPartFound,  kLeaseTaken,        kLeaseLost,        kUsageReported,
+    kUsageNotReported, kBackendsOrdered,   kOrderFailed};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -102,6 +102,8 @@
   if (ended_)
     return;
   const Instant now = BootClock::now();
+  if (RefuseIfPoisonous(now))
+    return;
   const auto untried = dispatcher_.UntriedBackends(pool_, tried_);
   if (untried.empty() && !tried_.empty()) {
     FailWithoutResponse("no other backend server left to try");
@@ -120,6 +122,22 @@
     WaitForCapacity();
 }
 
+bool Exchange::RefuseIfPoisonous(Instant now) {
+  if (!engine_)
+    return false;
+  const auto until =
+      dispatcher_.state().poison_parts().PoisonousUntil(head_.prompt);
+  if (!until)
+    return false;
+  constexpr std::string_view kReason =
+      "a part of the prompt crashes backend servers";
+  if (history_.reply_started || history_.possible_runs > 0)
+    FailWithoutResponse(kReason);
+  else
+    RefuseTemporarily(kReason, ToMillis(*until - now));
+  return true;
+}
+
 bool Exchange::HasRoomAtEngines() const {
   return dispatcher_.concurrency_limit(pool_).HasRoom(admitted_.urgency,
                                                       IsUrgent()) &&
@@ -475,16 +493,20 @@
   // The server may close an idle connection at any time; that does not count as
   // a failure of the server.
   const bool stale_connection = attempt_->reused() && reply_head_.status == 0;
+  const Instant now = BootClock::now();
+  const bool may_have_run = now - sent_at_ > kStaleConnectionErrorTime;
   // A server may run a request and lose the response. Usage is therefore
   // counted unless the failure came as early as on a stale connection.
-  if (BootClock::now() - sent_at_ > kStaleConnectionErrorTime)
+  if (may_have_run)
     CountUsageOnce();
+  if (may_have_run && engine_)
+    dispatcher_.state().poison_parts().RecordCrash(head_.prompt, server, now);
   ReleaseAttempt();
   ++history_.possible_runs;
   tried_.push_back(server);
   if (!stale_connection)
-    dispatcher_.state().health().RecordFailure(
-        server, ServerFailure::kNoResponse, BootClock::now());
+    dispatcher_.state().health().RecordFailure(server,
+                                               ServerFailure::kNoResponse, now);
   Log(gateway_events::kAttemptFailed,
       {{"request", head_.id.value()},
        {"backend", server.value()},
@@ -523,10 +545,12 @@
     OnInterrupted();
     return;
   }
+  const Instant now = BootClock::now();
   if (!generating_)
-    dispatcher_.state().health().RecordSuccess(
-        server, ToMillis(BootClock::now() - sent_at_),
-        admitted_.route->target_latency);
+    dispatcher_.state().health().RecordSuccess(server, ToMillis(now - sent_at_),
+                                               admitted_.route->target_latency);
+  if (success && engine_)
+    dispatcher_.state().poison_parts().RecordServed(head_.prompt, now);
   ReleaseAttempt();
   ++history_.possible_runs;
   tried_.push_back(server);
@@ -652,9 +676,12 @@
   const Millis left =
       head_.time_limit ? *head_.time_limit - ToMillis(now - request_.received)
                        : Millis(1000);
+  RefuseTemporarily(reason, RetryAfter(left, dispatcher_.Random()));
+}
+
+void Exchange::RefuseTemporarily(std::string_view reason, Millis retry_after) {
   http::response<http::string_body> response(http::status::service_unavailable,
                                              kHttp11);
-  const Millis retry_after = RetryAfter(left, dispatcher_.Random());
   response.set(http::field::retry_after, FormatSeconds(retry_after));
   Log(gateway_events::kRequestRefused,
       {{"request", head_.id.value()},
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -57,6 +57,9 @@
   bool Admit();
 
   void SelectBackend();
+  // Refuses the request if a part of its prompt crashes engines. Returns
+  // whether it did.
+  bool RefuseIfPoisonous(Instant now);
   bool HasRoomAtEngines() const;
   // Whether the request ranks above the lowest urgency level.
   bool IsUrgent() const;
@@ -90,7 +93,9 @@
   void BeginForwarding();
 
   void Refuse(http::status status, std::string_view reason);
+  // Refuses with 503, so that the caller may retry after a random short time.
   void RefuseTemporarily(std::string_view reason);
+  void RefuseTemporarily(std::string_view reason, Millis retry_after);
   void EndRequest(std::string_view outcome);
   Millis TimeLeft(Instant now) const;
 
--- a/src/gateway/forwarding/prompt_shape.h
+++ b/src/gateway/forwarding/prompt_shape.h
@@ -8,9 +8,12 @@
 
 namespace bamboomount {
 
+// Identifies a part of a prompt by its content.
+using PromptPartId = StrongCount<struct PromptPartIdTag, std::uint64_t>;
+
 // A part of a prompt that other requests may share.
 struct PromptPart {
-  std::uint64_t id = 0;
+  PromptPartId id;
   Tokens tokens;
 };
 
@@ -47,7 +50,7 @@
   // Id of the last shared part, which implies all parts before it; 0 if there
   // is none.
   std::uint64_t SharedPrefixId() const {
-    return parts.size() < 2 ? 0 : parts[parts.size() - 2].id;
+    return parts.size() < 2 ? 0 : parts[parts.size() - 2].id.value();
   }
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -44,6 +44,14 @@
   return response;
 }
 
+void LogPoisonPart(const PoisonPart& part) {
+  std::string servers;
+  for (const BackendId& server : part.crashed_servers)
+    servers += (servers.empty() ? "" : " ") + server.value();
+  Log(gateway_events::kPoisonPartFound,
+      {{"part", std::to_string(part.id.value())}, {"backends", servers}});
+}
+
 std::string TargetOf(const IncomingRequest& request) {
   return std::string(request.message.target());
 }
@@ -290,6 +298,8 @@
   dispatcher_.connections().CloseExpired(now);
   BackendRegistry& backends = dispatcher_.state().backends();
   backends.Expire(now);
+  for (const PoisonPart& part : dispatcher_.state().poison_parts().Update(now))
+    LogPoisonPart(part);
   if (shutdown_started_)
     ContinueShutdown(now);
   maintenance_timer_.expires_after(kMaintenanceInterval);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "gateway/membership/state_freshness.h"
 #include "gateway/placement/backend_loads.h"
 #include "gateway/placement/backend_selector.h"
+#include "gateway/placement/poison_part_detector.h"
 #include "gateway/traffic/traffic_policy.h"
 
 namespace bamboomount {
@@ -77,6 +78,7 @@
   ServerHealth& health() { return health_; }
   PrefillThroughput& prefill_throughput() { return prefill_throughput_; }
   BackendSelector& selector() { return selector_; }
+  PoisonPartDetector& poison_parts() { return poison_parts_; }
   UsageLedger& usage() { return usage_; }
   // The latest usage window that has ended.
   WindowNumber LastEndedWindow(Instant now) const;
@@ -123,6 +125,7 @@
   ServerHealth health_;
   PrefillThroughput prefill_throughput_;
   BackendSelector selector_{loads_, health_, prefill_throughput_};
+  PoisonPartDetector poison_parts_;
   UsageLedger usage_;
   UsageByIncarnation peer_usage_;
   UsageDelivery usage_delivery_;
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -14,6 +14,7 @@
   message.store_recovery_time = state_.store_recovery_time();
   message.holder_statement = lease_.LatestHolderStatement(now);
   message.ejected = state_.health().EjectedServers(now);
+  message.part_evidence = state_.poison_parts().Evidence(now);
   message.usage_sealed_through = state_.usage_delivery().sealed_through();
   return message;
 }
@@ -38,6 +39,7 @@
   for (const RelayedHeartbeat& heartbeat : message.heartbeats)
     state_.members().RecordRelayedHeartbeat(heartbeat, now);
   state_.health().SetRemoteEjections(message.instance, message.ejected, now);
+  state_.poison_parts().Merge(message.part_evidence, now);
   if (message.loads)
     state_.loads().SetRemoteLoads(message.instance, std::move(*message.loads));
   if (!message.usage_update)
--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -9,6 +9,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t kPartEvidenceIndex = 13;
+
 // Encoded as arrays without field names: messages are frequent, and traffic
 // between zones is charged by the byte.
 Json EncodeTables(const GossipMessage& message) {
@@ -77,6 +79,25 @@
           receipt->complete_through.value()};
 }
 
+// For each part: its id, the age of the last served request or null, and pairs
+// of server and age as one flat array.
+Json EncodePartEvidence(const GossipMessage& message) {
+  Json evidence = Json::array();
+  for (const PartEvidence& part : message.part_evidence) {
+    Json crashes = Json::array();
+    for (const PartEvidence::Crash& crash : part.crashes) {
+      crashes.push_back(crash.server.value());
+      crashes.push_back(crash.age.count());
+    }
+    Json served_age = nullptr;
+    if (part.served_age)
+      served_age = part.served_age->count();
+    evidence.push_back(
+        {part.part.value(), std::move(served_age), std::move(crashes)});
+  }
+  return evidence;
+}
+
 Millis MillisOf(const Json& value) {
   return Millis(value.get<Millis::rep>());
 }
@@ -136,6 +157,22 @@
                       WindowNumber(receipt.at(2).get<std::int64_t>())};
 }
 
+std::vector<PartEvidence> DecodePartEvidence(const Json& evidence) {
+  std::vector<PartEvidence> decoded;
+  for (const Json& part : evidence) {
+    decoded.push_back(
+        {PromptPartId(part.at(0).get<std::uint64_t>()), {}, std::nullopt});
+    if (!part.at(1).is_null())
+      decoded.back().served_age = MillisOf(part.at(1));
+    const Json& crashes = part.at(2);
+    for (std::size_t i = 0; i < crashes.size(); i += 2)
+      decoded.back().crashes.push_back(
+          {BackendId(crashes.at(i).get<std::string>()),
+           MillisOf(crashes.at(i + 1))});
+  }
+  return decoded;
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> EncodeGossipMessage(const GossipMessage& message) {
@@ -149,7 +186,8 @@
        EncodeHolder(message.holder_statement), EncodeLoads(message),
        EncodeEjected(message), EncodeUsage(message),
        message.usage_sealed_through.value(),
-       EncodeReceipt(message.usage_receipt), EncodeHeartbeats(message)}));
+       EncodeReceipt(message.usage_receipt), EncodeHeartbeats(message),
+       EncodePartEvidence(message)}));
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::uint8_t* data,
@@ -178,6 +216,9 @@
     for (std::size_t i = 0; i < heartbeats.size(); i += 2)
       message.heartbeats.push_back({heartbeats.at(i).get<std::uint32_t>(),
                                     MillisOf(heartbeats.at(i + 1))});
+    // Absent in messages of earlier versions, which may run during an upgrade.
+    if (json.size() > kPartEvidenceIndex)
+      message.part_evidence = DecodePartEvidence(json.at(kPartEvidenceIndex));
     return message;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/replication/gossip_message.h
+++ b/src/gateway/replication/gossip_message.h
@@ -11,6 +11,7 @@
 #include "gateway/duties/usage_delivery.h"
 #include "gateway/membership/member_registry.h"
 #include "gateway/placement/backend_loads.h"
+#include "gateway/placement/poison_part_detector.h"
 #include "gateway/placement/server_health.h"
 #include "gateway/replication/replica_status.h"
 
@@ -55,6 +56,8 @@
   std::optional<std::map<BackendId, BackendLoad>> loads;
   // Backend servers that the sender has ejected.
   std::vector<EjectedServer> ejected;
+  // Crashes of engines and the parts of prompts that they may be due to.
+  std::vector<PartEvidence> part_evidence;
   // Heartbeats of other instances that the sender received lately; empty in
   // fleets in which a round reaches all instances.
   std::vector<RelayedHeartbeat> heartbeats;
--- a/tests/entry_fixture/backend_standin.cc
+++ b/tests/entry_fixture/backend_standin.cc
@@ -9,6 +9,7 @@
 using standin::HttpRequest;
 
 constexpr std::int64_t kPollMs = 5;
+constexpr std::int64_t kPrefillMs = 50;
 constexpr int kServiceUnavailable = 503;
 constexpr int kMisdirected = 421;
 constexpr int kEventsBeforeCut = 2;
@@ -20,6 +21,11 @@
 
 }  // namespace
 
+bool HasPoisonPart(const HttpRequest& request) {
+  return request.header("X-Bamboomount-Prompt-Prefix").find(kPoisonPart) !=
+         std::string::npos;
+}
+
 BackendStandin::BackendStandin(std::string id)
     : id_(std::move(id)), server_([this](standin::Exchange& exchange) {
         return Handle(exchange);
@@ -99,6 +105,11 @@
     }
     co_await exchange.Wait(kPollMs);
   }
+  if (mode_ == BackendMode::kCrashOnPoisonPart && HasPoisonPart(request)) {
+    co_await exchange.Wait(kPrefillMs);
+    exchange.Close(true);
+    co_return;
+  }
   standin::Faults faults;
   switch (mode_) {
     case BackendMode::kLoseReply:
@@ -138,7 +149,7 @@
   constexpr std::int64_t kPauseMs = 50;
   std::string head = "HTTP/1.1 200 OK\r\n";
   for (const auto& [name, value] : reply.headers)
-    head += name + ": " + value + "\r\n";
+    head.append(name).append(": ").append(value).append("\r\n");
   const bool is_stream = exchange.request().path().ends_with("stream");
   if (is_stream)
     head += "Content-Type: text/event-stream\r\n";
--- a/tests/entry_fixture/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -36,6 +36,9 @@
   kUntilCloseInEvent,
   // The same, but the connection is reset in the middle of the reply.
   kUntilReset,
+  // Closes the connection without a reply, as a crash does, if the prompt
+  // contains kPoisonPart; answers other requests.
+  kCrashOnPoisonPart,
   // Answers 421, as a server does that has taken over the address.
   kWrongServer,
 };
@@ -43,6 +46,12 @@
 // For how long a server in mode kRefuseWithRetryAfter asks for no requests.
 inline constexpr std::chrono::milliseconds kRetryAfter{1500};
 
+// Hexadecimal id of a part of prompts.
+inline constexpr char kPoisonPart[] = "dead";
+
+// Whether the part is in the prompt of the request.
+bool HasPoisonPart(const standin::HttpRequest& request);
+
 // A request that reached a stand-in.
 struct Arrival {
   standin::HttpRequest request;
--- a/tests/gateway/gossip_message_test.cc
+++ b/tests/gateway/gossip_message_test.cc
@@ -24,6 +24,11 @@
                             {WindowNumber(7), {{CustomerId("kennel"), 5}}}}},
                           true};
   message.usage_sealed_through = WindowNumber(5);
+  message.part_evidence = {
+      {PromptPartId(0xffff'ffff'ffff'fff1),
+       {{BackendId("e"), Millis(30)}, {BackendId("f"), Millis(20)}},
+       std::nullopt},
+      {PromptPartId(2), {}, Millis(40)}};
   message.heartbeats = {{0xffff'fff0, Millis(150)}, {1, Millis(0)}};
   message.usage_receipt =
       UsageReceipt{Incarnation("b-1"), FencingToken(9), WindowNumber(6)};
@@ -67,6 +72,14 @@
   BOOST_TEST((update.usage.windows == message.usage_update->usage.windows));
   BOOST_TEST(update.needs_receipt);
   BOOST_TEST(read.value().usage_sealed_through == WindowNumber(5));
+  BOOST_REQUIRE(read.value().part_evidence.size() == 2U);
+  const PartEvidence& suspected = read.value().part_evidence.front();
+  BOOST_TEST((suspected.part == PromptPartId(0xffff'ffff'ffff'fff1)));
+  BOOST_REQUIRE(suspected.crashes.size() == 2U);
+  BOOST_TEST(suspected.crashes.back().server == BackendId("f"));
+  BOOST_TEST(suspected.crashes.back().age.count() == 20);
+  BOOST_TEST(!suspected.served_age);
+  BOOST_TEST(read.value().part_evidence.back().served_age->count() == 40);
   BOOST_REQUIRE(read.value().heartbeats.size() == 2U);
   BOOST_TEST(read.value().heartbeats.front().instance_hash == 0xffff'fff0);
   BOOST_TEST(read.value().heartbeats.front().age.count() == 150);
--- a/tests/gateway/placement_fixture.h
+++ b/tests/gateway/placement_fixture.h
@@ -38,14 +38,16 @@
 inline PromptShape Prompt(std::uint64_t prefix_id, std::uint64_t unshared_id) {
   return {Tokens(9000),
           Tokens(50),
-          {{1, Tokens(2500)},
-           {prefix_id, Tokens(3800)},
-           {unshared_id, Tokens(2700)}}};
+          {{PromptPartId(1), Tokens(2500)},
+           {PromptPartId(prefix_id), Tokens(3800)},
+           {PromptPartId(unshared_id), Tokens(2700)}}};
 }
 
 // A short prompt with a long answer.
 inline PromptShape Conversation() {
-  return {Tokens(700), Tokens(280), {{2, Tokens(170)}, {3, Tokens(530)}}};
+  return {Tokens(700),
+          Tokens(280),
+          {{PromptPartId(2), Tokens(170)}, {PromptPartId(3), Tokens(530)}}};
 }
 
 }  // namespace bamboomount
