Admit no more requests to engines whose slots conversations hold

Cause: an engine was taken to admit urgent requests up to twice its slots, because engines serve them first. A conversation, however, keeps its slot for seconds. Conversations go to the reserved engines, and there they queued behind each other. Class of fault: a bound that holds only if the work in front is short. Ruled out by trials: a limit for each priority, a start limit, pauses as a signal of overload, admission by a request's own tokens. Change: an engine of whose slots conversations hold four fifths admits no more requests of any kind. Test: an_engine_full_of_conversations_admits_no_more, two checks failed before the change; gateway passes.

--- a/src/gateway/placement/engine_admission.cc
+++ b/src/gateway/placement/engine_admission.cc
@@ -17,6 +17,10 @@
 // requests before the waiting ones.
 constexpr double kMaxUrgentRequestsPerSlot = 2;
 
+// Conversations per slot from which on an engine admits no more requests. They
+// keep their slots for seconds, so that even urgent requests would wait.
+constexpr double kMaxLongAnswersPerSlot = 0.8;
+
 }  // namespace
 
 bool EngineAdmission::Admits(const BackendServer& server,
@@ -35,7 +39,8 @@
   const BackendLoad load = loads_.Total(server.id);
   const double max_requests_per_slot =
       request.urgent ? kMaxUrgentRequestsPerSlot : kMaxRequestsPerSlot;
-  if (load.requests >= server.slots * max_requests_per_slot)
+  if (load.requests >= server.slots * max_requests_per_slot ||
+      load.long_answers >= server.slots * kMaxLongAnswersPerSlot)
     return false;
   const Tokens tokens_ahead(request.urgent ? load.urgent_prefill_tokens
                                            : load.pending_prefill_tokens);
--- a/tests/gateway/engine_admission_test.cc
+++ b/tests/gateway/engine_admission_test.cc
@@ -58,6 +58,21 @@
   BOOST_TEST(!admission.Admits(engine, kUrgent));
 }
 
+// Guards against urgent requests that get nothing before their callers leave,
+// because conversations hold all slots of the engine for seconds.
+BOOST_AUTO_TEST_CASE(an_engine_full_of_conversations_admits_no_more) {
+  const RequestLoad conversation{Tokens(500), true, true};
+  for (int i = 0; i < engine.slots; ++i) {
+    loads.AddRequest(engine.id, conversation);
+    loads.RecordFirstToken(engine.id, conversation);
+  }
+  BOOST_TEST(!admission.Admits(engine, kUrgent));
+  BOOST_TEST(!admission.AdmitsLate(engine, kUrgent));
+  for (int i = 0; i < engine.slots / 2; ++i)
+    loads.EndRequest(engine.id, conversation, true);
+  BOOST_TEST(admission.Admits(engine, kUrgent));
+}
+
 // Guards against a higher tier that is shed while a lower one is served, in a
 // burst of urgent requests.
 BOOST_AUTO_TEST_CASE(
