Move the log lines of a request out of Exchange

The gossip exchange copied the sender of a datagram with a reason that is wrong: the next datagram is read after the handler returns. Change: request_log.h has one typed record and one function for each line. No field of a line changes. The copy is gone.

--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -7,6 +7,7 @@
 #include "gateway/admission_rules.h"
 #include "gateway/events.h"
 #include "gateway/forwarding/hop_by_hop_headers.h"
+#include "gateway/forwarding/request_log.h"
 #include "telemetry/log.h"
 
 namespace bamboomount {
@@ -180,20 +181,11 @@
       IsUrgent() ? state.loads().Total(server.id).urgent_prefill_tokens
                  : state.loads().Total(server.id).pending_prefill_tokens);
   state.selector().RecordPrefixSent(server, head_.prompt, now);
-  Log(gateway_events::kRequestPlaced,
-      {{"request", head_.id.value()},
-       {"route", admitted_.route->name},
-       {"customer", admitted_.customer.value()},
-       {"urgency", std::to_string(admitted_.urgency.value())},
-       {"backend", server.id.value()},
-       {"load", std::to_string(state.loads().Total(server.id).requests)},
-       {"unread_tokens", std::to_string(load_.prefill_tokens.value())},
-       {"subject", std::to_string(head_.prompt.SharedPrefixId())},
-       {"copy_from", prefix.copy_from ? prefix.copy_from->id.value() : ""},
-       {"config", std::to_string(admitted_.policy->version().value())},
-       {"config_age_ms",
-        std::to_string(
-            state.freshness().Age(now).value_or(Millis(-1)).count())}});
+  LogPlaced(
+      head_, admitted_,
+      {server.id, state.loads().Total(server.id).requests, load_.prefill_tokens,
+       prefix.copy_from ? prefix.copy_from->id : BackendId(),
+       state.freshness().Age(now)});
   attempt_ = std::make_shared<BackendAttempt>(
       dispatcher_.environment(), server,
       BackendAttempt::Options{head_.id,
@@ -478,10 +470,7 @@
     ++history_.failed_connects;
     dispatcher_.state().health().RecordFailure(server, failure,
                                                BootClock::now());
-    Log(gateway_events::kAttemptFailed, {{"request", head_.id.value()},
-                                         {"backend", server.value()},
-                                         {"cause", "no connection"},
-                                         {"ran", "no"}});
+    LogAttemptFailed(head_.id, server, {"no connection", "no", std::nullopt});
   }
   tried_.push_back(server);
   if (!TryAnotherServer())
@@ -507,12 +496,9 @@
   if (!stale_connection)
     dispatcher_.state().health().RecordFailure(server,
                                                ServerFailure::kNoResponse, now);
-  Log(gateway_events::kAttemptFailed,
-      {{"request", head_.id.value()},
-       {"backend", server.value()},
-       {"cause", "no complete, sealed response"},
-       {"ran", "unknown"},
-       {"status", std::to_string(reply_head_.status)}});
+  LogAttemptFailed(
+      head_.id, server,
+      {"no complete, sealed response", "unknown", reply_head_.status});
   framer_.DropPartialEvent();
   if (!TryAnotherServer())
     FailWithoutResponse("no complete, sealed response from the backend server");
@@ -526,12 +512,7 @@
   if (reply_head_.status == kMisdirected)
     dispatcher_.state().health().RecordFailure(server, ServerFailure::kReplaced,
                                                BootClock::now());
-  Log(gateway_events::kAttemptFailed,
-      {{"request", head_.id.value()},
-       {"backend", server.value()},
-       {"cause", "refused"},
-       {"ran", "no"},
-       {"status", std::to_string(reply_head_.status)}});
+  LogAttemptFailed(head_.id, server, {"refused", "no", reply_head_.status});
   if (!TryAnotherServer())
     FailWithoutResponse(
         "all backend servers that were tried refused the request");
@@ -624,10 +605,7 @@
   tried_.push_back(server);
   dispatcher_.state().health().RecordFailure(server, ServerFailure::kNoResponse,
                                              BootClock::now());
-  Log(gateway_events::kAttemptFailed, {{"request", head_.id.value()},
-                                       {"backend", server.value()},
-                                       {"cause", "silence"},
-                                       {"ran", "unknown"}});
+  LogAttemptFailed(head_.id, server, {"silence", "unknown", std::nullopt});
   SelectBackend();
 }
 
@@ -660,13 +638,8 @@
 
 void Exchange::Refuse(http::status status, std::string_view reason) {
   http::response<http::string_body> response(status, kHttp11);
-  Log(gateway_events::kRequestRefused,
-      {{"request", head_.id.value()},
-       {"route", admitted_.route ? admitted_.route->name : ""},
-       {"status", std::to_string(response.result_int())},
-       {"reason", std::string(reason)},
-       {"runs", std::to_string(history_.possible_runs)},
-       {"refusals", std::to_string(history_.refusals)}});
+  LogRefused(head_.id, RouteName(),
+             {response.result_int(), reason, history_, std::nullopt});
   EndRequest("refused");
   reply_->Send(std::move(response));
 }
@@ -683,13 +656,8 @@
   http::response<http::string_body> response(http::status::service_unavailable,
                                              kHttp11);
   response.set(http::field::retry_after, FormatSeconds(retry_after));
-  Log(gateway_events::kRequestRefused,
-      {{"request", head_.id.value()},
-       {"route", admitted_.route ? admitted_.route->name : ""},
-       {"status", "503"},
-       {"reason", std::string(reason)},
-       {"retry_after_ms", std::to_string(retry_after.count())},
-       {"refusals", std::to_string(history_.refusals)}});
+  LogRefused(head_.id, RouteName(),
+             {response.result_int(), reason, history_, retry_after});
   EndRequest("refused");
   reply_->Send(std::move(response));
 }
@@ -702,18 +670,15 @@
   reply_->SetCallerGoneHandler(nullptr);
   dispatcher_.metrics().Increment(
       "bamboomount_requests_total",
-      {{"route", admitted_.route ? admitted_.route->name : ""},
-       {"outcome", std::string(outcome)}});
+      {{"route", RouteName()}, {"outcome", std::string(outcome)}});
   if (outcome != "refused")
-    Log(gateway_events::kRequestEnded,
-        {{"request", head_.id.value()},
-         {"outcome", std::string(outcome)},
-         {"status", std::to_string(reply_head_.status)},
-         {"first_ms", std::to_string(time_to_first_bytes_.count())},
-         {"longest_pause_ms", std::to_string(longest_pause_.count())},
-         {"took_ms",
-          std::to_string(
-              ToMillis(BootClock::now() - request_.received).count())}});
+    LogEnded(head_.id,
+             {outcome, reply_head_.status, time_to_first_bytes_, longest_pause_,
+              ToMillis(BootClock::now() - request_.received)});
+}
+
+std::string Exchange::RouteName() const {
+  return admitted_.route ? admitted_.route->name : "";
 }
 
 Millis Exchange::TimeLeft(Instant now) const {
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -97,6 +97,8 @@
   void RefuseTemporarily(std::string_view reason);
   void RefuseTemporarily(std::string_view reason, Millis retry_after);
   void EndRequest(std::string_view outcome);
+  // Empty if no route was found.
+  std::string RouteName() const;
   Millis TimeLeft(Instant now) const;
 
   Dispatcher& dispatcher_;
--- a/src/gateway/replication/gossip_exchange.cc
+++ b/src/gateway/replication/gossip_exchange.cc
@@ -81,11 +81,9 @@
   peer = {message.value().sequence, now};
   state_.members().RecordHeartbeat(instance, message.value().member_status,
                                    now);
-  // A further datagram may replace sender_ before the receipt is sent.
-  const udp::endpoint sender = sender_;
   const auto receipt = handler_.OnMessage(std::move(message.value()), *member);
   if (receipt)
-    SendReceipt(*receipt, sender);
+    SendReceipt(*receipt, sender_);
 }
 
 void GossipExchange::SendRounds() {
