Report when a suspected part was last served, however long ago

Cause: the report left out a time that was still remembered, by a limit without a reason. Change: the time is reported as long as it is remembered.

--- a/src/gateway/placement/poison_part_detector.cc
+++ b/src/gateway/placement/poison_part_detector.cc
@@ -207,7 +207,7 @@
     for (const Crash& crash : record->crashes)
       evidence.back().crashes.push_back(
           {crash.server, ToMillis(now - crash.at)});
-    if (record->served_at && now - *record->served_at < 2 * kServedPeriod)
+    if (record->served_at)
       evidence.back().served_age = ToMillis(now - *record->served_at);
   }
   return evidence;
--- a/src/gateway/placement/poison_part_detector.h
+++ b/src/gateway/placement/poison_part_detector.h
@@ -23,8 +23,8 @@
   PromptPartId part;
   // Crashes that no served request contradicts, oldest first.
   std::vector<Crash> crashes;
-  // Time since a request with the part was last served; empty if none was
-  // lately.
+  // Time since a request with the part was last served; empty if none was, as
+  // far as is remembered.
   std::optional<Millis> served_age;
 };
 
