--- a/tests/gateway/concurrency_limit_test.cc
+++ b/tests/gateway/concurrency_limit_test.cc
@@ -51,7 +51,7 @@
 // Guards against urgent requests that are refused while less urgent ones hold
 // the room, after a burst of the latter was sent.
 BOOST_AUTO_TEST_CASE(late_answers_take_room_from_the_least_urgent_requests) {
-  for (int second = 1; second < 60; ++second)
+  for (std::int64_t second = 1; second < 60; ++second)
     Record(second % 2 == 0 ? kUrgent : kLeastUrgent, kLate, second * 1000);
   BOOST_TEST(!HasRoom(kLeastUrgent));
   BOOST_TEST(HasRoom(kUrgent));
@@ -59,7 +59,7 @@
 
 // Guards against a queue of urgent requests that grows until all callers leave.
 BOOST_AUTO_TEST_CASE(urgent_answers_that_are_much_too_late_limit_themselves) {
-  for (int round = 1; round < 60; ++round)
+  for (std::int64_t round = 1; round < 60; ++round)
     Record(kUrgent, kMuchTooLate, round * 5000);
   BOOST_TEST(!HasRoom(kUrgent));
 }
