--- a/review/3/case.cc
+++ b/review/5/case.cc
@@ -67,5 +67,5 @@
 }  // namespace review
 
 int main() {
-  return review::RunCase("review/3/record.txt", review::Run);
+  return review::RunCase("review/5/record.txt", review::Run);
 }
--- a/review/support/kit.h
+++ b/review/support/kit.h
@@ -58,6 +58,15 @@
     const std::lock_guard lock(mutex_);
     processes_.insert(process);
   }
+  // Whether the process has ended by itself; `status` is as of waitpid.
+  bool HasEnded(pid_t process, int& status) {
+    const std::lock_guard lock(mutex_);
+    if (!processes_.contains(process) ||
+        waitpid(process, &status, WNOHANG) != process)
+      return false;
+    processes_.erase(process);
+    return true;
+  }
   void End(pid_t process) {
     const std::lock_guard lock(mutex_);
     if (processes_.erase(process) == 0)
@@ -235,6 +244,11 @@
     message.complete = true;
     return message;
   }
+  // Whether bytes or the end of the connection can be read.
+  bool HasInput() {
+    pollfd poll_fd{fd_, POLLIN, 0};
+    return !buffer_.empty() || poll(&poll_fd, 1, 0) > 0;
+  }
   // Whether the peer has closed the connection.
   bool PeerClosed() {
     char byte;
@@ -382,6 +396,9 @@
   return out;
 }
 
+// Time that the store takes for an answer, in seconds.
+constexpr double kStoreLatency = 0.004;
+
 // The platform's table store and its interface for duties. Loses nothing, and
 // answers every call in the order of the calls.
 class Store {
@@ -445,6 +462,7 @@
   }
   bool Handle(Connection& connection, const Message& request) {
     const std::string path = request.path();
+    Sleep(kStoreLatency);
     std::unique_lock lock(mutex_);
     int status = 200;
     Json body;
@@ -543,6 +561,8 @@
     return arrivals_;
   }
   void Stop() { server_.Stop(); }
+  // Leaves the arrivals out of the record.
+  void set_quiet() { quiet_ = true; }
 
   static std::vector<std::pair<std::string, std::string>> Headers(
       const Message& request) {
@@ -561,7 +581,8 @@
       const std::lock_guard lock(mutex_);
       arrivals_.push_back({Seconds(), request, runs});
     }
-    record_.Line("server " + id_ + (runs ? " runs " : " rejects ") + id +
+    if (!quiet_ || !runs)
+      record_.Line("server " + id_ + (runs ? " runs " : " rejects ") + id +
                  ": " + request.first_line + ", body " +
                  std::to_string(request.body.size()) + " bytes, tenant " +
                  request.header("x-bamboomount-tenant"));
@@ -577,6 +598,7 @@
   Record& record_;
   const std::string id_;
   const Answer answer_;
+  std::atomic<bool> quiet_ = false;
   std::mutex mutex_;
   std::vector<Arrival> arrivals_;
   Server server_;
@@ -600,17 +622,20 @@
           {"resume_streams", false}};
 }
 
-// A configuration with the routes /book/ (unsafe) and /lookup/ (safe).
+// A configuration with the routes /book/ and /upload/ (unsafe) and /lookup/
+// (safe).
 inline std::string Config() {
   Json lookup = Route("/lookup/", "safe", "app", 150, 4000);
   lookup["attempts"] = 2;
   return Json{{"version", 7},
-              {"routes", {Route("/book/", "unsafe", "app", 150, 4000), lookup}},
+              {"routes",
+               {Route("/book/", "unsafe", "app", 150, 4000),
+                Route("/upload/", "unsafe", "app", 1500, 30000), lookup}},
               {"services", {{{"name", "app"}, {"max_connections", 110}}}},
               {"limits",
                {{"max_header_bytes", 16384},
                 {"max_body_bytes", 4194304},
-                {"header_timeout_ms", 5000},
+                {"header_timeout_ms", 3000},
                 {"idle_timeout_ms", 15000}}},
               {"tenants",
                {{{"name", "carver"}, {"api_keys", {"key-carver"}}},
@@ -663,6 +688,45 @@
     record_.Line("kill " + name_);
     Children::Instance().End(process_);
   }
+  // Whether the process has ended by itself. Thread-safe.
+  bool HasEnded() {
+    if (!has_ended_ && Children::Instance().HasEnded(process_, end_status_))
+      has_ended_ = true;
+    return has_ended_;
+  }
+  // How it ended.
+  std::string DescribeEnd() const {
+    return WIFSIGNALED(end_status_)
+               ? "signal " + std::to_string(WTERMSIG(end_status_))
+               : "exit code " + std::to_string(WEXITSTATUS(end_status_));
+  }
+  // From now on the process gets `share` of a core as a quota: once it has used
+  // that much of a tenth of a second, it is stopped for the rest of it.
+  void LimitProcessor(double share) {
+    std::thread([this, share] {
+      constexpr double kWindow = 0.1;
+      constexpr double kCheck = 0.001;
+      double end = Seconds() + kWindow;
+      double used = UsedProcessorTime();
+      bool stopped = false;
+      while (!HasEnded()) {
+        const double now = Seconds();
+        if (now >= end) {
+          if (stopped)
+            kill(process_, SIGCONT);
+          stopped = false;
+          end = now + kWindow;
+          used = UsedProcessorTime();
+        } else if (!stopped && UsedProcessorTime() - used >= share * kWindow) {
+          kill(process_, SIGSTOP);
+          stopped = true;
+          ++quota_stops_;
+        }
+        Sleep(kCheck);
+      }
+    }).detach();
+  }
+  int quota_stops() const { return quota_stops_; }
   // Log lines so far. Thread-safe.
   std::vector<std::string> log() {
     const std::lock_guard lock(mutex_);
@@ -715,6 +779,13 @@
     }
     record_.Line("instance " + name_ + " listens on " + address_);
   }
+  // Time on a processor so far, in seconds.
+  double UsedProcessorTime() const {
+    std::ifstream file("/proc/" + std::to_string(process_) + "/schedstat");
+    double nanoseconds = 0;
+    file >> nanoseconds;
+    return nanoseconds / 1e9;
+  }
   void ReadLog(int fd) {
     std::string buffer;
     char chunk[4096];
@@ -738,6 +809,9 @@
   std::string address_;
   std::string readiness_address_;
   std::mutex mutex_;
+  std::atomic<bool> has_ended_ = false;
+  std::atomic<int> quota_stops_ = 0;
+  int end_status_ = 0;
   std::vector<std::string> log_;
 };
 
