--- a/review/2/case.cc
+++ b/review/2/case.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <random>
 
-#include "../support/kit.h"
+#include "../support/kit.hpp"
 
 namespace review {
 namespace {
--- a/review/5/case.cc
+++ b/review/5/case.cpp
@@ -1,6 +1,6 @@
 // A server works on bookings and then fails some of them with a plain 503,
 // without the header that says that the request was not executed.
-#include "../support/kit.h"
+#include "../support/kit.hpp"
 
 namespace review {
 namespace {
