--- a/review/support/kit.hpp
+++ b/review/support/kit.hpp
@@ -650,13 +650,14 @@
   Entry(Record& record,
         const std::string& name,
         const std::string& folder,
-        const std::string& store_address)
+        const std::string& store_address,
+        int memory_mb = 260)
       : record_(record), name_(name), settings_(folder + "/" + name + ".json") {
     const Json settings{{"instance", name},
                         {"zone", "zone-a"},
                         {"region", "region-1"},
                         {"capacity", 0.25},
-                        {"memory_mb", 260},
+                        {"memory_mb", memory_mb},
                         {"caller_address", "127.0.0.1:0"},
                         {"readiness_address", "127.0.0.1:0"},
                         {"directory_address", "127.0.0.1:0"},
@@ -727,6 +728,24 @@
       }
     }).detach();
   }
+  // From now on the process is killed when it holds more memory than `mb`.
+  void LimitMemory(int mb) {
+    std::thread([this, mb] {
+      while (!HasEnded()) {
+        const double held = HeldMemory();
+        peak_mb_ = std::max(peak_mb_.load(), held);
+        if (held > mb && !killed_) {
+          killed_ = true;
+          record_.Line("the platform kills " + name_ + ", which holds " +
+                       std::to_string(static_cast<int>(held)) + " MB of " +
+                       std::to_string(mb));
+          kill(process_, SIGKILL);
+        }
+        Sleep(0.02);
+      }
+    }).detach();
+  }
+  int peak_mb() const { return static_cast<int>(peak_mb_); }
   int quota_stops() const { return quota_stops_; }
   // Log lines so far. Thread-safe.
   std::vector<std::string> log() {
@@ -787,6 +806,13 @@
     file >> nanoseconds;
     return nanoseconds / 1e9;
   }
+  // Resident memory in MB of 2^20 bytes.
+  double HeldMemory() const {
+    std::ifstream file("/proc/" + std::to_string(process_) + "/statm");
+    double pages = 0;
+    file >> pages >> pages;
+    return pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1048576;
+  }
   void ReadLog(int fd) {
     std::string buffer;
     char chunk[4096];
@@ -812,6 +838,8 @@
   std::mutex mutex_;
   std::atomic<bool> has_ended_ = false;
   std::atomic<int> quota_stops_ = 0;
+  std::atomic<double> peak_mb_ = 0;
+  std::atomic<bool> killed_ = false;
   int end_status_ = 0;
   std::vector<std::string> log_;
 };
