--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr int kInstances = 5;
-// Steps of a round. The first instance is frozen for 2.2 s, the second one for
+// Steps of a round. The first instance is frozen for 1.5 s, the second one for
 // 1.2 s.
-constexpr double kUntilServerComes = 1;
+constexpr double kUntilServerComes = 0.3;
 constexpr double kUntilSecondFreeze = 0.3;
 constexpr double kUntilServerLeaves = 0.7;
 constexpr double kUntilFirstWakes = 0.2;
