--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -10,7 +10,8 @@
 namespace review {
 namespace {
 
-constexpr int kInstances = 5;
+// As many as the small deployment has.
+constexpr int kInstances = 9;
 // Steps of a round. The first instance is frozen for 1.5 s, the second one for
 // 1.2 s.
 constexpr double kUntilServerComes = 0.3;
--- a/review/support/kit.hpp
+++ b/review/support/kit.hpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -702,32 +703,6 @@
                ? "signal " + std::to_string(WTERMSIG(end_status_))
                : "exit code " + std::to_string(WEXITSTATUS(end_status_));
   }
-  // From now on the process gets `share` of a core as a quota: once it has used
-  // that much of a tenth of a second, it is stopped for the rest of it.
-  void LimitProcessor(double share) {
-    std::thread([this, share] {
-      constexpr double kWindow = 0.1;
-      constexpr double kCheck = 0.001;
-      double end = Seconds() + kWindow;
-      double used = UsedProcessorTime();
-      bool stopped = false;
-      while (!HasEnded()) {
-        const double now = Seconds();
-        if (now >= end) {
-          if (stopped)
-            kill(process_, SIGCONT);
-          stopped = false;
-          end = now + kWindow;
-          used = UsedProcessorTime();
-        } else if (!stopped && UsedProcessorTime() - used >= share * kWindow) {
-          kill(process_, SIGSTOP);
-          stopped = true;
-          ++quota_stops_;
-        }
-        Sleep(kCheck);
-      }
-    }).detach();
-  }
   // From now on the process is killed when it holds more memory than `mb`.
   void LimitMemory(int mb) {
     std::thread([this, mb] {
@@ -746,7 +721,6 @@
     }).detach();
   }
   int peak_mb() const { return static_cast<int>(peak_mb_); }
-  int quota_stops() const { return quota_stops_; }
   // Log lines so far. Thread-safe.
   std::vector<std::string> log() {
     const std::lock_guard lock(mutex_);
@@ -775,6 +749,8 @@
       throw std::runtime_error("pipe");
     process_ = fork();
     if (process_ == 0) {
+      // Ends with the script, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       dup2(output[1], 1);
       for (int fd = 3; fd < 1024; ++fd)
         ::close(fd);
@@ -799,13 +775,6 @@
     }
     record_.Line("instance " + name_ + " listens on " + address_);
   }
-  // Time on a processor so far, in seconds.
-  double UsedProcessorTime() const {
-    std::ifstream file("/proc/" + std::to_string(process_) + "/schedstat");
-    double nanoseconds = 0;
-    file >> nanoseconds;
-    return nanoseconds / 1e9;
-  }
   // Resident memory in MB of 2^20 bytes.
   double HeldMemory() const {
     std::ifstream file("/proc/" + std::to_string(process_) + "/statm");
@@ -837,7 +806,6 @@
   std::string readiness_address_;
   std::mutex mutex_;
   std::atomic<bool> has_ended_ = false;
-  std::atomic<int> quota_stops_ = 0;
   std::atomic<double> peak_mb_ = 0;
   std::atomic<bool> killed_ = false;
   int end_status_ = 0;
