Do not take equal digests for proof of the changes

Cause: an instance that hears of a replica with its own digest took over its position, although it had not seen the row that came and went in between. It still reported its old revision with the new position, so that a peer which had the row moved its position past the removal and then dropped the removal as old. Change: TableReplica::AdvanceTo joins the check and the step. After an advance by digest, removals up to the peer's revision count as unknown, so that the replica reports that revision and gives its whole table to a peer with an older position.

--- a/src/gateway/replication/replica_status.h
+++ b/src/gateway/replication/replica_status.h
@@ -9,7 +9,7 @@
 
 // How far an instance has replicated a table of the store.
 struct ReplicaStatus {
-  // Version of the newest change to the table that the instance has.
+  // The table has no change after this version up to the position.
   RowVersion revision;
   // The instance has all changes up to this version. The store assigns one
   // version to each transaction across all tables, so the position may be ahead
--- a/src/gateway/replication/table_follower.cc
+++ b/src/gateway/replication/table_follower.cc
@@ -148,8 +148,7 @@
                                  const PeerFetch& fetch) {
   if (stopped_ || !replica_.is_loaded())
     return;
-  if (replica_.Covers(status)) {
-    replica_.AdvancePosition(status.position);
+  if (replica_.AdvanceTo(status)) {
     confirmed_ = std::max(confirmed_, status.confirmed);
     observer_.OnConfirmedByPeer(status.confirmed);
     return;
--- a/src/gateway/replication/table_replica.cc
+++ b/src/gateway/replication/table_replica.cc
@@ -35,6 +35,20 @@
   return applied;
 }
 
+bool TableReplica::AdvanceTo(const ReplicaStatus& status) {
+  if (!is_loaded_)
+    return false;
+  const bool has_newest_change = status.revision <= position_;
+  if (!has_newest_change && status.digest != digest_)
+    return false;
+  // Equal rows do not show which of them were added and removed in between, so
+  // the changes since this position cannot be given to a peer.
+  if (!has_newest_change)
+    history_start_ = std::max(history_start_, status.revision);
+  AdvancePosition(status.position);
+  return true;
+}
+
 void TableReplica::AdvancePosition(RowVersion position) {
   position_ = std::max(position_, position);
 }
--- a/src/gateway/replication/table_replica.h
+++ b/src/gateway/replication/table_replica.h
@@ -27,31 +27,28 @@
   // that are new here.
   std::vector<TableRow> Apply(const std::vector<TableRow>& changes,
                               RowVersion position);
-  // There are no further changes up to `position`. Never moves the position
-  // back.
-  void AdvancePosition(RowVersion position);
+  // Advances to the position of an instance with `status` if that proves that
+  // this replica has the same rows: it has the newest change to them, or rows
+  // of equal digest. Returns false if changes may be missing.
+  bool AdvanceTo(const ReplicaStatus& status);
 
   // False before the first Reset().
   bool is_loaded() const { return is_loaded_; }
-  // Version of the last known change. At least the position of the last
-  // Reset(): a snapshot does not show removals before it.
+  // No change up to the position is newer than this. The version of the last
+  // known change, or a later one up to which removals may be missing.
   RowVersion revision() const;
   RowVersion position() const { return position_; }
   // Digest of the keys and versions of all rows. Does not depend on their
   // order.
   std::uint64_t digest() const { return digest_; }
-  // Whether this replica has every change that an instance with `status` has.
-  bool Covers(const ReplicaStatus& status) const {
-    return is_loaded_ &&
-           (status.revision <= position_ || status.digest == digest_);
-  }
-
   std::vector<TableRow> Rows() const;
   // Changes after `position` by ascending version, removals included; empty if
   // some removals since then are no longer kept or nothing is loaded.
   std::optional<std::vector<TableRow>> ChangesSince(RowVersion position) const;
 
  private:
+  // Never moves the position back.
+  void AdvancePosition(RowVersion position);
   void Put(const TableRow& row);
   // Adds the row to the digest, or removes it if it is included.
   void ToggleInDigest(const TableRow& row);
--- a/tests/gateway/table_replica_test.cc
+++ b/tests/gateway/table_replica_test.cc
@@ -3,67 +3,15 @@
 #include <rapidcheck/boost_test.h>
 
 #include <boost/test/unit_test.hpp>
-#include <map>
 #include <vector>
 
+#include "gateway/versioned_table.h"
+
 namespace bamboomount {
 namespace {
 
-using Content = std::map<std::string, std::uint64_t>;
-
-// A table of the store with its history of versions.
-class VersionedTable {
- public:
-  void Write(const std::string& key, bool removed) {
-    ++version_;
-    history_.push_back({"t", key, "", RowVersion(version_), removed});
-  }
-  // A transaction on another table.
-  void AdvanceVersion() { ++version_; }
-
-  RowVersion position() const { return RowVersion(version_); }
-  // The last change of each key after `after`, as the store returns them.
-  std::vector<TableRow> Changes(RowVersion after) const {
-    std::map<std::string, TableRow> last;
-    for (const TableRow& row : history_) {
-      if (row.version > after)
-        last.insert_or_assign(row.key, row);
-    }
-    std::vector<TableRow> changes;
-    changes.reserve(last.size());
-    for (const auto& [key, row] : last)
-      changes.push_back(row);
-    return changes;
-  }
-  std::vector<TableRow> Rows() const {
-    std::vector<TableRow> rows;
-    for (const TableRow& row : Changes(RowVersion())) {
-      if (!row.deleted)
-        rows.push_back(row);
-    }
-    return rows;
-  }
-  // The rows as of `position`.
-  Content ContentAt(RowVersion position) const {
-    Content content;
-    for (const TableRow& row : history_) {
-      if (row.version > position)
-        break;
-      if (row.deleted)
-        content.erase(row.key);
-      else
-        content[row.key] = row.version.value();
-    }
-    return content;
-  }
-
- private:
-  std::vector<TableRow> history_;
-  std::uint64_t version_ = 0;
-};
-
-Content ContentOf(const TableReplica& replica) {
-  Content content;
+TableContent ContentOf(const TableReplica& replica) {
+  TableContent content;
   for (const TableRow& row : replica.Rows())
     content[row.key] = row.version.value();
   return content;
@@ -81,11 +29,8 @@
 void SyncPeer(const TableReplica& source, TableReplica& target) {
   if (!source.is_loaded() || !target.is_loaded())
     return;
-  const ReplicaStatus status = StatusOf(source);
-  if (target.Covers(status)) {
-    target.AdvancePosition(status.position);
+  if (target.AdvanceTo(StatusOf(source)))
     return;
-  }
   if (const auto changes = source.ChangesSince(target.position()))
     target.Apply(*changes, source.position());
   else if (source.position() >= target.position())
@@ -167,6 +112,29 @@
              TableReplica::kMaxTombstones + 10 - 500);
 }
 
+// Guards against a replica that reports itself complete by a digest: it missed
+// that a row came and went, and a peer that missed only the removal believed
+// that nothing had changed.
+BOOST_AUTO_TEST_CASE(equal_digests_do_not_hide_a_removal_from_others) {
+  VersionedTable table;
+  table.Write("a", false);
+  TableReplica current;
+  TableReplica missed_both;
+  TableReplica missed_removal;
+  for (TableReplica* replica : {&current, &missed_both, &missed_removal})
+    replica->Reset(table.Rows(), table.position());
+  table.Write("b", false);
+  missed_removal.Apply(table.Changes(missed_removal.position()),
+                       table.position());
+  table.Write("b", true);
+  current.Apply(table.Changes(current.position()), table.position());
+  SyncPeer(current, missed_both);
+  BOOST_TEST((missed_both.position() == table.position()));
+  SyncPeer(missed_both, missed_removal);
+  BOOST_TEST((ContentOf(missed_removal) ==
+              table.ContentAt(missed_removal.position())));
+}
+
 // Guards against digest collisions of similar rows: the hashes of "i-2" at
 // version 5 and "i-3" at version 6 cancelled each other, so that an instance
 // without these two rows took its replica for complete and never fetched them.
