--- a/tests/platform/row_decoder_test.cc
+++ b/tests/platform/row_decoder_test.cc
@@ -67,6 +67,32 @@
     BOOST_TEST(!decoder.DecodeBackend("e", value));
 }
 
+// Guards against a row of another writer that is taken for a server, although
+// nothing can listen at its address or its numbers are out of range.
+BOOST_AUTO_TEST_CASE(rows_that_name_no_usable_server_are_errors) {
+  const std::string rest = R"(,"service":"s","zone":"z","state":"ready"})";
+  const std::string address = R"(,"address":"10.0.0.1:8")";
+  for (std::string row :
+       {R"({"slots":8,"address":"10.0.0.1:65536")",
+        R"({"slots":8,"address":"10.0.0.1:0")",
+        R"({"slots":8,"address":"10.0.0.1:-1")",
+        R"({"slots":8,"address":"10.0.0.1")", R"({"slots":8,"address":":8")"}) {
+    row += rest;
+    BOOST_TEST(!RowDecoder().DecodeBackend("e", row), row);
+  }
+  for (std::string row :
+       {R"({"slots":0)", R"({"slots":-1)", R"({"slots":1.5)",
+        R"({"slots":1e300)", R"({"slots":1e999)", R"({"slots":4294967297)",
+        R"({"slots":99999999999999999999999)", R"({"slots":8,"born":-1)",
+        R"({"slots":8,"born":1e300)",
+        R"({"slots":8,"born":18446744073709551615)",
+        R"({"slots":8,"version":1)"}) {
+    row += address;
+    row += rest;
+    BOOST_TEST(!RowDecoder().DecodeBackend("e", row), row);
+  }
+}
+
 // Guards against a backend server that is used although it drains, or is not
 // usable because its row has a field that this program does not know.
 BOOST_AUTO_TEST_CASE(a_backend_server_is_decoded) {
