Show that a repeated refusal does not count for the next request

Cause: a report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that a request did not run which the server had run, or the request ran at a second server. Ruled out: answers are matched by the id of the request, answers without an id break the attempt off, and a connection with surplus bytes is not used again. The daemon never uses a connection twice. Change: a test only. A stand-in of a backend server can now be given the bytes that it answers with.

--- a/tests/entry_fixture/backend_standin.cc
+++ b/tests/entry_fixture/backend_standin.cc
@@ -14,6 +14,14 @@
 constexpr int kMisdirected = 421;
 constexpr int kEventsBeforeCut = 2;
 
+void ReplaceAll(std::string& text,
+                const std::string& placeholder,
+                const std::string& value) {
+  for (std::size_t at = text.find(placeholder); at != std::string::npos;
+       at = text.find(placeholder, at + value.size()))
+    text.replace(at, placeholder.size(), value);
+}
+
 std::string EventText(int number) {
   const std::string id = std::to_string(number);
   return "id: " + id + "\ndata: piece " + id + "\n\n";
@@ -48,6 +56,13 @@
   server_.Run([&] { mode_ = mode; });
 }
 
+void BackendStandin::SetScript(BackendScript script) {
+  server_.Run([&] {
+    mode_ = BackendMode::kScript;
+    script_ = std::move(script);
+  });
+}
+
 std::vector<HttpRequest> BackendStandin::ExecutedRequests() {
   std::vector<HttpRequest> ran;
   for (Arrival& arrival : Arrivals()) {
@@ -110,6 +125,8 @@
     exchange.Close(true);
     co_return;
   }
+  const bool begins_stream = request.path().ends_with("stream") &&
+                             request.header("Last-Event-Id").empty();
   standin::Faults faults;
   switch (mode_) {
     case BackendMode::kLoseReply:
@@ -126,6 +143,11 @@
     case BackendMode::kUntilReset:
       co_await ReplyUntilClose(exchange, reply);
       co_return;
+    case BackendMode::kScript:
+      if (begins_stream)
+        break;
+      co_await RunScript(exchange);
+      co_return;
     case BackendMode::kUnsealed:
       reply.headers = {{"X-Bamboomount-Request-Id", request_id}};
       break;
@@ -171,6 +193,23 @@
   exchange.Close(reset);
 }
 
+boost::asio::awaitable<void> BackendStandin::RunScript(
+    standin::Exchange& exchange) {
+  const auto id_of = [this](std::size_t from_end) {
+    return arrivals_.size() < from_end
+               ? std::string()
+               : arrivals_[arrivals_.size() - from_end].request.header(
+                     "X-Bamboomount-Request-Id");
+  };
+  const bool closes = script_.closes;
+  std::string bytes = script_.reply;
+  ReplaceAll(bytes, "{id}", id_of(1));
+  ReplaceAll(bytes, "{previous}", id_of(2));
+  co_await exchange.WriteRaw(std::move(bytes));
+  if (closes)
+    exchange.Close(false);
+}
+
 boost::asio::awaitable<void> BackendStandin::Stream(standin::Exchange& exchange,
                                                     HttpReply head) {
   const std::string last = exchange.request().header("Last-Event-Id");
@@ -179,7 +218,9 @@
   co_await exchange.StartStream(std::move(head));
   for (int number = first; number <= kStreamEvents; ++number) {
     const std::string event = EventText(number);
-    if (mode_ == BackendMode::kCutInEvent && number > kEventsBeforeCut) {
+    const bool cuts =
+        mode_ == BackendMode::kCutInEvent || mode_ == BackendMode::kScript;
+    if (cuts && number > kEventsBeforeCut) {
       const std::string half = event.substr(0, event.size() / 2);
       co_await exchange.WriteChunk(half);
       exchange.Close(false);
--- a/tests/entry_fixture/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -41,6 +41,18 @@
   kCrashOnPoisonPart,
   // Answers 421, as a server does that has taken over the address.
   kWrongServer,
+  // Runs the request and sends the bytes of SetScript() in place of a reply.
+  // Streams that begin are cut as in kCutInEvent; the script answers the
+  // requests that resume them.
+  kScript,
+};
+
+// What a stand-in in mode kScript sends. In `reply`, "{id}" stands for the id
+// of the request and "{previous}" for that of the request before it.
+struct BackendScript {
+  std::string reply;
+  // Whether the connection is closed after the bytes.
+  bool closes = false;
 };
 
 // For how long a server in mode kRefuseWithRetryAfter asks for no requests.
@@ -73,6 +85,8 @@
   std::string RowValue(const std::string& pool, bool draining = false) const;
 
   void SetMode(BackendMode mode);
+  // Sets the mode kScript.
+  void SetScript(BackendScript script);
   // Requests that ran, in order of arrival.
   std::vector<standin::HttpRequest> ExecutedRequests();
   // Requests that arrived, whether they ran or were refused.
@@ -85,6 +99,7 @@
   boost::asio::awaitable<void> Handle(standin::Exchange& exchange);
   boost::asio::awaitable<void> Stream(standin::Exchange& exchange,
                                       standin::HttpReply head);
+  boost::asio::awaitable<void> RunScript(standin::Exchange& exchange);
   // Replies without a length and closes the connection.
   boost::asio::awaitable<void> ReplyUntilClose(standin::Exchange& exchange,
                                                const standin::HttpReply& reply);
@@ -92,6 +107,7 @@
 
   const std::string id_;
   BackendMode mode_ = BackendMode::kAnswer;
+  BackendScript script_;
   std::vector<Arrival> arrivals_;
   int abandoned_count_ = 0;
   ServerThread server_;
