Continue a stream only with a stream of events

A stream broke off, the next server answered with an error under a status of the class 2xx, and the caller found its text as an event, or the stream ended as if it were complete. Cause: Exchange::OnReplyHead took each sealed 2xx for the continuation. Ruled out by the same test: statuses 302, 404, 421, 500 and 503, refusals and unsealed answers; they were discarded before as well. Change: only an answer of type text/event-stream continues a stream; anything else counts as broken off. Test: an_error_of_the_next_server_is_no_part_of_the_stream, six checks of four examples failed before; entry (stream_continuation, forwarding) passes.

--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -43,6 +43,12 @@
   return status / 100;
 }
 
+bool IsEventStream(const http::response_header<>& header) {
+  constexpr char kType[] = "text/event-stream";
+  const beast::string_view type = header[http::field::content_type];
+  return beast::iequals(type.substr(0, type.find(';')), kType);
+}
+
 }  // namespace
 
 Exchange::Exchange(Dispatcher& dispatcher,
@@ -304,8 +310,10 @@
     return;
   }
   if (history_.reply_started) {
-    // A resumed response keeps the header of the first server.
-    body_mode_ = success ? BodyMode::kForward : BodyMode::kDiscard;
+    // A resumed response keeps the header of the first server. Whatever is not
+    // a stream of events is not its continuation.
+    body_mode_ = success && IsEventStream(header) ? BodyMode::kForward
+                                                  : BodyMode::kDiscard;
     return;
   }
   reply_header_ = header;
