Wait for the operators' port in the fixture of process tests

What was seen: a_request_to_a_frozen_engine_moves_to_another failed at times beside load, as its configuration was not accepted. Cause: the fixture waited for the port for callers only; the port for operators opens after it, and the test uses it at once. Change: the fixture's wait ends when the instance also answers operators. No check changes.

--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -48,6 +48,12 @@
   return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
+// The port for operators opens after the one for callers.
+bool AnswersOperators(const FleetInstance& instance) {
+  return CallOnce(instance.admin_address, {"GET", "/healthz", {}, ""}).status !=
+         0;
+}
+
 const char* ZoneOf(std::size_t index) {
   return kZones.at(index % kZones.size());
 }
@@ -235,7 +241,8 @@
   const bool serving = WaitUntil([&] {
     const ClientResponse response = CallOnce(instance.address, request);
     return response.status == 200 &&
-           response.body.find("stand-in") != std::string::npos;
+           response.body.find("stand-in") != std::string::npos &&
+           AnswersOperators(instance);
   });
   if (!serving)
     throw std::runtime_error(instance.name + " does not serve the key in time");
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -44,8 +44,8 @@
 
 // A platform, backend servers and instances, each a child process that is
 // killed with this object. When the constructor returns, all instances apply
-// the same configuration and accept key(). Functions throw std::runtime_error
-// on failure.
+// the same configuration, accept key() and answer operators. Functions throw
+// std::runtime_error on failure.
 class Fleet {
  public:
   explicit Fleet(FleetOptions options);
@@ -79,7 +79,8 @@
   // the new one has been started.
   void StartRouter(FleetInstance& instance);
   void StartController(FleetInstance& instance);
-  // Waits until the router of `instance` accepts `key` and lists the model.
+  // Waits until the router of `instance` accepts `key`, lists the model and
+  // answers operators.
   void WaitUntilServing(const FleetInstance& instance, const std::string& key);
 
   // Returns the requests that all standin_service processes executed.
