Read no further into a buffer that is in use elsewhere

Cause: a read that has completed is not cancelled. It went on with the next step of the body, into the buffer that the lingering close had enlarged and so freed. Ruled out: the other readers, which close the socket first or wait for the cancelled read. Change: the lingering close discards into a buffer of its own; the body is read step by step, so that a refused read ends. Test: an_upload_out_of_time_leaves_the_process_sound.

--- a/src/gateway/forwarding/caller_connection.cc
+++ b/src/gateway/forwarding/caller_connection.cc
@@ -106,15 +106,23 @@
   phase_ = Phase::kReadingBody;
   if (beast::iequals(parser_->get()[http::field::expect], "100-continue"))
     QueueBytes("HTTP/1.1 100 Continue\r\n\r\n");
-  http::async_read(
+  ReadBodySome();
+}
+
+// Reads step by step, because a read of the whole body could not be stopped
+// between its steps.
+void CallerConnection::ReadBodySome() {
+  http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         if (self->phase_ != Phase::kReadingBody)
           return;
         if (error)
           self->OnReadError(error);
-        else
+        else if (self->parser_->is_done())
           self->DeliverRequest();
+        else
+          self->ReadBodySome();
       });
 }
 
@@ -151,8 +159,7 @@
 }
 
 void CallerConnection::RefuseSlowCaller() {
-  // Cancels the read in progress, which uses the same buffer as the lingering
-  // close.
+  // A read that has completed is not cancelled: its handler is still to come.
   error_code ignored;
   socket_.cancel(ignored);
   Refuse(http::status::request_timeout);
@@ -313,9 +320,10 @@
 }
 
 void CallerConnection::DiscardInput() {
-  buffer_.clear();
+  // Not `buffer_`: the read of a header that was cancelled may still use it.
+  discarded_.resize(kReadBytes);
   socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
+      asio::buffer(discarded_),
       [self = shared_from_this()](const error_code& error, std::size_t) {
         if (self->phase_ != Phase::kLingering)
           return;
--- a/src/gateway/forwarding/caller_connection.h
+++ b/src/gateway/forwarding/caller_connection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gateway/boot_clock.h"
 #include "gateway/forwarding/caller_reply.h"
@@ -85,6 +86,7 @@
   void ReadNext();
   void ReadHeader();
   void ReadBody();
+  void ReadBodySome();
   void DeliverRequest();
   void Refuse(http::status status);
   void RefuseSlowCaller();
@@ -105,6 +107,8 @@
   Phase phase_ = Phase::kIdle;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  // Input after the last response; not used before.
+  std::vector<char> discarded_;
   // When the current phase began. While a request is answered: when reading it
   // began or, later, when a write last completed.
   Instant phase_start_;
--- /dev/null
+++ b/tests/entry/upload_test.cc
@@ -0,0 +1,81 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "entry_fixture/entry_fleet.h"
+
+namespace bamboomount::entry_test {
+namespace {
+
+using nlohmann::json;
+using support::HttpClient;
+
+constexpr std::size_t kMaxBodyBytes = 4'194'304;
+
+std::string HeadOf(const std::string& length_field) {
+  return "POST /book/x HTTP/1.1\r\nHost: h.example\r\n"
+         "X-Bamboomount-Request-Id: upload\r\nX-Api-Key: key-mill\r\n"
+         "X-Bamboomount-Deadline-Milliseconds: 15000\r\n" +
+         length_field + "\r\n\r\n";
+}
+
+// Instances that accept large bodies.
+class UploadFleet : public EntryFleet {
+ public:
+  void ConfigureUploads(int header_timeout_ms, int idle_timeout_ms) {
+    json config = MakeConfig(1, DefaultCustomers());
+    config["limits"] = {{"max_header_bytes", 16384},
+                        {"max_body_bytes", kMaxBodyBytes},
+                        {"header_timeout_ms", header_timeout_ms},
+                        {"idle_timeout_ms", idle_timeout_ms}};
+    store().Put("op", "config", config.dump());
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(upload, UploadFleet)
+
+// Guards against damaged memory: the read of a body that had run out of time
+// went on into a buffer that had been freed, and the process died with all
+// requests in progress.
+BOOST_AUTO_TEST_CASE(an_upload_out_of_time_leaves_the_process_sound) {
+  constexpr int kRounds = 3;
+  constexpr int kUploads = 50;
+  constexpr std::chrono::milliseconds kPause{100};
+  constexpr std::chrono::milliseconds kBodyTimeout{500};
+  // The instance takes two reads for a piece.
+  const std::string piece(700, 'x');
+  ConfigureUploads(200, 300);
+  AddBackend("e-1");
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<HttpClient> uploads;
+    for (int i = 0; i < kUploads; ++i) {
+      uploads.emplace_back(instance.caller_address());
+      uploads.back().SendRaw(
+          HeadOf("Content-Length: " + std::to_string(kMaxBodyBytes)));
+    }
+    std::this_thread::sleep_for(kPause);
+    // The process finds at once that the uploads are out of time and that a
+    // piece has arrived; the next ones come while it waits for the close.
+    instance.process().Stop();
+    for (HttpClient& upload : uploads)
+      upload.SendRaw(piece);
+    std::this_thread::sleep_for(kBodyTimeout);
+    instance.process().Continue();
+    for (int i = 0; i < 3; ++i) {
+      std::this_thread::sleep_for(kPause);
+      for (HttpClient& upload : uploads)
+        upload.SendRaw(piece);
+    }
+    BOOST_REQUIRE(instance.process().running());
+    BOOST_TEST(Call(instance, MakeRequest("POST", "/book/x")).status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount::entry_test
