Count bodies in chunks against the memory limit

Cause: 16 KiB were reserved for a body without a length, however large it grew. Ruled out: bodies with a length, which are reserved before they are read. Change: what a body occupies is reserved after each step. Test: bodies_in_chunks_count_against_the_memory_limit.

--- a/src/gateway/forwarding/caller_connection.cc
+++ b/src/gateway/forwarding/caller_connection.cc
@@ -5,12 +5,17 @@
 #include <utility>
 
 #include "base/message_framing.h"
+#include "gateway/admission_rules.h"
 
 namespace bamboomount {
 namespace {
 
-// Size of a read, and memory that is reserved for a body of unknown length.
+// Size of a read, and memory that is reserved at first for a body of unknown
+// length.
 constexpr std::size_t kReadBytes = 16384;
+// Retry-After of a request whose body finds no memory. About the time in which
+// the bodies before it are sent on.
+constexpr Millis kMemoryRetryAfter{200};
 // How long a finished connection waits for the caller to close its side.
 constexpr Millis kLingerTimeout{1000};
 // A connection is closed if a write is in progress and none has completed for
@@ -116,16 +121,35 @@
       socket_, buffer_, *parser_,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         if (self->phase_ != Phase::kReadingBody)
-          return;
-        if (error)
-          self->OnReadError(error);
-        else if (self->parser_->is_done())
-          self->DeliverRequest();
+          self->parser_.reset();
         else
-          self->ReadBodySome();
+          self->OnBodyRead(error);
       });
 }
 
+void CallerConnection::OnBodyRead(const error_code& error) {
+  if (error) {
+    OnReadError(error);
+  } else if (!ReserveBodyMemory()) {
+    parser_.reset();
+    Refuse(http::status::service_unavailable);
+  } else if (parser_->is_done()) {
+    DeliverRequest();
+  } else {
+    ReadBodySome();
+  }
+}
+
+bool CallerConnection::ReserveBodyMemory() {
+  const std::size_t held = parser_->get().body().capacity();
+  if (held <= reserved_bytes_)
+    return true;
+  if (!owner_.TryReserveBodyMemory(held - reserved_bytes_))
+    return false;
+  reserved_bytes_ = held;
+  return true;
+}
+
 void CallerConnection::DeliverRequest() {
   phase_ = Phase::kResponding;
   IncomingRequest request{parser_->release(), phase_start_};
@@ -155,6 +179,8 @@
   keep_alive_ = false;
   head_request_ = false;
   http::response<http::string_body> response(status, kHttp11);
+  if (status == http::status::service_unavailable)
+    response.set(http::field::retry_after, FormatSeconds(kMemoryRetryAfter));
   Send(std::move(response));
 }
 
--- a/src/gateway/forwarding/caller_connection.h
+++ b/src/gateway/forwarding/caller_connection.h
@@ -87,6 +87,10 @@
   void ReadHeader();
   void ReadBody();
   void ReadBodySome();
+  void OnBodyRead(const error_code& error);
+  // Reserves the memory that the body occupies now. Returns false if the bodies
+  // in memory would exceed the server's limit.
+  bool ReserveBodyMemory();
   void DeliverRequest();
   void Refuse(http::status status);
   void RefuseSlowCaller();
--- a/tests/entry/upload_test.cc
+++ b/tests/entry/upload_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <string>
@@ -75,6 +76,36 @@
   }
 }
 
+// Guards against a process that is killed for its memory: bodies in chunks were
+// not counted against the limit for bodies in memory.
+BOOST_AUTO_TEST_CASE(bodies_in_chunks_count_against_the_memory_limit) {
+  constexpr int kUploads = 8;
+  constexpr std::size_t kChunkBytes = 50'000;
+  constexpr std::size_t kChunks = 40;
+  // Bodies may take 0.3 of this, which is three of the uploads.
+  constexpr int kMemoryMb = 20;
+  ConfigureUploads(3000, 15000);
+  EntryInstance& instance = AddInstance("i-1", {{"memory_mb", kMemoryMb}});
+  instance.WaitUntilReady();
+  const std::string chunk = "c350\r\n" + std::string(kChunkBytes, 'x') + "\r\n";
+  std::vector<int> statuses(kUploads);
+  std::vector<std::thread> uploads;
+  for (int& status : statuses) {
+    uploads.emplace_back([&instance, &chunk, &status] {
+      HttpClient client(instance.caller_address(), std::chrono::seconds(3));
+      bool open = client.SendRaw(HeadOf("Transfer-Encoding: chunked"));
+      for (std::size_t i = 0; open && i < kChunks; ++i)
+        open = client.SendRaw(chunk);
+      // The body has no end yet, so there is no answer but a refusal.
+      status = client.ReadResponse().status;
+    });
+  }
+  for (std::thread& upload : uploads)
+    upload.join();
+  BOOST_TEST(std::count(statuses.begin(), statuses.end(), 503) >= 5);
+  BOOST_TEST(std::count(statuses.begin(), statuses.end(), 0) <= 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
