Believe no recovery of a store that answered all the while

Cause: an instance takes its own silence, or a lost connection, for an outage of the store and reports its recovery. All others believed it and kept servers whose rows lapsed. Ruled out: a shorter window, as live servers need up to 2 s to be back; a comparison with the last confirmation, which may overtake the report. Change: confirmations are remembered for 10 s by the store's clock. A report is ignored if the store answered within the 1.5 s before it.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -92,7 +92,7 @@
   GatewayState& state = dispatcher_.state();
   const Instant now = BootClock::now();
   const auto age = state.backend_freshness().Age(now);
-  if (age && *age >= kMinOutageDuration)
+  if (age && *age >= GatewayState::kMinOutageDuration)
     state.RecordStoreRecovery(info.store_time, now);
 }
 
--- a/src/gateway/control/backend_observer.h
+++ b/src/gateway/control/backend_observer.h
@@ -13,11 +13,6 @@
 // waiting requests when it changes.
 class BackendObserver : public TableObserver {
  public:
-  // Minimum duration of a store outage after which rows of live servers may
-  // have expired. After a shorter outage, or one in which other instances still
-  // reached the store, they have not.
-  static constexpr Millis kMinOutageDuration{1500};
-
   BackendObserver(const StateDecoder& decoder, Dispatcher& dispatcher)
       : decoder_(decoder), dispatcher_(dispatcher) {}
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -55,6 +55,15 @@
       backend_freshness_.LocalTime(store_time).value_or(now));
 }
 
+void GatewayState::OnReportedStoreRecovery(Millis store_time, Instant now) {
+  if (store_time <= reported_recovery_time_)
+    return;
+  reported_recovery_time_ = store_time;
+  if (!backend_freshness_.WasConfirmedBetween(store_time - kMinOutageDuration,
+                                              store_time))
+    RecordStoreRecovery(store_time, now);
+}
+
 WindowNumber GatewayState::LastEndedWindow(Instant now) const {
   return WindowAt(WallTime(now), settings_.usage_window) - WindowNumber(1);
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -26,6 +26,11 @@
  public:
   explicit GatewayState(const InstanceSettings& settings)
       : settings_(settings) {}
+  // Minimum duration of a store outage after which rows of live servers may
+  // have expired. After a shorter outage, or one in which other instances still
+  // reached the store, they have not.
+  static constexpr Millis kMinOutageDuration{1500};
+
   GatewayState(const GatewayState&) = delete;
   GatewayState& operator=(const GatewayState&) = delete;
 
@@ -68,6 +73,10 @@
   // `store_time`. Rows of live backend servers may have expired during the
   // outage.
   void RecordStoreRecovery(Millis store_time, Instant now);
+  // Handles another instance's report of such a recovery. Ignores it if the
+  // store answered during the alleged outage: the other instance was paused or
+  // cut off, and no row has expired.
+  void OnReportedStoreRecovery(Millis store_time, Instant now);
   // The store's clock at its latest recovery; 0 if no outage is known.
   Millis store_recovery_time() const { return store_recovery_time_; }
   BackendRegistry& backends() { return backends_; }
@@ -117,6 +126,8 @@
   StateFreshness freshness_;
   StateFreshness backend_freshness_;
   Millis store_recovery_time_{0};
+  // The latest recovery that another instance has reported.
+  Millis reported_recovery_time_{0};
   bool store_reads_succeed_ = true;
   bool store_writes_succeed_ = true;
   BackendRegistry backends_;
--- a/src/gateway/membership/state_freshness.cc
+++ b/src/gateway/membership/state_freshness.cc
@@ -20,6 +20,10 @@
   // Not RecordStoreTime(), which may drop the anchor: a long poll bounds the
   // store's clock only loosely and must not replace the anchor of a short call.
   TightenAnchor(sent, store_time);
+  const bool restarted =
+      !history_.empty() && store_time + kHistory < *history_.rbegin();
+  if (restarted)
+    history_.clear();
   RecordConfirmed(std::max(sent, EarliestLocalTime(store_time)), store_time);
 }
 
@@ -36,6 +40,9 @@
 }
 
 void StateFreshness::RecordConfirmed(Instant confirmed_at, Millis store_time) {
+  history_.insert(store_time);
+  history_.erase(history_.begin(),
+                 history_.lower_bound(*history_.rbegin() - kHistory));
   if (confirmed_ && confirmed_at <= *confirmed_)
     return;
   confirmed_ = confirmed_at;
@@ -46,6 +53,11 @@
   return anchor_->sent + (store_time - anchor_->store_time);
 }
 
+bool StateFreshness::WasConfirmedBetween(Millis from, Millis to) const {
+  const auto next = history_.upper_bound(from);
+  return next != history_.end() && *next < to;
+}
+
 std::optional<Millis> StateFreshness::Age(Instant now) const {
   if (!confirmed_)
     return std::nullopt;
--- a/src/gateway/membership/state_freshness.h
+++ b/src/gateway/membership/state_freshness.h
@@ -2,6 +2,7 @@
 #define GATEWAY_MEMBERSHIP_STATE_FRESHNESS_H_
 
 #include <optional>
+#include <set>
 
 #include "gateway/boot_clock.h"
 
@@ -19,6 +20,9 @@
 // never too late.
 class StateFreshness {
  public:
+  // Longer than an outage of the store takes to be noticed and reported.
+  static constexpr Millis kHistory{10000};
+
   // Records the store's steady clock from the response to a call that was sent
   // at `sent` and did not wait in the store.
   void RecordStoreTime(Instant sent, Millis store_time);
@@ -35,6 +39,11 @@
     return confirmed_store_time_;
   }
 
+  // Whether the state was confirmed while the store's clock read a time after
+  // `from` and before `to`. Covers the last kHistory before the last
+  // confirmation.
+  bool WasConfirmedBetween(Millis from, Millis to) const;
+
   // Time since the last confirmation; empty if there was none.
   std::optional<Millis> Age(Instant now) const;
   // Whether the last confirmation is at most `limit` ago.
@@ -64,6 +73,8 @@
   std::optional<Anchor> anchor_;
   std::optional<Instant> confirmed_;
   std::optional<Millis> confirmed_store_time_;
+  // Store times of the confirmations within kHistory.
+  std::set<Millis> history_;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -25,7 +25,7 @@
   const Instant now = BootClock::now();
   // Must precede the tables: whether a removed backend row is dropped at once
   // depends on the time of the last store recovery.
-  state_.RecordStoreRecovery(message.store_recovery_time, now);
+  state_.OnReportedStoreRecovery(message.store_recovery_time, now);
   ApplyTables(message, sender.peer_address);
   UsageDelivery& delivery = state_.usage_delivery();
   if (message.holder_statement) {
--- /dev/null
+++ b/tests/gateway/gateway_state_test.cc
@@ -0,0 +1,61 @@
+#include "gateway/gateway_state.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "instants.h"
+
+namespace bamboomount {
+namespace {
+
+constexpr char kServer[] = "e-1";
+
+// An instance that knows one backend server and whose store answers each 500 ms
+// until its clock reads `last_answer`. The store's clock and the local one read
+// the same.
+struct Fixture {
+  GatewayState state{InstanceSettings()};
+
+  void AnswerUntil(int last_answer) {
+    BackendServer server;
+    server.id = BackendId(kServer);
+    state.backends().Update(server, At(0));
+    for (int time = 0; time <= last_answer; time += 500)
+      state.backend_freshness().Confirm(At(time), Millis(time));
+  }
+
+  // Whether the server may get requests at `time`, when its row is removed.
+  bool IsUsableAfterRemoval(int time) {
+    state.backends().Remove(BackendId(kServer), At(time));
+    state.backends().Expire(At(time));
+    return state.backends().FindUsable(BackendId(kServer)) != nullptr;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(gateway_state, Fixture)
+
+// Guards against requests to a server that has left: one instance was frozen,
+// took its own silence for an outage of the store, and its report let all
+// others keep servers whose rows were removed.
+BOOST_AUTO_TEST_CASE(a_recovery_of_a_store_that_answered_is_ignored) {
+  AnswerUntil(10000);
+  state.OnReportedStoreRecovery(Millis(10010), At(10020));
+  BOOST_TEST(!IsUsableAfterRemoval(10100));
+  // The report is repeated until there is another one.
+  state.OnReportedStoreRecovery(Millis(10010), At(90000));
+  BOOST_TEST((state.store_recovery_time() == Millis(0)));
+}
+
+// Guards against servers that are dropped after an outage, because the first
+// answer after it arrives before the report.
+BOOST_AUTO_TEST_CASE(a_recovery_after_an_outage_keeps_lapsed_servers) {
+  AnswerUntil(10000);
+  state.backend_freshness().Confirm(At(13000), Millis(13000));
+  state.OnReportedStoreRecovery(Millis(13000), At(13010));
+  BOOST_TEST(IsUsableAfterRemoval(13100));
+  BOOST_TEST((state.store_recovery_time() == Millis(13000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
--- a/tests/gateway/state_freshness_test.cc
+++ b/tests/gateway/state_freshness_test.cc
@@ -41,6 +41,25 @@
   BOOST_TEST(freshness.StoreTimeAt(At(1500))->count() == 505);
 }
 
+// Guards against an outage of the store that is not noticed, or one that is
+// seen where there was none, because confirmations are forgotten or mixed up.
+BOOST_AUTO_TEST_CASE(recent_confirmations_are_remembered) {
+  StateFreshness freshness;
+  freshness.Confirm(At(0), Millis(1000));
+  freshness.Confirm(At(2000), Millis(3000));
+  // By a peer that heard it late.
+  freshness.ConfirmByPeer(Millis(1500), At(2100));
+  BOOST_TEST(freshness.WasConfirmedBetween(Millis(900), Millis(1100)));
+  BOOST_TEST(freshness.WasConfirmedBetween(Millis(1400), Millis(3000)));
+  BOOST_TEST(!freshness.WasConfirmedBetween(Millis(1500), Millis(3000)));
+  BOOST_TEST(!freshness.WasConfirmedBetween(Millis(3000), Millis(9000)));
+  freshness.Confirm(At(20000), Millis(21000));
+  BOOST_TEST(!freshness.WasConfirmedBetween(Millis(0), Millis(21000)));
+  // The store's clock starts again.
+  freshness.Confirm(At(30000), Millis(5));
+  BOOST_TEST(freshness.WasConfirmedBetween(Millis(0), Millis(10)));
+}
+
 struct Response {
   int pause_ms = 0;
   int request_delay_ms = 0;
