--- a/tests/entry/upload_test.cc
+++ b/tests/entry/upload_test.cc
@@ -90,6 +90,7 @@
   const std::string chunk = "c350\r\n" + std::string(kChunkBytes, 'x') + "\r\n";
   std::vector<int> statuses(kUploads);
   std::vector<std::thread> uploads;
+  uploads.reserve(kUploads);
   for (int& status : statuses) {
     uploads.emplace_back([&instance, &chunk, &status] {
       HttpClient client(instance.caller_address(), std::chrono::seconds(3));
