Pass on no refusal that its server did not state

Cause: complete answers were passed on with their status; only one marked as not executed makes the promise. Ruled out: repeated refusals of earlier requests, which have a test of their own. Change: such an answer to a request that may run only once becomes 502. Requests that may repeat get the server's answer as before.

--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -43,6 +43,16 @@
   return status / 100;
 }
 
+// Whether callers take the status for the promise that the request has not run
+// and never will. Of a server's answers, only those marked as not executed make
+// this promise.
+bool PromisesNotRun(unsigned status) {
+  constexpr unsigned kRequestTimeout = 408;
+  constexpr unsigned kTooManyRequests = 429;
+  return status == kRequestTimeout || status == kTooManyRequests ||
+         status == kServiceUnavailable;
+}
+
 bool IsEventStream(const http::response_header<>& header) {
   constexpr char kType[] = "text/event-stream";
   const beast::string_view type = header[http::field::content_type];
@@ -546,6 +556,12 @@
   const bool failed = StatusClass(reply_head_.status) == 5;
   if (failed && !history_.reply_started && TryAnotherServer())
     return;
+  if (!history_.reply_started && !MayRepeat(admitted_.route->kind) &&
+      PromisesNotRun(reply_head_.status)) {
+    Refuse(http::status::bad_gateway,
+           "the backend server refused without stating that it did not run");
+    return;
+  }
   if (history_.reply_started) {
     EndRequest("passed on");
     reply_->Finish();
--- a/tests/entry/repeated_refusal_test.cc
+++ b/tests/entry/repeated_refusal_test.cc
@@ -98,6 +98,29 @@
   }
 }
 
+// Guards against a server that runs a booking and answers with a status which
+// tells callers that it did not: only the server's own statement says that.
+BOOST_AUTO_TEST_CASE(a_refusal_without_the_statement_is_not_passed_on) {
+  Configure(1, DefaultCustomers());
+  BackendStandin& server = AddBackend("e-1");
+  EntryInstance& instance = AddInstance();
+  instance.WaitUntilReady();
+  for (const std::string status :
+       {"408 Timeout", "429 Too Many Requests", "503 Unavailable"}) {
+    BOOST_TEST_CONTEXT(status) {
+      server.SetScript({"HTTP/1.1 " + status +
+                        "\r\nX-Bamboomount-Request-Id: {id}\r\n"
+                        "X-Bamboomount-Response-Seal: s\r\n"
+                        "Content-Length: 4\r\n\r\nbusy"});
+      const ClientRequest booking = MakeRequest("POST", "/book/x");
+      const ClientResponse response = Call(instance, booking);
+      BOOST_TEST(CountRuns(server, booking) == 1);
+      BOOST_TEST(response.status == 502);
+      BOOST_TEST(response.header("X-Bamboomount-Response-Seal").empty());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
