Read the framing of operators' messages in one place

Cause: the admin server and its client read the same fields with the same lines. Change: FramingOf in admin/internal. No behaviour changes.

--- a/src/admin/admin_client.cc
+++ b/src/admin/admin_client.cc
@@ -5,10 +5,9 @@
 #include <cxxtools/http/request.h>
 #include <cxxtools/query_params.h>
 
-#include <strings.h>
-
 #include <utility>
 
+#include "admin/internal/header_framing.h"
 #include "admin/internal/host_port.h"
 #include "admin/internal/operator_json.h"
 
@@ -58,18 +57,6 @@
   }
 }
 
-bool HasUnambiguousEnd(const cxxtools::http::ReplyHeader& header) {
-  MessageFraming framing;
-  framing.version = header.httpVersionMajor() * 10 + header.httpVersionMinor();
-  for (auto field = header.begin(); field != header.end(); ++field) {
-    if (strcasecmp(field->first, "Transfer-Encoding") == 0)
-      framing.transfer_encodings.emplace_back(field->second);
-    if (strcasecmp(field->first, "Content-Length") == 0)
-      framing.content_lengths.emplace_back(field->second);
-  }
-  return IsUnambiguous(framing);
-}
-
 template <typename T>
 std::string Encode(const T& request) {
   return Json(request).dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -170,7 +157,7 @@
     request.body() << body;
     // Applies the timeout to connecting as well; connect() has none.
     client.execute(request, timeout, timeout);
-    if (!HasUnambiguousEnd(client.header()))
+    if (!IsUnambiguous(internal::FramingOf(client.header())))
       return UnreachableError(address_, "the end of the response is ambiguous",
                               RunVerdict::kMayHaveRun);
     const std::string response = client.readBody().body();
--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -9,8 +9,6 @@
 #include <cxxtools/query_params.h>
 #include <cxxtools/regex.h>
 
-#include <strings.h>
-
 #include <algorithm>
 #include <array>
 #include <stdexcept>
@@ -18,6 +16,7 @@
 
 #include "admin/events.h"
 #include "admin/internal/admin_handlers.h"
+#include "admin/internal/header_framing.h"
 #include "admin/internal/host_port.h"
 
 namespace bamboomount {
@@ -44,14 +43,8 @@
 // Whether the server finds the end of the request's body. It does not decode
 // transfer codings.
 bool HasKnownEnd(const cxxtools::http::RequestHeader& header) {
-  MessageFraming framing;
-  for (auto field = header.begin(); field != header.end(); ++field) {
-    if (strcasecmp(field->first, "Transfer-Encoding") == 0)
-      return false;
-    if (strcasecmp(field->first, "Content-Length") == 0)
-      framing.content_lengths.emplace_back(field->second);
-  }
-  return IsUnambiguous(framing);
+  const MessageFraming framing = internal::FramingOf(header);
+  return framing.transfer_encodings.empty() && IsUnambiguous(framing);
 }
 
 AdminRequest ParseRequestHead(const cxxtools::http::Request& request) {
