Share the row of a server and the id of a raw request between tests

Cause: the row of a ready server stood in four tests, the search for a request's id in two. Change: BackendRow and RequestIdOf. No check changes.

--- a/tests/entry_fixture/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -2,6 +2,7 @@
 #define TESTS_ENTRY_FIXTURE_BACKEND_STANDIN_H_
 
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,10 @@
 // For how long a server in mode kRefuseWithRetryAfter asks for no requests.
 inline constexpr std::chrono::milliseconds kRetryAfter{1500};
 
+// The row of a backend server that is ready, as it stands in the store.
+nlohmann::json BackendRow(const std::string& address,
+                          const std::string& pool = "pool");
+
 // Hexadecimal id of a part of prompts.
 inline constexpr char kPoisonPart[] = "dead";
 
--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <sstream>
 #include <utility>
@@ -13,7 +12,16 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-// Value of the request's id field; empty if it has none.
+std::string ReplaceId(std::string text, const std::string& id) {
+  const std::string placeholder = "{id}";
+  for (std::size_t at = text.find(placeholder); at != std::string::npos;
+       at = text.find(placeholder, at + id.size()))
+    text.replace(at, placeholder.size(), id);
+  return text;
+}
+
+}  // namespace
+
 std::string RequestIdOf(const asio::streambuf& request) {
   const std::string text(asio::buffers_begin(request.data()),
                          asio::buffers_end(request.data()));
@@ -25,16 +33,6 @@
   return text.substr(begin, text.find("\r\n", begin) - begin);
 }
 
-std::string ReplaceId(std::string text, const std::string& id) {
-  const std::string placeholder = "{id}";
-  for (std::size_t at = text.find(placeholder); at != std::string::npos;
-       at = text.find(placeholder, at + id.size()))
-    text.replace(at, placeholder.size(), id);
-  return text;
-}
-
-}  // namespace
-
 RawServer::RawServer(std::string reply)
     : reply_(std::move(reply)),
       acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -4,11 +4,16 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/streambuf.hpp>
 #include <string>
 #include <thread>
 
 namespace bamboomount::support {
 
+// Value of the X-Bamboomount-Request-Id field of a request; empty if it has
+// none.
+std::string RequestIdOf(const boost::asio::streambuf& request);
+
 // A server that answers the first request of each connection with the same
 // bytes and closes the connection. In the bytes, "{id}" stands for the value of
 // the request's X-Bamboomount-Request-Id field.
