Let heads run out of time in the test of slow uploads

Cause: a head that comes too slowly is refused in the same way as a body, and had no test. Change: the test does the same with heads; its steps are a function.

--- a/tests/entry/upload_test.cc
+++ b/tests/entry/upload_test.cc
@@ -35,6 +35,34 @@
   }
 };
 
+// Sends `start` on many connections, which then run out of time. The process is
+// stopped meanwhile, so that it finds at once that they are out of time and
+// that `piece` has arrived; the next pieces come while it waits for the close.
+void RunOutOfTime(EntryInstance& instance,
+                  const std::string& start,
+                  const std::string& piece) {
+  constexpr int kConnections = 50;
+  constexpr std::chrono::milliseconds kPause{100};
+  constexpr std::chrono::milliseconds kTimeout{500};
+  std::vector<HttpClient> callers;
+  callers.reserve(kConnections);
+  for (int i = 0; i < kConnections; ++i) {
+    callers.emplace_back(instance.caller_address());
+    callers.back().SendRaw(start);
+  }
+  std::this_thread::sleep_for(kPause);
+  instance.process().Stop();
+  for (HttpClient& caller : callers)
+    caller.SendRaw(piece);
+  std::this_thread::sleep_for(kTimeout);
+  instance.process().Continue();
+  for (int i = 0; i < 3; ++i) {
+    std::this_thread::sleep_for(kPause);
+    for (HttpClient& caller : callers)
+      caller.SendRaw(piece);
+  }
+}
+
 BOOST_FIXTURE_TEST_SUITE(upload, UploadFleet)
 
 // Guards against damaged memory: the read of a body that had run out of time
@@ -42,37 +70,21 @@
 // requests in progress.
 BOOST_AUTO_TEST_CASE(an_upload_out_of_time_leaves_the_process_sound) {
   constexpr int kRounds = 3;
-  constexpr int kUploads = 50;
-  constexpr std::chrono::milliseconds kPause{100};
-  constexpr std::chrono::milliseconds kBodyTimeout{500};
   // The instance takes two reads for a piece.
   const std::string piece(700, 'x');
+  const std::string body_start =
+      HeadOf("Content-Length: " + std::to_string(kMaxBodyBytes));
+  const std::string head_start = "POST /book/x HTTP/1.1\r\nX-Long: ";
   ConfigureUploads(200, 300);
   AddBackend("e-1");
   EntryInstance& instance = AddInstance();
   instance.WaitUntilReady();
   for (int round = 0; round < kRounds; ++round) {
-    std::vector<HttpClient> uploads;
-    for (int i = 0; i < kUploads; ++i) {
-      uploads.emplace_back(instance.caller_address());
-      uploads.back().SendRaw(
-          HeadOf("Content-Length: " + std::to_string(kMaxBodyBytes)));
-    }
-    std::this_thread::sleep_for(kPause);
-    // The process finds at once that the uploads are out of time and that a
-    // piece has arrived; the next ones come while it waits for the close.
-    instance.process().Stop();
-    for (HttpClient& upload : uploads)
-      upload.SendRaw(piece);
-    std::this_thread::sleep_for(kBodyTimeout);
-    instance.process().Continue();
-    for (int i = 0; i < 3; ++i) {
-      std::this_thread::sleep_for(kPause);
-      for (HttpClient& upload : uploads)
-        upload.SendRaw(piece);
+    for (const std::string& start : {body_start, head_start}) {
+      RunOutOfTime(instance, start, piece);
+      BOOST_REQUIRE(instance.process().running());
+      BOOST_TEST(Call(instance, MakeRequest("POST", "/book/x")).status == 200);
     }
-    BOOST_REQUIRE(instance.process().running());
-    BOOST_TEST(Call(instance, MakeRequest("POST", "/book/x")).status == 200);
   }
 }
 
