Drop what the follower's test does not use

Cause: two members without a reader, found on reading the diff. Change: removed; the last action has a case of its own.

--- a/tests/gateway/table_follower_test.cc
+++ b/tests/gateway/table_follower_test.cc
@@ -25,7 +25,6 @@
   using Task = std::function<void()>;
 
   void Add(Task task) { tasks_.push_back(std::move(task)); }
-  bool empty() const { return tasks_.empty(); }
   // Runs one task; `choice` selects which.
   void RunOne(std::size_t choice) {
     if (tasks_.empty())
@@ -136,7 +135,6 @@
   kSendStatus,
   // Outstanding work goes on.
   kRunOne,
-  kCount,
 };
 
 struct Step {
@@ -184,7 +182,7 @@
       case Action::kSendStatus:
         SendStatus(step.instance, step.other);
         break;
-      default:
+      case Action::kRunOne:
         work_.RunOne(step.other * kInstances + step.instance);
     }
     context_.restart();
