Split the exchange into search, retries, relay and load

Change: choosing a server and waiting for one (ServerSearch), the history of attempts (RetryState), the response (ResponseRelay), the load of an attempt (AttemptLoad), signals of servers and the forwarded head are modules of their own.

--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -4,22 +4,24 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
+#include "gateway/forwarding/attempt_load.h"
 #include "gateway/forwarding/backend_attempt.h"
 #include "gateway/forwarding/caller_connection.h"
 #include "gateway/forwarding/dispatcher.h"
 #include "gateway/forwarding/request_admission.h"
-#include "gateway/forwarding/retry_rules.h"
-#include "gateway/forwarding/sse_framer.h"
+#include "gateway/forwarding/response_relay.h"
+#include "gateway/forwarding/retry_state.h"
+#include "gateway/forwarding/server_search.h"
 
 namespace bamboomount {
 
 // Serves one request of a caller: determines its route and customer, sends it
 // to a backend server, retries at another server where the route allows it, and
-// forwards the response. The caller gets exactly one final response. Not
+// relays the response. The caller gets exactly one final response. Not
 // thread-safe.
 class Exchange : public AttemptObserver,
+                 public ServerSearch::Observer,
                  public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(Dispatcher& dispatcher,
@@ -32,6 +34,10 @@
   // Serves the request; the object keeps itself alive until it has responded.
   void Start();
 
+  void OnServerFound(const BackendServer& server) override;
+  void OnNoServer(std::string_view reason) override;
+  void OnPoisonousPrompt(Millis retry_after) override;
+
   std::optional<std::string> PrepareHead() override;
   const std::string& request_body() const override {
     return request_.message.body();
@@ -43,37 +49,16 @@
   void OnAttemptEnd(AttemptOutcome outcome) override;
 
  private:
-  // What happens to the body of the response that is being read.
-  enum class BodyMode {
-    // Kept until the response is complete, so that another server can still be
-    // tried.
-    kBuffer,
-    // Forwarded as it arrives.
-    kForward,
-    kDiscard,
-  };
-
   // Returns false if the request was refused and the response sent.
   bool Admit();
-
-  void SelectBackend();
-  // Refuses the request if a part of its prompt crashes engines. Returns
-  // whether it did.
-  bool RefuseIfPoisonous(Instant now);
-  bool HasRoomAtEngines() const;
-  // Whether the request ranks above the lowest urgency level.
-  bool IsUrgent() const;
-  PlacementRequest MakePlacementRequest() const;
-  void SendTo(const BackendServer& server);
-  void WaitForCapacity();
-  void LeaveWaitQueue();
+  void FindServer();
+  ServerSearchRequest SearchRequest() const;
+  AttemptLoad::Request LoadRequest(const PrefixPlan& prefix) const;
   void ArmResponseTimer();
   void OnDeadline();
   void OnResponseTimeout();
   void OnCallerGone();
 
-  // Applies what the head says of the server, whatever became of the request.
-  void RecordServerSignals(const ReplyHead& head);
   void OnNotSent(ServerFailure failure);
   void OnInterrupted();
   void OnRefusedByServer();
@@ -83,14 +68,10 @@
 
   void CountUsageOnce();
   void RecordFirstBytes();
-  void RecordForwardTime();
-  void RecordFirstTokenLatency(Instant now);
   void ReleaseAttempt();
-  bool Forward(std::string_view piece);
-  // Ends the attempt because the server sends bytes that are no answer. Returns
-  // false, so that nothing more is read.
-  bool AbandonReply();
-  void BeginForwarding();
+  // Ends the attempt because the server sends bytes that are no answer.
+  void AbandonReply();
+  void ResumeWhenDrained();
 
   void Refuse(http::status status, std::string_view reason);
   // Refuses with 503, so that the caller may retry after a random short time.
@@ -114,39 +95,19 @@
   bool ended_ = false;
   bool usage_counted_ = false;
 
+  ServerSearch search_;
+  RetryState retries_;
+  ResponseRelay relay_;
+  // Both are set while an attempt is in progress.
   std::shared_ptr<BackendAttempt> attempt_;
-  AttemptHistory history_;
-  std::vector<BackendId> tried_;
+  std::optional<AttemptLoad> load_;
   // "ip:port" of the engine from which the server copies the shared prefix of
   // the prompt; empty if it copies none.
   std::string copy_prefix_from_;
-  // What this request adds to the load of the selected server.
-  RequestLoad load_;
-  // Pending prefill tokens at the selected server when the request was sent,
-  // its own included; for urgent requests, only those of urgent ones.
-  Tokens queued_tokens_;
-  // Whether the selected engine had many requests when the request was sent.
-  bool engine_is_busy_ = false;
-  Instant sent_at_;
-  bool generating_ = false;
-  // When bytes of the response were last forwarded; the longest pause is
-  // measured from it.
-  Instant last_forwarded_at_;
-  Millis time_to_first_bytes_{0};
-  Millis longest_pause_{0};
   bool keys_stale_ = false;
 
-  ReplyHead reply_head_;
-  http::response_header<> reply_header_;
-  std::optional<std::uint64_t> reply_length_;
-  BodyMode body_mode_ = BodyMode::kBuffer;
-  std::string buffered_body_;
-  std::size_t discarded_bytes_ = 0;
-  SseFramer framer_;
-
-  std::optional<Dispatcher::WaitTicket> ticket_;
   asio::steady_timer deadline_timer_;
-  asio::steady_timer step_timer_;
+  asio::steady_timer response_timer_;
 };
 
 }  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/forwarding/retry_state.cc
@@ -0,0 +1,34 @@
+#include "gateway/forwarding/retry_state.h"
+
+namespace bamboomount {
+
+void RetryState::RecordFailedConnect(const BackendId& server) {
+  ++history_.failed_connects;
+  tried_.push_back(server);
+}
+
+void RetryState::RecordRefusal(const BackendId& server) {
+  ++history_.refusals;
+  tried_.push_back(server);
+}
+
+void RetryState::RecordPossibleRun(const BackendId& server) {
+  ++history_.possible_runs;
+  tried_.push_back(server);
+}
+
+bool RetryState::TryRetry(const Route& route, const PoolId& pool) {
+  if (!MayRetry(route, history_) ||
+      dispatcher_.UntriedBackends(pool, tried_).empty())
+    return false;
+  const bool reached_a_server = history_.possible_runs + history_.refusals > 0;
+  return !reached_a_server || dispatcher_.TryConsumeRetry(pool);
+}
+
+bool RetryState::TryReplaceAttempt(const Route& route, const PoolId& pool) {
+  AttemptHistory after = history_;
+  ++after.possible_runs;
+  return MayRetry(route, after) && dispatcher_.TryConsumeRetry(pool);
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/forwarding/server_search.cc
@@ -0,0 +1,106 @@
+#include "gateway/forwarding/server_search.h"
+
+#include <utility>
+
+#include "gateway/admission_rules.h"
+
+namespace bamboomount {
+
+bool ServerSearchRequest::IsUrgent() const {
+  return admitted.urgency.value() + 1 < admitted.policy->urgency_levels();
+}
+
+ServerSearch::ServerSearch(Dispatcher& dispatcher, Observer& observer)
+    : dispatcher_(dispatcher),
+      observer_(observer),
+      timer_(dispatcher.context()) {}
+
+void ServerSearch::Find(const ServerSearchRequest& request,
+                        const std::vector<BackendId>& tried,
+                        const std::shared_ptr<void>& owner) {
+  request_.emplace(request);
+  tried_ = &tried;
+  Search(owner);
+}
+
+void ServerSearch::Search(const std::shared_ptr<void>& owner) {
+  const Instant now = BootClock::now();
+  const PoolId& pool = request_->pool;
+  if (request_->engine) {
+    if (const auto until = dispatcher_.state().poison_parts().PoisonousUntil(
+            request_->prompt)) {
+      observer_.OnPoisonousPrompt(ToMillis(*until - now));
+      return;
+    }
+  }
+  const auto untried = dispatcher_.UntriedBackends(pool, *tried_);
+  if (untried.empty() && !tried_->empty()) {
+    observer_.OnNoServer("no other backend server left to try");
+    return;
+  }
+  const BackendServer* server = nullptr;
+  if (!request_->engine || HasRoomAtEngines())
+    server = dispatcher_.state().selector().Choose(
+        dispatcher_.BelowConnectionLimit(untried, pool),
+        MakePlacementRequest(*request_, dispatcher_.state()), now);
+  if (server)
+    observer_.OnServerFound(*server);
+  else
+    Wait(owner);
+}
+
+bool ServerSearch::HasRoomAtEngines() const {
+  const Tier urgency = request_->admitted.urgency;
+  return dispatcher_.concurrency_limit(request_->pool)
+             .HasRoom(urgency, request_->IsUrgent()) &&
+         !dispatcher_.HasMoreUrgentWaiter(request_->pool, urgency);
+}
+
+PlacementRequest ServerSearch::MakePlacementRequest(
+    const ServerSearchRequest& request,
+    const GatewayState& state) {
+  return {request.prompt,
+          request.engine,
+          {request.admitted.urgency, request.IsUrgent(),
+           request.admitted.route->target_latency},
+          state.settings().zone,
+          state.backends().Listed(request.pool)};
+}
+
+void ServerSearch::Wait(const std::shared_ptr<void>& owner) {
+  const Instant now = BootClock::now();
+  const Millis limit = MaxQueueTime(request_->admitted.route->target_latency,
+                                    ToMillis(request_->deadline - now));
+  const Millis waited = ToMillis(now - request_->received);
+  if (waited >= limit) {
+    observer_.OnNoServer("no backend server has capacity");
+    return;
+  }
+  ticket_ = dispatcher_.AddWaiter(request_->pool, request_->admitted.urgency,
+                                  [this, owner] {
+                                    ticket_.reset();
+                                    timer_.cancel();
+                                    Search(owner);
+                                  });
+  timer_.expires_after(limit - waited);
+  timer_.async_wait([this, owner](const error_code& error) {
+    if (!error && ticket_)
+      OnWaitTimeout();
+  });
+}
+
+void ServerSearch::OnWaitTimeout() {
+  Cancel();
+  observer_.OnNoServer(
+      "no backend server had capacity within the queue time limit");
+}
+
+void ServerSearch::Cancel() {
+  timer_.cancel();
+  if (!ticket_)
+    return;
+  const Dispatcher::WaitTicket ticket = *std::exchange(ticket_, std::nullopt);
+  dispatcher_.RemoveWaiter(request_->pool, ticket);
+}
+
+}  // namespace bamboomount
