Admit requests by the demand on all instances

Cause: with one customer at nine times its traffic within a burst, on 60 instances, a plain service of 24 slots got 38,176 requests and refused 25,408 of them itself. No instance knew the demand on the others, or a customer. Change: instances meter demand in server-seconds by pool, tier and customer, share it by gossip, and admit the fraction that the capacity allows: tiers in order, max-min fairness among customers. Setting fleet_admission.

--- a/src/gateway/admission_rules.cc
+++ b/src/gateway/admission_rules.cc
@@ -30,6 +30,15 @@
   return std::max(kMinRetryAfter, delay);
 }
 
+Millis RetryAfterOverload(double load_factor, Millis time_left, double draw) {
+  const double max_delay =
+      static_cast<double>(time_left.count()) * kMaxRetryAfterFraction;
+  const double excess = load_factor > 1 ? 1 - 1 / load_factor : 0;
+  const double fraction = excess + (1 - excess) * draw;
+  const Millis delay(static_cast<Millis::rep>(max_delay * fraction));
+  return std::max(kMinRetryAfter, delay);
+}
+
 std::string FormatSeconds(Millis time) {
   constexpr double kMillisPerSecond = 1000;
   std::ostringstream text;
--- a/src/gateway/admission_rules.h
+++ b/src/gateway/admission_rules.h
@@ -19,6 +19,11 @@
 // that. `draw` is uniform in [0, 1).
 Millis RetryAfter(Millis time_left, double draw);
 
+// The delay after which a caller should retry that was refused because the
+// demand exceeds the capacity `load_factor` times. The heavier the overload,
+// the later the retries are spread. At most a third of `time_left`.
+Millis RetryAfterOverload(double load_factor, Millis time_left, double draw);
+
 // Formats the value of a Retry-After field: seconds with a decimal fraction.
 std::string FormatSeconds(Millis time);
 
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -103,6 +103,14 @@
     7034, Severity::kWarning, "poison_part_found",
     "Engines crashed one after the other while they answered requests with a "
     "part of the prompt; requests with the part are refused."};
+inline constexpr LogEvent kPoolOverloaded{
+    7050, Severity::kWarning, "pool_overloaded",
+    "The demand on a pool exceeds its capacity, both in servers; this instance "
+    "refuses requests of the lowest admitted tier in part, and all of less "
+    "urgent tiers."};
+inline constexpr LogEvent kPoolRecovered{
+    7051, Severity::kInfo, "pool_recovered",
+    "The demand on a pool fits its capacity again."};
 inline constexpr LogEvent kLeaseTaken{
     7040, Severity::kInfo, "duty_lease_taken",
     "This instance acquired the duty lease and now reports usage and orders "
@@ -133,7 +141,8 @@
     kMemberUnreadable, kMemberListed,      kMemberGone,       kPeerRowsFailed,
     kRequestPlaced,    kRequestRefused,    kAttemptFailed,    kRequestEnded,
     kPoisonPartFound,  kLeaseTaken,        kLeaseLost,        kUsageReported,
-    kUsageNotReported, kBackendsOrdered,   kOrderFailed};
+    kUsageNotReported, kBackendsOrdered,   kOrderFailed,      kPoolOverloaded,
+    kPoolRecovered};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/attempt_load.cc
+++ b/src/gateway/forwarding/attempt_load.cc
@@ -17,6 +17,7 @@
   const BackendLoad total = loads.Total(server_);
   queued_tokens_ = Tokens(request_.urgent ? total.urgent_prefill_tokens
                                           : total.pending_prefill_tokens);
+  server_was_full_ = total.requests > server.slots;
   if (!request_.engine)
     return;
   dispatcher_.concurrency_limit(request_.pool).Add(request_.priority);
--- a/src/gateway/forwarding/attempt_load.h
+++ b/src/gateway/forwarding/attempt_load.h
@@ -33,6 +33,9 @@
   AttemptLoad& operator=(const AttemptLoad&) = delete;
 
   Instant sent_at() const { return sent_at_; }
+  // Whether the server had more requests than slots, this one included, when
+  // the request was sent.
+  bool server_was_full() const { return server_was_full_; }
   // Whether the server has begun to send its answer.
   bool generating() const { return generating_; }
 
@@ -56,6 +59,7 @@
   Tokens queued_tokens_;
   // Whether the engine has many requests when the request is sent.
   bool engine_is_busy_ = false;
+  bool server_was_full_ = false;
   bool generating_ = false;
 };
 
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway/admission_rules.h"
+#include "gateway/forwarding/fleet_admission.h"
 #include "gateway/forwarding/forwarded_head.h"
 #include "gateway/forwarding/request_log.h"
 #include "gateway/forwarding/server_signals.h"
@@ -66,6 +67,8 @@
     limit = std::min(limit, *head_.time_limit - kCallerTransitTime);
   deadline_ = request_.received + limit;
   dispatcher_.CountRequest(pool_);
+  if (pool && RefuseIfExcess(*pool))
+    return;
   reply_->SetCallerGoneHandler(
       [self = shared_from_this()] { self->OnCallerGone(); });
   deadline_timer_.expires_after(
@@ -98,6 +101,16 @@
   return true;
 }
 
+bool Exchange::RefuseIfExcess(const Pool& pool) {
+  cost_ = CostQueryFor(head_.prompt, admitted_, pool);
+  const auto retry_after =
+      RefuseExcess(dispatcher_, cost_, admitted_, TimeLeft(BootClock::now()));
+  if (retry_after)
+    RefuseTemporarily("the demand exceeds the capacity of the pool",
+                      *retry_after);
+  return retry_after.has_value();
+}
+
 ServerSearchRequest Exchange::SearchRequest() const {
   return {head_.prompt, admitted_,         pool_,
           engine_,      request_.received, deadline_};
@@ -355,6 +368,9 @@
   const bool success = StatusClass(status) == 2;
   const Instant now = BootClock::now();
   load_->RecordComplete(now);
+  if (success)
+    dispatcher_.state().cost_model().RecordAnswer(
+        cost_, ToMillis(now - load_->sent_at()), load_->server_was_full());
   if (success && engine_)
     dispatcher_.state().poison_parts().RecordServed(head_.prompt, now);
   ReleaseAttempt();
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -51,6 +51,9 @@
  private:
   // Returns false if the request was refused and the response sent.
   bool Admit();
+  // Refuses the request if the demand on the pool exceeds its capacity. Returns
+  // whether it did.
+  bool RefuseIfExcess(const Pool& pool);
   void FindServer();
   ServerSearchRequest SearchRequest() const;
   AttemptLoad::Request LoadRequest(const PrefixPlan& prefix) const;
@@ -92,6 +95,7 @@
   // alive.
   const EngineTraits* engine_ = nullptr;
   Instant deadline_;
+  CostQuery cost_;
   bool ended_ = false;
   bool usage_counted_ = false;
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <optional>
 
+#include "gateway/admission/admission_controller.h"
+#include "gateway/admission/request_cost_model.h"
 #include "gateway/boot_clock.h"
 #include "gateway/control/async_table_store.h"
 #include "gateway/duties/incarnation_usage.h"
@@ -88,6 +90,10 @@
   PrefillThroughput& prefill_throughput() { return prefill_throughput_; }
   BackendSelector& selector() { return selector_; }
   PoisonPartDetector& poison_parts() { return poison_parts_; }
+  DemandMeter& demand_meter() { return demand_meter_; }
+  FleetDemand& fleet_demand() { return fleet_demand_; }
+  RequestCostModel& cost_model() { return cost_model_; }
+  AdmissionController& admission() { return admission_; }
   UsageLedger& usage() { return usage_; }
   // The latest usage window that has ended.
   WindowNumber LastEndedWindow(Instant now) const;
@@ -137,6 +143,10 @@
   PrefillThroughput prefill_throughput_;
   BackendSelector selector_{loads_, health_, prefill_throughput_};
   PoisonPartDetector poison_parts_;
+  DemandMeter demand_meter_;
+  FleetDemand fleet_demand_;
+  RequestCostModel cost_model_{prefill_throughput_};
+  AdmissionController admission_{demand_meter_, fleet_demand_};
   UsageLedger usage_;
   UsageByIncarnation peer_usage_;
   UsageDelivery usage_delivery_;
--- a/src/gateway/instance_settings.cc
+++ b/src/gateway/instance_settings.cc
@@ -87,6 +87,7 @@
        MillisSetter(&InstanceSettings::key_withdrawal_deadline)},
       {"refuse_keys_when_stale",
        BoolSetter(&InstanceSettings::refuse_keys_when_stale)},
+      {"fleet_admission", BoolSetter(&InstanceSettings::fleet_admission)},
       {"stop_deadline_s", SecondsSetter(&InstanceSettings::stop_deadline)},
       {"lease_ms", MillisSetter(&InstanceSettings::lease_duration)},
       {"usage_window_s", SecondsSetter(&InstanceSettings::usage_window)},
--- a/src/gateway/instance_settings.h
+++ b/src/gateway/instance_settings.h
@@ -57,6 +57,9 @@
   // Upper limit of the time for which callers may cache addresses.
   Millis max_address_lifetime{5000};
   RetryLimits retry_limits;
+  // Whether requests that exceed the capacity of a pool are refused on arrival,
+  // by the demand on all instances.
+  bool fleet_admission = false;
 };
 
 // The result of parsing a settings file, with one message for each error.
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -42,6 +42,8 @@
   state_.poison_parts().Merge(message.part_evidence, now);
   if (message.loads)
     state_.loads().SetRemoteLoads(message.instance, std::move(*message.loads));
+  if (message.demand)
+    state_.fleet_demand().SetPeerDemand(message.instance, *message.demand, now);
   if (!message.usage_update)
     return std::nullopt;
   return ApplyUsage(std::move(*message.usage_update), now);
@@ -80,6 +82,7 @@
 void FleetGossipHandler::OnPeersExpired(
     const std::vector<InstanceId>& live_peers) {
   state_.loads().RetainRemoteLoads(live_peers);
+  state_.fleet_demand().RetainPeers(live_peers);
 }
 
 std::optional<std::string> FleetGossipHandler::AnswerRowsQuery(
--- a/src/gateway/replication/gossip_exchange.cc
+++ b/src/gateway/replication/gossip_exchange.cc
@@ -128,6 +128,9 @@
   if (with_loads)
     message.loads = state_.loads().LocalLoads();
   const Instant now = BootClock::now();
+  if (with_loads && state_.settings().fleet_admission)
+    message.demand =
+        state_.demand_meter().Report(state_.admission().BusyPools(), now);
   MemberRegistry& members = state_.members();
   if (members.All().size() > kFanout)
     message.heartbeats = members.HeartbeatsToRelay(now);
--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -1,5 +1,6 @@
 #include "gateway/replication/gossip_message.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -10,6 +11,9 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kPartEvidenceIndex = 13;
+constexpr std::size_t kDemandIndex = 14;
+// Demand is encoded as a whole number of millionths of a server.
+constexpr double kDemandUnitsPerServer = 1e6;
 
 // Encoded as arrays without field names: messages are frequent, and traffic
 // between zones is charged by the byte.
@@ -38,6 +42,21 @@
   return loads;
 }
 
+// Pool, tier, customer and demand of each entry, as one flat array.
+Json EncodeDemand(const GossipMessage& message) {
+  if (!message.demand)
+    return nullptr;
+  Json demand = Json::array();
+  for (const DemandEntry& entry : *message.demand) {
+    demand.push_back(entry.pool.value());
+    demand.push_back(entry.tier.value());
+    demand.push_back(entry.customer.value());
+    demand.push_back(static_cast<std::uint64_t>(
+        std::llround(entry.servers * kDemandUnitsPerServer)));
+  }
+  return demand;
+}
+
 Json EncodeEjected(const GossipMessage& message) {
   Json ejected = Json::array();
   for (const EjectedServer& server : message.ejected)
@@ -129,6 +148,21 @@
   return decoded;
 }
 
+std::optional<std::vector<DemandEntry>> DecodeDemand(const Json& demand) {
+  constexpr std::size_t kFields = 4;
+  if (demand.is_null())
+    return std::nullopt;
+  std::vector<DemandEntry> decoded;
+  for (std::size_t i = 0; i < demand.size(); i += kFields)
+    decoded.push_back(
+        {PoolId(demand.at(i).get<std::string>()),
+         Tier(demand.at(i + 1).get<int>()),
+         CustomerId(demand.at(i + 2).get<std::string>()),
+         static_cast<double>(demand.at(i + 3).get<std::uint64_t>()) /
+             kDemandUnitsPerServer});
+  return decoded;
+}
+
 std::optional<UsageUpdate> DecodeUsage(const Json& usage,
                                        const InstanceId& sender) {
   if (usage.is_null())
@@ -187,7 +221,7 @@
        EncodeEjected(message), EncodeUsage(message),
        message.usage_sealed_through.value(),
        EncodeReceipt(message.usage_receipt), EncodeHeartbeats(message),
-       EncodePartEvidence(message)}));
+       EncodePartEvidence(message), EncodeDemand(message)}));
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::uint8_t* data,
@@ -219,6 +253,8 @@
     // Absent in messages of earlier versions, which may run during an upgrade.
     if (json.size() > kPartEvidenceIndex)
       message.part_evidence = DecodePartEvidence(json.at(kPartEvidenceIndex));
+    if (json.size() > kDemandIndex)
+      message.demand = DecodeDemand(json.at(kDemandIndex));
     return message;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/replication/gossip_message.h
+++ b/src/gateway/replication/gossip_message.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "gateway/admission/demand.h"
 #include "gateway/duties/incarnation_usage.h"
 #include "gateway/duties/usage_delivery.h"
 #include "gateway/membership/member_registry.h"
@@ -54,6 +55,9 @@
   // Load of the requests that the sender has at backend servers; empty if the
   // message carries no loads, which does not mean that there is no load.
   std::optional<std::map<BackendId, BackendLoad>> loads;
+  // Demand on the sender by pool, tier and customer; empty if the message
+  // carries none, which does not mean that there is none.
+  std::optional<std::vector<DemandEntry>> demand;
   // Backend servers that the sender has ejected.
   std::vector<EjectedServer> ejected;
   // Crashes of engines and the parts of prompts that they may be due to.
