Limit cold servers, evacuate zones, keep requests in their regions

Evacuation rows and allowed regions were not read. Change: each cold server has few owners among the instances, which share its rate; servers of evacuated zones are not used; servers outside the allowed regions are not candidates, and address answers follow.

--- a/apps/bamboomount_entry/entry_process.cc
+++ b/apps/bamboomount_entry/entry_process.cc
@@ -52,7 +52,7 @@
         lease_store_(context_, settings.store_address),
         shared_store_(context_, settings.store_address),
         duty_client_(context_, settings.orders_address),
-        config_observer_(decoder_, state_),
+        config_observer_(decoder_, dispatcher_),
         backend_observer_(decoder_, dispatcher_),
         member_observer_(state_.members()),
         config_follower_(context_,
--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -51,6 +51,7 @@
 }
 
 void BackendObserver::ProcessListedServer(const BackendServer& server) {
+  dispatcher_.state().cold_pacer().RecordListed(server, BootClock::now());
   const BackendServer* known = backends().Find(server.id);
   if (known && known->draining == server.draining &&
       known->address == server.address &&
--- a/src/gateway/control/config_observer.cc
+++ b/src/gateway/control/config_observer.cc
@@ -1,25 +1,61 @@
 #include "gateway/control/config_observer.h"
 
+#include <utility>
+
 #include "gateway/events.h"
 #include "telemetry/log.h"
 
 namespace bamboomount {
 
 void ConfigObserver::OnSnapshot(const std::vector<TableRow>& rows) {
-  OnChanges(rows);
+  ApplyConfig(rows);
+  UpdateEvacuations(rows, {});
+}
+
+void ConfigObserver::OnChanges(const std::vector<TableRow>& rows) {
+  ApplyConfig(rows);
+  UpdateEvacuations(rows, state().backends().evacuated_zones());
+}
+
+void ConfigObserver::UpdateEvacuations(const std::vector<TableRow>& rows,
+                                       std::set<ZoneId> zones) {
+  for (const TableRow& row : rows) {
+    const auto zone = decoder_.EvacuatedZone(row.key);
+    if (!zone)
+      continue;
+    if (row.deleted)
+      zones.erase(*zone);
+    else
+      zones.insert(*zone);
+  }
+  const std::set<ZoneId> before = state().backends().evacuated_zones();
+  if (zones == before)
+    return;
+  for (const ZoneId& zone : zones) {
+    if (!before.contains(zone))
+      Log(gateway_events::kEvacuationBegan, {{"zone", zone.value()}});
+  }
+  for (const ZoneId& zone : before) {
+    if (zones.contains(zone))
+      continue;
+    Log(gateway_events::kEvacuationEnded, {{"zone", zone.value()}});
+    state().cold_pacer().RecordEvacuationEnd(zone, BootClock::now());
+  }
+  state().backends().SetEvacuatedZones(std::move(zones));
+  dispatcher_.WakeAll();
 }
 
 void ConfigObserver::OnConfirmed(const StoreResponseInfo& info) {
   if (IsReadable())
-    state_.freshness().Confirm(info.sent, info.store_time);
+    state().freshness().Confirm(info.sent, info.store_time);
 }
 
 void ConfigObserver::OnConfirmedByPeer(Millis store_time) {
   if (IsReadable())
-    state_.freshness().ConfirmByPeer(store_time, BootClock::now());
+    state().freshness().ConfirmByPeer(store_time, BootClock::now());
 }
 
-void ConfigObserver::OnChanges(const std::vector<TableRow>& rows) {
+void ConfigObserver::ApplyConfig(const std::vector<TableRow>& rows) {
   // Several versions may have accumulated; only the last one is applied.
   const TableRow* newest = nullptr;
   for (const TableRow& row : rows) {
@@ -35,7 +71,7 @@
     return;
   }
   const auto applied = policy.value();
-  if (!state_.ApplyPolicy(applied))
+  if (!state().ApplyPolicy(applied))
     return;
   Log(gateway_events::kConfigApplied,
       {{"version", std::to_string(applied->version().value())},
--- a/src/gateway/control/config_observer.h
+++ b/src/gateway/control/config_observer.h
@@ -1,20 +1,21 @@
 #ifndef GATEWAY_CONTROL_CONFIG_OBSERVER_H_
 #define GATEWAY_CONTROL_CONFIG_OBSERVER_H_
 
-#include <functional>
+#include <set>
 #include <vector>
 
 #include "gateway/control/state_decoder.h"
-#include "gateway/gateway_state.h"
+#include "gateway/forwarding/dispatcher.h"
 #include "gateway/replication/table_follower.h"
 
 namespace bamboomount {
 
-// Applies new versions of the operator's configuration.
+// Applies the rows of the operator: new versions of the configuration, and the
+// evacuation of availability zones.
 class ConfigObserver : public TableObserver {
  public:
-  ConfigObserver(const StateDecoder& decoder, GatewayState& state)
-      : decoder_(decoder), state_(state) {}
+  ConfigObserver(const StateDecoder& decoder, Dispatcher& dispatcher)
+      : decoder_(decoder), dispatcher_(dispatcher) {}
 
   void OnSnapshot(const std::vector<TableRow>& rows) override;
   void OnChanges(const std::vector<TableRow>& rows) override;
@@ -22,10 +23,15 @@
   void OnConfirmedByPeer(Millis store_time) override;
 
  private:
-  bool IsReadable() const { return !unreadable_ && state_.policy(); }
+  GatewayState& state() { return dispatcher_.state(); }
+  bool IsReadable() { return !unreadable_ && state().policy(); }
+  void ApplyConfig(const std::vector<TableRow>& rows);
+  // Applies the evacuation rows among `rows` to the zones in `zones`.
+  void UpdateEvacuations(const std::vector<TableRow>& rows,
+                         std::set<ZoneId> zones);
 
   const StateDecoder& decoder_;
-  GatewayState& state_;
+  Dispatcher& dispatcher_;
   // The newest configuration cannot be decoded, so the applied one is out of
   // date.
   bool unreadable_ = false;
--- a/src/gateway/control/duty_runner.cc
+++ b/src/gateway/control/duty_runner.cc
@@ -230,7 +230,8 @@
     if (!pool.scaling)
       continue;
     const PoolDemand demand =
-        MeasureDemand(pool, state_.backends().Listed(id), state_.loads());
+        MeasureDemand(pool, state_.backends().Listed(id),
+                      state_.backends().evacuated_zones(), state_.loads());
     for (BackendOrder& order : planner_.Plan(pool, demand, now))
       orders_.push_back(std::move(order));
   }
--- a/src/gateway/control/state_decoder.h
+++ b/src/gateway/control/state_decoder.h
@@ -2,6 +2,7 @@
 #define GATEWAY_CONTROL_STATE_DECODER_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/base.h"
@@ -20,6 +21,10 @@
   virtual std::string config_key() const = 0;
   virtual std::string backend_table() const = 0;
 
+  // The availability zone that a row of the operator's table with this key
+  // takes out of use; empty if the row is something else.
+  virtual std::optional<ZoneId> EvacuatedZone(const std::string& key) const = 0;
+
   // Fails with kInvalidConfig.
   virtual Result<std::shared_ptr<const TrafficPolicy>> DecodePolicy(
       const std::string& value) const = 0;
--- a/src/gateway/discovery_protocol.h
+++ b/src/gateway/discovery_protocol.h
@@ -11,6 +11,8 @@
 
 // A caller's request for the addresses of instances near it.
 struct AddressQuery {
+  // The host that the caller wants to reach.
+  std::string host;
   ZoneId zone;
   RegionId region;
 };
--- a/src/gateway/duties/fleet_planner.cc
+++ b/src/gateway/duties/fleet_planner.cc
@@ -63,10 +63,13 @@
   return (dividend + divisor - 1) / divisor;
 }
 
-std::vector<ZoneId> ZonesByPrice(const ScalingRule& rule) {
+std::vector<ZoneId> ZonesByPrice(const ScalingRule& rule,
+                                 const std::set<ZoneId>& evacuated_zones) {
   std::vector<ZoneId> zones;
-  for (const auto& [zone, price] : rule.zone_prices)
-    zones.push_back(zone);
+  for (const auto& [zone, price] : rule.zone_prices) {
+    if (!evacuated_zones.contains(zone))
+      zones.push_back(zone);
+  }
   std::stable_sort(zones.begin(), zones.end(),
                    [&rule](const ZoneId& a, const ZoneId& b) {
                      return rule.zone_prices.at(a) < rule.zone_prices.at(b);
@@ -78,11 +81,15 @@
 
 PoolDemand MeasureDemand(const Pool& pool,
                          const std::vector<const BackendServer*>& listed,
+                         const std::set<ZoneId>& evacuated_zones,
                          const BackendLoads& loads) {
   PoolDemand demand;
+  demand.evacuated_zones = evacuated_zones;
   std::set<BackendId> ids;
   for (const BackendServer* server : listed) {
     ids.insert(server->id);
+    if (evacuated_zones.contains(server->zone))
+      continue;
     auto& zones = server->reclaimable ? demand.reclaimable : demand.firm;
     ZoneCount& count = zones[server->zone];
     ++(server->draining ? count.draining : count.ready);
@@ -113,8 +120,11 @@
   if (!pool.scaling || pool.scaling->zone_prices.empty())
     return orders;
   const ScalingRule& rule = *pool.scaling;
-  const std::vector<ZoneId> zones = ZonesByPrice(rule);
-  const int zone_count = static_cast<int>(zones.size());
+  const std::vector<ZoneId> zones = ZonesByPrice(rule, demand.evacuated_zones);
+  if (zones.empty())
+    return orders;
+  // An evacuated zone counts like a lost one, for which there is a reserve.
+  const int zone_count = static_cast<int>(rule.zone_prices.size());
   const bool stable = UpdatePoolSize(pool.id, demand, zone_count, now);
   const int size = sizes_[pool.id].servers;
   // Prompts that queue up during an overload show how far the pool has fallen
--- a/src/gateway/duties/fleet_planner.h
+++ b/src/gateway/duties/fleet_planner.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -30,10 +31,13 @@
   int generating = 0;
   std::int64_t pending_prefill_tokens = 0;
   int slots_per_server = 1;
+  // Zones whose servers must not be used; none are ordered there.
+  std::set<ZoneId> evacuated_zones;
 };
 
 PoolDemand MeasureDemand(const Pool& pool,
                          const std::vector<const BackendServer*>& listed,
+                         const std::set<ZoneId>& evacuated_zones,
                          const BackendLoads& loads);
 
 // Plans how many backend servers of a pool to order in each availability zone.
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -68,6 +68,14 @@
     7028, Severity::kInfo, "backend_paused",
     "A backend server refused a request and asked for a pause; it gets no "
     "requests of this instance for that time."};
+inline constexpr LogEvent kEvacuationBegan{
+    7016, Severity::kInfo, "evacuation_began",
+    "The operator takes an availability zone out of use; its backend servers "
+    "get no new requests."};
+inline constexpr LogEvent kEvacuationEnded{
+    7017, Severity::kInfo, "evacuation_ended",
+    "The backend servers of the availability zone may be used again. If the "
+    "configuration limits cold servers, they get few requests at first."};
 inline constexpr LogEvent kMemberUnreadable{
     7023, Severity::kWarning, "member_row_unreadable",
     "The row of an instance cannot be parsed. Check that all instances run "
@@ -142,7 +150,7 @@
     kRequestPlaced,    kRequestRefused,    kAttemptFailed,    kRequestEnded,
     kPoisonPartFound,  kLeaseTaken,        kLeaseLost,        kUsageReported,
     kUsageNotReported, kBackendsOrdered,   kOrderFailed,      kPoolOverloaded,
-    kPoolRecovered};
+    kPoolRecovered,    kEvacuationBegan,   kEvacuationEnded};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -29,10 +29,14 @@
 
 std::vector<const BackendServer*> Dispatcher::UntriedBackends(
     const PoolId& pool,
-    const std::vector<BackendId>& tried) const {
+    const std::vector<BackendId>& tried,
+    const RegionLimit& regions) const {
   const Instant now = BootClock::now();
   std::vector<const BackendServer*> untried;
   for (const BackendServer* server : state_.backends().Usable(pool)) {
+    if (regions.restricted() &&
+        !regions.Allows(state_.settings().RegionOf(server->zone)))
+      continue;
     if (state_.health().IsBackingOff(server->id, now) ||
         std::find(tried.begin(), tried.end(), server->id) != tried.end())
       continue;
@@ -61,19 +65,45 @@
   });
 }
 
-std::vector<const BackendServer*> Dispatcher::BelowConnectionLimit(
+std::vector<const BackendServer*> Dispatcher::WithCapacity(
     std::vector<const BackendServer*> servers,
-    const PoolId& pool) const {
+    const PoolId& pool) {
   const int limit = ConnectionLimit(pool);
   std::erase_if(servers, [this, limit](const BackendServer* server) {
     return state_.loads().LocalRequests(server->id) >= limit;
   });
+  const Pool* rule = FindPool(pool);
+  if (!rule || !rule->PacesColdServers())
+    return servers;
+  const Instant now = BootClock::now();
+  const auto held_back =
+      std::erase_if(servers, [this, rule, now](const BackendServer* server) {
+        return !state_.cold_pacer().MaySend(*server, *rule, now);
+      });
+  if (held_back > 0) {
+    held_back_ = true;
+    metrics_.Increment("bamboomount_cold_servers_left_out_total",
+                       {{"pool", pool.value()}});
+  }
   return servers;
 }
 
+void Dispatcher::RecordServerFailure(const BackendId& server,
+                                     const PoolId& pool,
+                                     ServerFailure failure,
+                                     Instant now) {
+  state_.health().RecordFailure(server, failure, now);
+  const Pool* rule = FindPool(pool);
+  if (rule && rule->PacesColdServers() && failure != ServerFailure::kReplaced)
+    state_.cold_pacer().RecordUnreachable(server, now);
+}
+
+const Pool* Dispatcher::FindPool(const PoolId& pool) const {
+  return state_.policy() ? state_.policy()->FindPool(pool) : nullptr;
+}
+
 int Dispatcher::ConnectionLimit(const PoolId& pool) const {
-  const Pool* rule =
-      state_.policy() ? state_.policy()->FindPool(pool) : nullptr;
+  const Pool* rule = FindPool(pool);
   if (!rule)
     return kMinConnections;
   const double limit =
@@ -125,6 +155,11 @@
   }
 }
 
+void Dispatcher::WakeHeldBack() {
+  if (std::exchange(held_back_, false))
+    WakeAll();
+}
+
 bool Dispatcher::HasMoreUrgentWaiter(const PoolId& pool, Tier tier) const {
   const auto queue = waiters_.find(pool);
   return queue != waiters_.end() && queue->second.begin()->first.first < tier;
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -12,6 +12,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/placement/concurrency_limit.h"
 #include "gateway/placement/retry_budget_share.h"
+#include "gateway/traffic/region_limit.h"
 #include "telemetry/metrics.h"
 
 namespace bamboomount {
@@ -39,16 +40,23 @@
   }
   BackendConnectionPool& connections() { return connections_; }
 
-  // Usable backend servers of the pool that are not in `tried` and have not
-  // asked for a pause.
+  // Usable backend servers of the pool in the allowed regions that are not in
+  // `tried` and have not asked for a pause.
   std::vector<const BackendServer*> UntriedBackends(
       const PoolId& pool,
-      const std::vector<BackendId>& tried) const;
-  // Filters `servers` to those that have fewer requests of this instance than
-  // its connection limit.
-  std::vector<const BackendServer*> BelowConnectionLimit(
+      const std::vector<BackendId>& tried,
+      const RegionLimit& regions) const;
+  // Filters `servers` to those that this instance may send a request to now:
+  // they have fewer requests of this instance than its connection limit, and
+  // are not too cold for another one.
+  std::vector<const BackendServer*> WithCapacity(
       std::vector<const BackendServer*> servers,
-      const PoolId& pool) const;
+      const PoolId& pool);
+  // Records that a server of the pool could not be reached or sent no answer.
+  void RecordServerFailure(const BackendId& server,
+                           const PoolId& pool,
+                           ServerFailure failure,
+                           Instant now);
   // Whether the server may get a new request now: it is neither leaving nor has
   // asked for a pause.
   bool AcceptsRequests(const BackendId& server) const;
@@ -71,6 +79,8 @@
   void WakeOne(const PoolId& pool);
   // Wakes all waiting requests. Called when the set of backend servers changes.
   void WakeAll();
+  // Wakes the requests that wait because servers are cold. Called regularly.
+  void WakeHeldBack();
   // Whether a request of the pool with a higher priority is queued.
   bool HasMoreUrgentWaiter(const PoolId& pool, Tier tier) const;
   // Limit on this instance's requests at the engines of the pool.
@@ -82,6 +92,8 @@
   double Random();
 
  private:
+  // Null if the configuration does not contain the pool.
+  const Pool* FindPool(const PoolId& pool) const;
   int ConnectionLimit(const PoolId& pool) const;
 
   asio::io_context& context_;
@@ -93,6 +105,8 @@
   std::map<PoolId, ConcurrencyLimit> concurrency_limits_;
   std::map<PoolId, std::map<WaitTicket, WakeCallback>> waiters_;
   std::uint64_t next_ticket_ = 0;
+  // A request was kept from a cold server since the last WakeHeldBack().
+  bool held_back_ = false;
   // One timer for each server that has asked for a pause; wakes the waiting
   // requests at its end.
   std::map<BackendId, asio::steady_timer> pause_timers_;
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -155,6 +155,7 @@
   relay_.BeginAttempt();
   load_.emplace(dispatcher_, server, LoadRequest(prefix), now);
   state.selector().RecordPrefixSent(server, head_.prompt, now);
+  state.cold_pacer().RecordSent(server.id, now);
   LogPlaced(head_, admitted_,
             {server.id, state.loads().Total(server.id).requests,
              prefix.prefill_tokens,
@@ -309,7 +310,7 @@
   const Instant now = BootClock::now();
   if (accepts_requests && TimeLeft(now) > Millis(0)) {
     retries_.RecordFailedConnect(server);
-    dispatcher_.state().health().RecordFailure(server, failure, now);
+    dispatcher_.RecordServerFailure(server, pool_, failure, now);
     LogAttemptFailed(head_.id, server, {"no connection", "no", std::nullopt});
   } else {
     retries_.RecordNotSent(server);
@@ -334,8 +335,8 @@
   ReleaseAttempt();
   retries_.RecordPossibleRun(server);
   if (!stale_connection)
-    dispatcher_.state().health().RecordFailure(server,
-                                               ServerFailure::kNoResponse, now);
+    dispatcher_.RecordServerFailure(server, pool_, ServerFailure::kNoResponse,
+                                    now);
   LogAttemptFailed(
       head_.id, server,
       {"no complete, sealed response", "unknown", relay_.head().status});
@@ -350,8 +351,8 @@
   ReleaseAttempt();
   retries_.RecordRefusal(server);
   if (status == kMisdirected)
-    dispatcher_.state().health().RecordFailure(server, ServerFailure::kReplaced,
-                                               BootClock::now());
+    dispatcher_.RecordServerFailure(server, pool_, ServerFailure::kReplaced,
+                                    BootClock::now());
   LogAttemptFailed(head_.id, server, {"refused", "no", status});
   if (!TryAnotherServer())
     FailWithoutResponse(
@@ -390,7 +391,7 @@
 
 bool Exchange::TryAnotherServer() {
   if (ended_ || TimeLeft(BootClock::now()) <= Millis(0) ||
-      !retries_.TryRetry(*admitted_.route, pool_))
+      !retries_.TryRetry(admitted_, pool_))
     return false;
   // Posted, because the call stack still contains the attempt that ended.
   asio::post(dispatcher_.context(),
@@ -433,8 +434,8 @@
   attempt_->Cancel();
   ReleaseAttempt();
   retries_.RecordPossibleRun(server);
-  dispatcher_.state().health().RecordFailure(server, ServerFailure::kNoResponse,
-                                             BootClock::now());
+  dispatcher_.RecordServerFailure(server, pool_, ServerFailure::kNoResponse,
+                                  BootClock::now());
   LogAttemptFailed(head_.id, server, {"silence", "unknown", std::nullopt});
   FindServer();
 }
--- a/src/gateway/forwarding/request_admission.cc
+++ b/src/gateway/forwarding/request_admission.cc
@@ -52,6 +52,7 @@
     return RefuseNotFound(http::status::not_found, "no matching route", state,
                           now);
   request.urgency = request.policy->Urgency(*request.route, std::nullopt);
+  request.regions.RestrictTo(request.route->allowed_regions);
   if (request.route->allow_anonymous || !request.policy->has_customers())
     return request;
   if (!state.KeysAreCurrent(now))
@@ -62,6 +63,7 @@
     return RefuseNotFound(http::status::unauthorized, "unknown key", state,
                           now);
   request.customer = grant->customer;
+  request.regions.RestrictTo(grant->allowed_regions);
   request.urgency = request.policy->Urgency(*request.route, grant->tier);
   return request;
 }
--- a/src/gateway/forwarding/request_admission.h
+++ b/src/gateway/forwarding/request_admission.h
@@ -7,6 +7,7 @@
 
 #include "gateway/forwarding/message_protocol.h"
 #include "gateway/gateway_state.h"
+#include "gateway/traffic/region_limit.h"
 
 namespace bamboomount {
 
@@ -19,6 +20,8 @@
   CustomerId customer;
   // Rank among all requests; 0 is the most urgent.
   Tier urgency;
+  // Regions whose servers may run the request.
+  RegionLimit regions;
 };
 
 // Status and reason of a request that must not be served.
--- a/src/gateway/forwarding/retry_state.cc
+++ b/src/gateway/forwarding/retry_state.cc
@@ -17,9 +17,9 @@
   tried_.push_back(server);
 }
 
-bool RetryState::TryRetry(const Route& route, const PoolId& pool) {
-  if (!MayRetry(route, history_) ||
-      dispatcher_.UntriedBackends(pool, tried_).empty())
+bool RetryState::TryRetry(const AdmittedRequest& request, const PoolId& pool) {
+  if (!MayRetry(*request.route, history_) ||
+      dispatcher_.UntriedBackends(pool, tried_, request.regions).empty())
     return false;
   const bool reached_a_server = history_.possible_runs + history_.refusals > 0;
   return !reached_a_server || dispatcher_.TryConsumeRetry(pool);
--- a/src/gateway/forwarding/retry_state.h
+++ b/src/gateway/forwarding/retry_state.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gateway/forwarding/dispatcher.h"
+#include "gateway/forwarding/request_admission.h"
 #include "gateway/forwarding/retry_rules.h"
 
 namespace bamboomount {
@@ -28,7 +29,7 @@
 
   // Whether the request may be sent to another server of the pool. If so,
   // consumes a retry of the pool's budget where one is needed.
-  bool TryRetry(const Route& route, const PoolId& pool);
+  bool TryRetry(const AdmittedRequest& request, const PoolId& pool);
   // Whether an attempt may be given up for a second one, as if the server had
   // run the request. Consumes a retry of the pool's budget if so.
   bool TryReplaceAttempt(const Route& route, const PoolId& pool);
--- a/src/gateway/forwarding/server_search.cc
+++ b/src/gateway/forwarding/server_search.cc
@@ -33,7 +33,8 @@
       return;
     }
   }
-  const auto untried = dispatcher_.UntriedBackends(pool, *tried_);
+  const auto untried =
+      dispatcher_.UntriedBackends(pool, *tried_, request_->admitted.regions);
   if (untried.empty() && !tried_->empty()) {
     observer_.OnNoServer("no other backend server left to try");
     return;
@@ -41,7 +42,7 @@
   const BackendServer* server = nullptr;
   if (!request_->engine || HasRoomAtEngines())
     server = dispatcher_.state().selector().Choose(
-        dispatcher_.BelowConnectionLimit(untried, pool),
+        dispatcher_.WithCapacity(untried, pool),
         MakePlacementRequest(*request_, dispatcher_.state()), now);
   if (server)
     observer_.OnServerFound(*server);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -260,8 +260,11 @@
   }
   const InstanceSettings& settings = dispatcher_.state().settings();
   AddressList address_list;
+  const auto& policy = dispatcher_.state().policy();
+  const RegionLimit regions =
+      policy ? policy->RegionsOf(query->host) : RegionLimit();
   address_list.addresses = dispatcher_.state().members().AddressesFor(
-      query->zone, query->region, kMaxAddresses, BootClock::now());
+      query->zone, query->region, regions, kMaxAddresses, BootClock::now());
   // Before the first heartbeats arrive, this instance knows only itself.
   if (address_list.addresses.empty() && dispatcher_.state().IsReady() &&
       !shutting_down())
@@ -298,6 +301,8 @@
   dispatcher_.connections().CloseExpired(now);
   BackendRegistry& backends = dispatcher_.state().backends();
   backends.Expire(now);
+  dispatcher_.state().cold_pacer().Expire(now);
+  dispatcher_.WakeHeldBack();
   for (const PoisonPart& part : dispatcher_.state().poison_parts().Update(now))
     LogPoisonPart(part);
   if (shutdown_started_)
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -17,6 +17,7 @@
 #include "gateway/membership/state_freshness.h"
 #include "gateway/placement/backend_loads.h"
 #include "gateway/placement/backend_selector.h"
+#include "gateway/placement/cold_server_pacer.h"
 #include "gateway/placement/poison_part_detector.h"
 #include "gateway/traffic/traffic_policy.h"
 
@@ -89,6 +90,7 @@
   ServerHealth& health() { return health_; }
   PrefillThroughput& prefill_throughput() { return prefill_throughput_; }
   BackendSelector& selector() { return selector_; }
+  ColdServerPacer& cold_pacer() { return cold_pacer_; }
   PoisonPartDetector& poison_parts() { return poison_parts_; }
   DemandMeter& demand_meter() { return demand_meter_; }
   FleetDemand& fleet_demand() { return fleet_demand_; }
@@ -142,6 +144,7 @@
   ServerHealth health_;
   PrefillThroughput prefill_throughput_;
   BackendSelector selector_{loads_, health_, prefill_throughput_};
+  ColdServerPacer cold_pacer_{settings_.instance, members_};
   PoisonPartDetector poison_parts_;
   DemandMeter demand_meter_;
   FleetDemand fleet_demand_;
--- a/src/gateway/instance_settings.cc
+++ b/src/gateway/instance_settings.cc
@@ -58,11 +58,19 @@
   }
 }
 
+void ParseZones(InstanceSettings& settings, const Json& value) {
+  settings.zone_regions.clear();
+  for (const auto& [zone, zone_region] : value.items())
+    settings.zone_regions[ZoneId(zone)] =
+        RegionId(zone_region.get<std::string>());
+}
+
 const std::map<std::string, Setter>& Setters() {
   static const std::map<std::string, Setter> setters{
       {"instance", IdSetter(&InstanceSettings::instance)},
       {"zone", IdSetter(&InstanceSettings::zone)},
       {"region", IdSetter(&InstanceSettings::region)},
+      {"zones", ParseZones},
       {"capacity",
        [](InstanceSettings& settings, const Json& value) {
          settings.capacity = value.get<double>();
@@ -138,6 +146,11 @@
 
 }  // namespace
 
+RegionId InstanceSettings::RegionOf(const ZoneId& zone_id) const {
+  const auto found = zone_regions.find(zone_id);
+  return found == zone_regions.end() ? RegionId() : found->second;
+}
+
 ParsedSettings ParseInstanceSettings(const std::string& text) {
   ParsedSettings parsed;
   const Json fields = Json::parse(text, nullptr, /*allow_exceptions=*/false,
--- a/src/gateway/instance_settings.h
+++ b/src/gateway/instance_settings.h
@@ -2,6 +2,7 @@
 #define GATEWAY_INSTANCE_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
   InstanceId instance;
   ZoneId zone;
   RegionId region;
+  // The region of each availability zone.
+  std::map<ZoneId, RegionId> zone_regions;
   // CPU cores that the process may use; may be less than one.
   double capacity = 1;
   std::uint64_t memory_bytes = 0;
@@ -60,6 +63,9 @@
   // Whether requests that exceed the capacity of a pool are refused on arrival,
   // by the demand on all instances.
   bool fleet_admission = false;
+
+  // Empty if the zone is unknown.
+  RegionId RegionOf(const ZoneId& zone_id) const;
 };
 
 // The result of parsing a settings file, with one message for each error.
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -1,6 +1,7 @@
 #include "gateway/membership/backend_registry.h"
 
 #include <set>
+#include <utility>
 
 namespace bamboomount {
 
@@ -78,6 +79,13 @@
     ++revision_;
 }
 
+void BackendRegistry::SetEvacuatedZones(std::set<ZoneId> zones) {
+  if (zones == evacuated_zones_)
+    return;
+  evacuated_zones_ = std::move(zones);
+  ++revision_;
+}
+
 void BackendRegistry::Expire(Instant now) {
   std::erase_if(announcements_, [now](const auto& item) {
     return now - item.second.last_listed >= kAnnouncementLifetime;
@@ -97,7 +105,7 @@
     const PoolId& pool) const {
   std::vector<const BackendServer*> usable;
   for (const auto& [id, entry] : servers_) {
-    if (entry.server.pool != pool || entry.server.draining)
+    if (entry.server.pool != pool || !IsUsable(entry.server))
       continue;
     usable.push_back(&entry.server);
   }
@@ -111,7 +119,7 @@
 
 const BackendServer* BackendRegistry::FindUsable(const BackendId& id) const {
   const BackendServer* server = Find(id);
-  return server && !server->draining ? server : nullptr;
+  return server && IsUsable(*server) ? server : nullptr;
 }
 
 std::vector<const BackendServer*> BackendRegistry::Listed(
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "gateway/boot_clock.h"
@@ -51,16 +52,20 @@
   // window.
   void Expire(Instant now);
 
+  // Sets the availability zones whose servers must get no requests.
+  void SetEvacuatedZones(std::set<ZoneId> zones);
+  const std::set<ZoneId>& evacuated_zones() const { return evacuated_zones_; }
+
   // Servers of the pool that may get new requests.
   std::vector<const BackendServer*> Usable(const PoolId& pool) const;
-  // Returns null if the server is unknown or draining.
+  // Returns null if the server is unknown, draining or in an evacuated zone.
   const BackendServer* FindUsable(const BackendId& id) const;
   // Returns null if the server is unknown.
   const BackendServer* Find(const BackendId& id) const;
   // All known servers of the pool, including draining ones.
   std::vector<const BackendServer*> Listed(const PoolId& pool) const;
   bool empty() const { return servers_.empty(); }
-  // Increases with each update or removal of a server.
+  // Increases with each change of the servers that may be used.
   std::uint64_t revision() const { return revision_; }
 
  private:
@@ -76,11 +81,15 @@
     Instant last_listed;
   };
 
+  bool IsUsable(const BackendServer& server) const {
+    return !server.draining && !evacuated_zones_.contains(server.zone);
+  }
   bool HasAnnounced(const BackendServer& server, Instant now);
   bool InRestoreWindow(Instant now) const;
 
   std::map<BackendId, Entry> servers_;
   std::map<BackendId, Announcement> announcements_;
+  std::set<ZoneId> evacuated_zones_;
   std::optional<Instant> restore_until_;
   std::uint64_t revision_ = 0;
 };
--- a/src/gateway/membership/backend_server.h
+++ b/src/gateway/membership/backend_server.h
@@ -26,6 +26,9 @@
   // it. A process that starts again under the same id is treated as another
   // server.
   std::int64_t started_at_ms = 0;
+  // For how much longer the server is cold, as its row says: slow after a
+  // start, and not able to take many requests at once.
+  Millis cold_remaining{0};
   // When the registry first listed this process; the clock's epoch for servers
   // that were listed before this instance started.
   Instant listed_since;
--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -148,15 +148,19 @@
   return entry == entries_.end() ? nullptr : &entry->second.member;
 }
 
-std::vector<std::string> MemberRegistry::AddressesFor(const ZoneId& zone,
-                                                      const RegionId& region,
-                                                      std::size_t limit,
-                                                      Instant now) const {
+std::vector<std::string> MemberRegistry::AddressesFor(
+    const ZoneId& zone,
+    const RegionId& region,
+    const RegionLimit& regions,
+    std::size_t limit,
+    Instant now) const {
   const bool trusts_timeouts = !IsLikelyIsolated(now);
   std::vector<const Member*> eligible;
   for (const auto& [instance, entry] : entries_) {
     if (entry.member.leaving || (trusts_timeouts && IsSilent(entry, now)))
       continue;
+    if (entry.member.region != region && !regions.Allows(entry.member.region))
+      continue;
     eligible.push_back(&entry.member);
   }
   std::vector<std::string> addresses;
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -11,6 +11,7 @@
 
 #include "gateway/boot_clock.h"
 #include "gateway/membership/member.h"
+#include "gateway/traffic/region_limit.h"
 
 namespace bamboomount {
 
@@ -87,9 +88,10 @@
   // Returns at most `limit` caller addresses of instances in the zone; if there
   // are fewer than two, of those in the region, and then of the whole fleet.
   // Leaving instances are left out, and so are silent ones unless this instance
-  // is likely isolated.
+  // is likely isolated. Of other regions, only those in `regions` are returned.
   std::vector<std::string> AddressesFor(const ZoneId& zone,
                                         const RegionId& region,
+                                        const RegionLimit& regions,
                                         std::size_t limit,
                                         Instant now) const;
   // Number of instances with a row, at least 1.
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -13,6 +13,7 @@
   message.member_status.store_reachable = state_.store_reachable();
   message.store_recovery_time = state_.store_recovery_time();
   message.holder_statement = lease_.LatestHolderStatement(now);
+  message.unreachable = state_.cold_pacer().Unreachable(now);
   message.ejected = state_.health().EjectedServers(now);
   message.part_evidence = state_.poison_parts().Evidence(now);
   message.usage_sealed_through = state_.usage_delivery().sealed_through();
@@ -42,6 +43,7 @@
   state_.poison_parts().Merge(message.part_evidence, now);
   if (message.loads)
     state_.loads().SetRemoteLoads(message.instance, std::move(*message.loads));
+  state_.cold_pacer().MergeUnreachable(message.unreachable, now);
   if (message.demand)
     state_.fleet_demand().SetPeerDemand(message.instance, *message.demand, now);
   if (!message.usage_update)
--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kPartEvidenceIndex = 13;
 constexpr std::size_t kDemandIndex = 14;
+constexpr std::size_t kUnreachableIndex = 15;
 // Demand is encoded as a whole number of millionths of a server.
 constexpr double kDemandUnitsPerServer = 1e6;
 
@@ -64,6 +65,16 @@
   return ejected;
 }
 
+// Pairs of server and age in ms, as one flat array.
+Json EncodeUnreachable(const GossipMessage& message) {
+  Json unreachable = Json::array();
+  for (const UnreachableServer& server : message.unreachable) {
+    unreachable.push_back(server.id.value());
+    unreachable.push_back(server.age.count());
+  }
+  return unreachable;
+}
+
 // Pairs of hash and age in ms, as one flat array.
 Json EncodeHeartbeats(const GossipMessage& message) {
   Json heartbeats = Json::array();
@@ -163,6 +174,14 @@
   return decoded;
 }
 
+std::vector<UnreachableServer> DecodeUnreachable(const Json& unreachable) {
+  std::vector<UnreachableServer> decoded;
+  for (std::size_t i = 0; i < unreachable.size(); i += 2)
+    decoded.push_back({BackendId(unreachable.at(i).get<std::string>()),
+                       MillisOf(unreachable.at(i + 1))});
+  return decoded;
+}
+
 std::optional<UsageUpdate> DecodeUsage(const Json& usage,
                                        const InstanceId& sender) {
   if (usage.is_null())
@@ -221,7 +240,8 @@
        EncodeEjected(message), EncodeUsage(message),
        message.usage_sealed_through.value(),
        EncodeReceipt(message.usage_receipt), EncodeHeartbeats(message),
-       EncodePartEvidence(message), EncodeDemand(message)}));
+       EncodePartEvidence(message), EncodeDemand(message),
+       EncodeUnreachable(message)}));
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::uint8_t* data,
@@ -255,6 +275,8 @@
       message.part_evidence = DecodePartEvidence(json.at(kPartEvidenceIndex));
     if (json.size() > kDemandIndex)
       message.demand = DecodeDemand(json.at(kDemandIndex));
+    if (json.size() > kUnreachableIndex)
+      message.unreachable = DecodeUnreachable(json.at(kUnreachableIndex));
     return message;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/src/gateway/replication/gossip_message.h
+++ b/src/gateway/replication/gossip_message.h
@@ -12,6 +12,7 @@
 #include "gateway/duties/usage_delivery.h"
 #include "gateway/membership/member_registry.h"
 #include "gateway/placement/backend_loads.h"
+#include "gateway/placement/cold_server_pacer.h"
 #include "gateway/placement/poison_part_detector.h"
 #include "gateway/placement/server_health.h"
 #include "gateway/replication/replica_status.h"
@@ -58,6 +59,9 @@
   // Demand on the sender by pool, tier and customer; empty if the message
   // carries none, which does not mean that there is none.
   std::optional<std::vector<DemandEntry>> demand;
+  // Backend servers that the sender could not reach lately and that may be cold
+  // when they return.
+  std::vector<UnreachableServer> unreachable;
   // Backend servers that the sender has ejected.
   std::vector<EjectedServer> ejected;
   // Crashes of engines and the parts of prompts that they may be due to.
--- a/src/gateway/traffic/pool.h
+++ b/src/gateway/traffic/pool.h
@@ -44,8 +44,16 @@
   // Number of connections that one backend server accepts from all instances
   // together.
   int max_connections = 64;
+  // How long a server is cold after its start.
+  Millis cold_start{0};
+  // Requests per second that a cold server tolerates from all instances
+  // together; 0 if cold servers need no limit.
+  double cold_requests_per_s = 0;
   std::optional<EngineTraits> engine;
   std::optional<ScalingRule> scaling;
+
+  // Whether requests to cold servers have to be limited.
+  bool PacesColdServers() const { return cold_requests_per_s > 0; }
 };
 
 }  // namespace bamboomount
--- a/src/gateway/traffic/route.h
+++ b/src/gateway/traffic/route.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_TRAFFIC_ROUTE_H_
 #define GATEWAY_TRAFFIC_ROUTE_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,8 @@
   int attempts = 1;
   // Callers need no key.
   bool allow_anonymous = false;
+  // Regions whose servers may run the requests; empty if all may.
+  std::set<RegionId> allowed_regions;
   // Requests identify the shared prefixes of their prompts, so that they can be
   // routed to backend servers that have them cached.
   bool prefix_affinity = false;
--- a/src/gateway/traffic/traffic_policy.cc
+++ b/src/gateway/traffic/traffic_policy.cc
@@ -25,6 +25,16 @@
   return nullptr;
 }
 
+RegionLimit TrafficPolicy::RegionsOf(const std::string& host) const {
+  RegionLimit regions;
+  const auto routes = routes_by_host_.find(NormalizeHost(host));
+  if (routes == routes_by_host_.end())
+    return regions;
+  for (const auto& [prefix, route] : routes->second)
+    regions.RestrictTo(route.allowed_regions);
+  return regions;
+}
+
 Tier TrafficPolicy::Urgency(const Route& route,
                             const std::optional<Tier>& customer) const {
   const auto rank = [](const std::set<Tier>& tiers, Tier tier) {
--- a/src/gateway/traffic/traffic_policy.h
+++ b/src/gateway/traffic/traffic_policy.h
@@ -14,6 +14,7 @@
 
 #include "base/base.h"
 #include "gateway/traffic/pool.h"
+#include "gateway/traffic/region_limit.h"
 #include "gateway/traffic/route.h"
 
 namespace bamboomount {
@@ -32,6 +33,8 @@
   CustomerId customer;
   // Overrides the tier of the route.
   std::optional<Tier> tier;
+  // Regions whose servers may run the customer's requests; empty if all may.
+  std::set<RegionId> allowed_regions{};
 };
 
 // One version of the operator's configuration, indexed for lookups. Immutable;
@@ -58,6 +61,8 @@
   // none matches. `path` has no query. The pointer is valid for as long as the
   // policy.
   const Route* FindRoute(const std::string& host, std::string_view path) const;
+  // The regions in which all routes of the host may be served.
+  RegionLimit RegionsOf(const std::string& host) const;
   // Null if no customer has the key.
   const KeyGrant* FindKey(const std::string& key) const;
   // Null if the configuration does not contain the pool.
--- a/tests/gateway/member_registry_test.cc
+++ b/tests/gateway/member_registry_test.cc
@@ -26,7 +26,8 @@
 std::vector<std::string> Addresses(const MemberRegistry& registry,
                                    const std::string& zone,
                                    Instant now = At(0)) {
-  return registry.AddressesFor(ZoneId(zone), RegionId("r"), 64, now);
+  return registry.AddressesFor(ZoneId(zone), RegionId("r"), RegionLimit(), 64,
+                               now);
 }
 
 BOOST_AUTO_TEST_SUITE(member_registry)
