--- a/tests/gateway/backend_registry_test.cc
+++ b/tests/gateway/backend_registry_test.cc
@@ -27,6 +27,20 @@
   BOOST_TEST(!registry.FindUsable(BackendId("a")));
 }
 
+// Guards against requests to the servers of a zone that the operator evacuates,
+// and against servers that stay unused after its end.
+BOOST_AUTO_TEST_CASE(servers_of_an_evacuated_zone_are_not_usable) {
+  BackendRegistry registry;
+  BackendServer server = Server("a");
+  server.zone = ZoneId("z");
+  registry.Update(server, At(0));
+  registry.SetEvacuatedZones({ZoneId("z")});
+  BOOST_TEST(registry.Usable(PoolId("p")).empty());
+  BOOST_TEST(!registry.FindUsable(BackendId("a")));
+  registry.SetEvacuatedZones({});
+  BOOST_TEST(registry.Usable(PoolId("p")).size() == 1U);
+}
+
 // Guards against new requests to a server whose row was removed.
 BOOST_AUTO_TEST_CASE(a_removed_server_is_gone_at_once) {
   BackendRegistry registry;
--- a/tests/gateway/gossip_message_test.cc
+++ b/tests/gateway/gossip_message_test.cc
@@ -16,6 +16,9 @@
   message.holder_statement =
       HolderStatement{InstanceId("h"), FencingToken(9), Millis(120)};
   message.loads = {{BackendId("e"), {1, 2000, 500, 3, 4}}};
+  message.demand = {{PoolId("p"), Tier(2), CustomerId("mill"), 0.25},
+                    {PoolId("q"), Tier(0), CustomerId(), 12.5}};
+  message.unreachable = {{BackendId("u"), Millis(300)}};
   message.ejected = {{BackendId("x"), Millis(250)}};
   message.usage_update = {Incarnation("a-1"),
                           {message.instance,
@@ -56,6 +59,15 @@
   BOOST_TEST(read.value().store_recovery_time.count() == 44);
   BOOST_TEST((read.value().holder_statement->token == FencingToken(9)));
   BOOST_TEST(read.value().holder_statement->age.count() == 120);
+  const auto& demand = *read.value().demand;
+  BOOST_TEST(demand.size() == 2U);
+  BOOST_TEST((demand[0].pool == PoolId("p")));
+  BOOST_TEST((demand[0].tier == Tier(2)));
+  BOOST_TEST((demand[0].customer == CustomerId("mill")));
+  BOOST_TEST(demand[0].servers == 0.25);
+  BOOST_TEST(demand[1].servers == 12.5);
+  BOOST_TEST((read.value().unreachable[0].id == BackendId("u")));
+  BOOST_TEST(read.value().unreachable[0].age.count() == 300);
   const BackendLoad& load = read.value().loads->at(BackendId("e"));
   BOOST_TEST(load.requests == 1);
   BOOST_TEST(load.pending_prefill_tokens == 2000);
--- a/tests/platform/row_decoder_test.cc
+++ b/tests/platform/row_decoder_test.cc
@@ -47,6 +47,34 @@
   BOOST_TEST((policy.FindKey("k2")->tier == Tier(1)));
 }
 
+// Guards against figures for cold servers and regions that are read from the
+// wrong field or in the wrong unit.
+BOOST_AUTO_TEST_CASE(cold_servers_and_regions_are_decoded) {
+  const auto read = RowDecoder().DecodePolicy(
+      R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/x/",
+       "kind":"safe","service":"one","allowed_regions":["north"]}],
+       "services":[{"name":"one","cold_start_s":3.5,"cold_per_s":17.0}],
+       "tenants":[{"name":"mill","api_keys":["k"],"allowed_regions":["south"]}]
+      })");
+  const TrafficPolicy& policy = *read.value();
+  const Pool* pool = policy.FindPool(PoolId("one"));
+  BOOST_TEST(pool->cold_start.count() == 3500);
+  BOOST_TEST(pool->cold_requests_per_s == 17.0);
+  const Route* route = policy.FindRoute("h", "/x/");
+  BOOST_TEST(route->allowed_regions.contains(RegionId("north")));
+  BOOST_TEST(policy.FindKey("k")->allowed_regions.contains(RegionId("south")));
+  BOOST_TEST(policy.RegionsOf("h").Allows(RegionId("north")));
+  BOOST_TEST(!policy.RegionsOf("h").Allows(RegionId("south")));
+}
+
+// Guards against another row of the operator that is taken for an evacuation.
+BOOST_AUTO_TEST_CASE(evacuations_are_recognized_by_their_keys) {
+  const RowDecoder decoder;
+  BOOST_TEST((decoder.EvacuatedZone("evacuate/bern-a") == ZoneId("bern-a")));
+  BOOST_TEST(!decoder.EvacuatedZone("evacuate/").has_value());
+  BOOST_TEST(!decoder.EvacuatedZone("config").has_value());
+}
+
 // Guards against a request of an unknown kind that is retried and so runs
 // twice.
 BOOST_AUTO_TEST_CASE(an_unknown_kind_runs_at_most_once) {
