--- a/src/gateway/admission/admission_controller.cc
+++ b/src/gateway/admission/admission_controller.cc
@@ -7,15 +7,19 @@
 namespace bamboomount {
 namespace {
 
-// Share of the slots that overload is meant to keep in use. The rest absorbs
-// variations that the instances' reports show too late.
-constexpr double kTargetOccupancy = 0.9;
+// Requests for each slot that overload is meant to keep at the servers. An
+// engine generates more slowly the more requests it has, and the rest absorbs
+// variations that the instances' reports show too late. A plain service needs a
+// short queue, so that no slot is idle between two requests.
+constexpr double kEngineOccupancy = 0.9;
+constexpr double kServiceOccupancy = 1.2;
 // Below this share of the slots in use nothing is refused.
 constexpr double kMinOccupancyToRefuse = 0.5;
 // Relative change of the capacity in a second for each unit by which the
-// occupancy misses its target. Slow against the age of the reports, so that the
-// instances do not oscillate.
-constexpr double kCapacityGainPerSecond = 0.5;
+// occupancy misses its target, and the largest miss that counts. The occupancy
+// is known about one second late; faster changes would oscillate.
+constexpr double kCapacityGainPerSecond = 1;
+constexpr double kMaxOccupancyError = 0.5;
 constexpr double kMinCapacityFactor = 0.5;
 constexpr double kMaxCapacityFactor = 4;
 // Longest step of the correction.
@@ -48,8 +52,9 @@
       static_cast<double>(status.requests) / std::max(1, status.slots);
   if (status.servers > 0)
     state.slots_per_server = std::max(1, status.slots / status.servers);
-  AdjustCapacityFactor(state, now);
-  state.capacity = status.servers * kTargetOccupancy * state.capacity_factor;
+  const double target = status.engines ? kEngineOccupancy : kServiceOccupancy;
+  AdjustCapacityFactor(state, target, now);
+  state.capacity = status.servers * target * state.capacity_factor;
   state.fractions = Allocate(state.capacity, demand, weights_);
   state.updated_at = now;
   if (state.fractions.limited() == was_limited)
@@ -58,14 +63,19 @@
                         state.fractions.partial_tier()};
 }
 
-void AdmissionController::AdjustCapacityFactor(PoolState& pool, Instant now) {
+void AdmissionController::AdjustCapacityFactor(PoolState& pool,
+                                               double target_occupancy,
+                                               Instant now) {
   const auto step =
       std::min<std::chrono::duration<double>>(now - pool.updated_at, kMaxStep);
   // Without overload the occupancy says nothing about the capacity; the
   // correction then fades.
-  const double exponent = pool.fractions.limited()
-                              ? kTargetOccupancy - pool.occupancy
-                              : -std::log(pool.capacity_factor);
+  const bool refuses =
+      pool.fractions.limited() && pool.occupancy >= kMinOccupancyToRefuse;
+  const double exponent =
+      refuses ? std::clamp(target_occupancy - pool.occupancy,
+                           -kMaxOccupancyError, kMaxOccupancyError)
+              : -std::log(pool.capacity_factor);
   pool.capacity_factor *=
       std::exp(kCapacityGainPerSecond * exponent * step.count());
   pool.capacity_factor =
--- a/src/gateway/admission/admission_controller.h
+++ b/src/gateway/admission/admission_controller.h
@@ -15,6 +15,8 @@
 
 // State of a pool over all instances, as far as this instance knows.
 struct PoolStatus {
+  // Whether the servers are model engines.
+  bool engines = false;
   // Backend servers that may get requests, and their slots in total.
   int servers = 0;
   int slots = 0;
@@ -27,7 +29,7 @@
 struct AdmissionRequest {
   PoolId pool;
   Tier tier;
-  // Empty if the request has none.
+  // kNoCustomer if the request has none.
   CustomerId customer;
   double server_seconds = 0;
 };
@@ -94,7 +96,9 @@
   };
   using Group = std::tuple<PoolId, Tier, CustomerId>;
 
-  static void AdjustCapacityFactor(PoolState& pool, Instant now);
+  static void AdjustCapacityFactor(PoolState& pool,
+                                   double target_occupancy,
+                                   Instant now);
 
   DemandMeter& meter_;
   const FleetDemand& fleet_;
--- a/src/gateway/admission/demand.h
+++ b/src/gateway/admission/demand.h
@@ -14,12 +14,15 @@
 struct DemandEntry {
   PoolId pool;
   Tier tier;
-  // Empty for the customers that are not listed, taken together, and for
-  // requests without a customer.
+  // Empty for the customers that are not listed, taken together.
   CustomerId customer;
   double servers = 0;
 };
 
+// Stands for all requests without a customer. Parentheses keep it apart from
+// the names of customers.
+inline const CustomerId kNoCustomer("(none)");
+
 using CustomerDemand = std::map<CustomerId, double>;
 
 // Demand on one pool, in servers, by tier and customer. The most urgent tier
--- a/src/gateway/admission/fair_allocation.cc
+++ b/src/gateway/admission/fair_allocation.cc
@@ -37,6 +37,17 @@
     weight_left += claim.weight;
   std::map<CustomerId, double> fractions;
   for (const Claim& claim : claims) {
+    // Customers too small to be listed; max-min fairness serves them first.
+    if (claim.customer.empty() && claims.size() > 1) {
+      const double granted = std::min(claim.demand, capacity);
+      fractions[claim.customer] = claim.demand > 0 ? granted / claim.demand : 1;
+      capacity -= granted;
+      weight_left -= claim.weight;
+    }
+  }
+  for (const Claim& claim : claims) {
+    if (fractions.contains(claim.customer))
+      continue;
     const double share = capacity * claim.weight / weight_left;
     const double granted = std::min(claim.demand, share);
     fractions[claim.customer] = claim.demand > 0 ? granted / claim.demand : 1;
@@ -53,7 +64,9 @@
     return 1;
   if (*partial_tier_ < tier)
     return 0;
-  const auto fraction = fractions_.find(customer);
+  auto fraction = fractions_.find(customer);
+  if (fraction == fractions_.end())
+    fraction = fractions_.find(CustomerId());
   return fraction == fractions_.end() ? 1 : fraction->second;
 }
 
--- a/src/gateway/admission/fair_allocation.h
+++ b/src/gateway/admission/fair_allocation.h
@@ -33,7 +33,8 @@
   // The first tier that does not fit as a whole. More urgent tiers are admitted
   // completely, less urgent ones not at all.
   std::optional<Tier> partial_tier_;
-  // Of the partial tier; customers that are not listed are admitted.
+  // Of the partial tier. The empty customer stands for those that are not
+  // listed; without it they are admitted.
   std::map<CustomerId, double> fractions_;
 };
 
--- a/src/gateway/admission/fleet_demand.cc
+++ b/src/gateway/admission/fleet_demand.cc
@@ -5,26 +5,35 @@
 namespace bamboomount {
 namespace {
 
-void AddTo(PoolDemandTable& sum, const PoolDemandTable& demand) {
+// Whether the demand of a tier is reported as one sum, not by customer.
+bool IsSummary(const CustomerDemand& customers) {
+  return customers.size() == 1 && customers.begin()->first.empty();
+}
+
+// Adds demand that is reported by customer to `itemized`, and other demand to
+// `summaries`.
+void AddTo(PoolDemandTable& itemized,
+           std::map<Tier, double>& summaries,
+           const PoolDemandTable& demand) {
   for (const auto& [tier, customers] : demand) {
+    if (IsSummary(customers)) {
+      summaries[tier] += customers.begin()->second;
+      continue;
+    }
     for (const auto& [customer, servers] : customers)
-      sum[tier][customer] += servers;
+      itemized[tier][customer] += servers;
   }
 }
 
-// Attributes the demand of unlisted customers to the listed ones, and scales
-// all of it by `factor`.
-void Scale(CustomerDemand& customers, double factor) {
-  const auto unlisted = customers.find(CustomerId());
-  if (unlisted != customers.end() && customers.size() > 1) {
-    const double total = TotalDemand(customers);
-    const double listed = total - unlisted->second;
-    customers.erase(unlisted);
-    if (listed > 0)
-      factor *= total / listed;
+// Attributes a sum to the customers in proportion to their known demand.
+void Attribute(CustomerDemand& customers, double sum) {
+  const double known = TotalDemand(customers);
+  if (known <= 0) {
+    customers[CustomerId()] += sum;
+    return;
   }
   for (auto& [customer, servers] : customers)
-    servers *= factor;
+    servers *= 1 + sum / known;
 }
 
 }  // namespace
@@ -50,7 +59,9 @@
                                       const PoolDemandTable& own,
                                       int instance_count,
                                       Instant now) const {
-  PoolDemandTable sum = own;
+  PoolDemandTable itemized;
+  std::map<Tier, double> summaries;
+  AddTo(itemized, summaries, own);
   int heard = 1;
   for (const auto& [peer, report] : reports_) {
     if (now - report.received_at >= kReportLifetime)
@@ -58,13 +69,17 @@
     ++heard;
     if (const auto demand = report.demand.find(pool);
         demand != report.demand.end())
-      AddTo(sum, demand->second);
+      AddTo(itemized, summaries, demand->second);
   }
   const double factor = static_cast<double>(std::max(instance_count, heard)) /
                         static_cast<double>(heard);
-  for (auto& [tier, customers] : sum)
-    Scale(customers, factor);
-  return sum;
+  for (const auto& [tier, sum] : summaries)
+    Attribute(itemized[tier], sum);
+  for (auto& [tier, customers] : itemized) {
+    for (auto& [customer, servers] : customers)
+      servers *= factor;
+  }
+  return itemized;
 }
 
 }  // namespace bamboomount
--- a/src/gateway/admission/fleet_demand.h
+++ b/src/gateway/admission/fleet_demand.h
@@ -26,8 +26,8 @@
   // Removes the reports of all peers but `live_peers`.
   void RetainPeers(const std::vector<InstanceId>& live_peers);
   // The demand on the pool over `instance_count` instances. `own` is the demand
-  // on this instance. Demand of customers that are not listed is attributed to
-  // the listed ones of the same tier in proportion to theirs.
+  // on this instance. Demand that instances report as one sum is attributed to
+  // the customers of the tier in proportion to what is known of them.
   PoolDemandTable Estimate(const PoolId& pool,
                            const PoolDemandTable& own,
                            int instance_count,
--- a/src/gateway/admission_rules.cc
+++ b/src/gateway/admission_rules.cc
@@ -33,8 +33,10 @@
 Millis RetryAfterOverload(double load_factor, Millis time_left, double draw) {
   const double max_delay =
       static_cast<double>(time_left.count()) * kMaxRetryAfterFraction;
+  // Half of the range stays, so that the retries are not a burst of their own.
   const double excess = load_factor > 1 ? 1 - 1 / load_factor : 0;
-  const double fraction = excess + (1 - excess) * draw;
+  const double earliest = excess / 2;
+  const double fraction = earliest + (1 - earliest) * draw;
   const Millis delay(static_cast<Millis::rep>(max_delay * fraction));
   return std::max(kMinRetryAfter, delay);
 }
--- a/src/gateway/admission_rules.h
+++ b/src/gateway/admission_rules.h
@@ -20,8 +20,9 @@
 Millis RetryAfter(Millis time_left, double draw);
 
 // The delay after which a caller should retry that was refused because the
-// demand exceeds the capacity `load_factor` times. The heavier the overload,
-// the later the retries are spread. At most a third of `time_left`.
+// demand is `load_factor` times the capacity. Retries are spread over the time
+// for which callers wait, a third of `time_left`; the heavier the overload, the
+// later they begin.
 Millis RetryAfterOverload(double load_factor, Millis time_left, double draw);
 
 // Formats the value of a Retry-After field: seconds with a decimal fraction.
--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -59,6 +59,7 @@
     return;
   const bool restarted = known && known->started_at_ms != server.started_at_ms;
   if (restarted) {
+    dispatcher_.state().cold_pacer().RecordRestart(server.id, BootClock::now());
     dispatcher_.connections().CloseIdleConnections(server.id);
     dispatcher_.state().health().Reset(server.id);
   }
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -88,13 +88,11 @@
   return servers;
 }
 
-void Dispatcher::RecordServerFailure(const BackendId& server,
-                                     const PoolId& pool,
-                                     ServerFailure failure,
-                                     Instant now) {
-  state_.health().RecordFailure(server, failure, now);
+void Dispatcher::RecordUnreachable(const BackendId& server,
+                                   const PoolId& pool,
+                                   Instant now) {
   const Pool* rule = FindPool(pool);
-  if (rule && rule->PacesColdServers() && failure != ServerFailure::kReplaced)
+  if (rule && rule->PacesColdServers())
     state_.cold_pacer().RecordUnreachable(server, now);
 }
 
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -52,11 +52,11 @@
   std::vector<const BackendServer*> WithCapacity(
       std::vector<const BackendServer*> servers,
       const PoolId& pool);
-  // Records that a server of the pool could not be reached or sent no answer.
-  void RecordServerFailure(const BackendId& server,
-                           const PoolId& pool,
-                           ServerFailure failure,
-                           Instant now);
+  // Records that a server of the pool could not be reached, or that the
+  // connection broke before an answer began. It may be cold when it returns.
+  void RecordUnreachable(const BackendId& server,
+                         const PoolId& pool,
+                         Instant now);
   // Whether the server may get a new request now: it is neither leaving nor has
   // asked for a pause.
   bool AcceptsRequests(const BackendId& server) const;
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
+// Misdirected Request (RFC 9110, 15.5.20).
 constexpr unsigned kMisdirected = 421;
 // Subtracted from the caller's time limit, which starts when the caller sends
 // the request, not when it arrives here.
@@ -147,6 +148,8 @@
 }
 
 void Exchange::OnServerFound(const BackendServer& server) {
+  if (ended_)
+    return;
   const Instant now = BootClock::now();
   GatewayState& state = dispatcher_.state();
   const PrefixPlan prefix = state.selector().PlanPrefix(
@@ -310,7 +313,8 @@
   const Instant now = BootClock::now();
   if (accepts_requests && TimeLeft(now) > Millis(0)) {
     retries_.RecordFailedConnect(server);
-    dispatcher_.RecordServerFailure(server, pool_, failure, now);
+    dispatcher_.state().health().RecordFailure(server, failure, now);
+    dispatcher_.RecordUnreachable(server, pool_, now);
     LogAttemptFailed(head_.id, server, {"no connection", "no", std::nullopt});
   } else {
     retries_.RecordNotSent(server);
@@ -332,11 +336,13 @@
     CountUsageOnce();
   if (may_have_run && engine_)
     dispatcher_.state().poison_parts().RecordCrash(head_.prompt, server, now);
+  if (may_have_run && relay_.head().status == 0)
+    dispatcher_.RecordUnreachable(server, pool_, now);
   ReleaseAttempt();
   retries_.RecordPossibleRun(server);
   if (!stale_connection)
-    dispatcher_.RecordServerFailure(server, pool_, ServerFailure::kNoResponse,
-                                    now);
+    dispatcher_.state().health().RecordFailure(server,
+                                               ServerFailure::kNoResponse, now);
   LogAttemptFailed(
       head_.id, server,
       {"no complete, sealed response", "unknown", relay_.head().status});
@@ -351,8 +357,8 @@
   ReleaseAttempt();
   retries_.RecordRefusal(server);
   if (status == kMisdirected)
-    dispatcher_.RecordServerFailure(server, pool_, ServerFailure::kReplaced,
-                                    BootClock::now());
+    dispatcher_.state().health().RecordFailure(server, ServerFailure::kReplaced,
+                                               BootClock::now());
   LogAttemptFailed(head_.id, server, {"refused", "no", status});
   if (!TryAnotherServer())
     FailWithoutResponse(
@@ -434,8 +440,8 @@
   attempt_->Cancel();
   ReleaseAttempt();
   retries_.RecordPossibleRun(server);
-  dispatcher_.RecordServerFailure(server, pool_, ServerFailure::kNoResponse,
-                                  BootClock::now());
+  dispatcher_.state().health().RecordFailure(server, ServerFailure::kNoResponse,
+                                             BootClock::now());
   LogAttemptFailed(head_.id, server, {"silence", "unknown", std::nullopt});
   FindServer();
 }
--- a/src/gateway/forwarding/server_search.cc
+++ b/src/gateway/forwarding/server_search.cc
@@ -60,12 +60,20 @@
 PlacementRequest ServerSearch::MakePlacementRequest(
     const ServerSearchRequest& request,
     const GatewayState& state) {
+  // Prefixes must not be copied from servers that may not be used.
+  auto listed = state.backends().Listed(request.pool);
+  std::erase_if(listed, [&](const BackendServer* server) {
+    return state.backends().evacuated_zones().contains(server->zone) ||
+           (request.admitted.regions.restricted() &&
+            !request.admitted.regions.Allows(
+                state.settings().RegionOf(server->zone)));
+  });
   return {request.prompt,
           request.engine,
           {request.admitted.urgency, request.IsUrgent(),
            request.admitted.route->target_latency},
           state.settings().zone,
-          state.backends().Listed(request.pool)};
+          std::move(listed)};
 }
 
 void ServerSearch::Wait(const std::shared_ptr<void>& owner) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -266,8 +266,10 @@
   address_list.addresses = dispatcher_.state().members().AddressesFor(
       query->zone, query->region, regions, kMaxAddresses, BootClock::now());
   // Before the first heartbeats arrive, this instance knows only itself.
-  if (address_list.addresses.empty() && dispatcher_.state().IsReady() &&
-      !shutting_down())
+  const bool in_reach =
+      settings.region == query->region || regions.Allows(settings.region);
+  if (address_list.addresses.empty() && in_reach &&
+      dispatcher_.state().IsReady() && !shutting_down())
     address_list.addresses.push_back(settings.caller_address);
   if (address_list.addresses.empty()) {
     reply.Send(TextReply(http::status::service_unavailable, "text/plain", ""));
--- a/src/gateway/placement/backend_loads.h
+++ b/src/gateway/placement/backend_loads.h
@@ -65,6 +65,8 @@
   BackendLoad Total(const BackendId& server) const;
   // The loads of servers that have requests of this instance.
   std::map<BackendId, BackendLoad> LocalLoads() const;
+  // Number of other instances whose loads are known.
+  std::size_t remote_count() const { return remote_.size(); }
   // The number of requests that this instance has at the server.
   int LocalRequests(const BackendId& server) const;
 
--- a/src/gateway/placement/cold_server_pacer.cc
+++ b/src/gateway/placement/cold_server_pacer.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string>
 
 namespace bamboomount {
 namespace {
@@ -21,6 +20,10 @@
     cold_until_[server.id] = now + server.cold_remaining;
 }
 
+void ColdServerPacer::RecordRestart(const BackendId& server, Instant now) {
+  restarted_at_[server] = now;
+}
+
 void ColdServerPacer::RecordUnreachable(const BackendId& server, Instant now) {
   Instant& at = unreachable_at_[server];
   at = std::max(at, now);
@@ -54,6 +57,10 @@
   const auto cold_until = cold_until_.find(server.id);
   if (cold_until != cold_until_.end() && now < cold_until->second)
     return true;
+  const auto restarted = restarted_at_.find(server.id);
+  if (restarted != restarted_at_.end() &&
+      now - restarted->second < pool.cold_start)
+    return true;
   const auto unreachable = unreachable_at_.find(server.id);
   if (unreachable != unreachable_at_.end() &&
       now - unreachable->second < kMaxAbsence + pool.cold_start)
@@ -70,7 +77,8 @@
     return true;
   if (!IsOwner(server, pool, now))
     return false;
-  const int owners = OwnerCount(pool, members_.All().size());
+  const int owners =
+      OwnerCount(pool, static_cast<std::size_t>(members_.Count()));
   const auto limit = static_cast<std::size_t>(
       std::max(1.0, std::floor(pool.cold_requests_per_s / owners)));
   std::deque<Instant>& sent = sent_[server.id];
@@ -88,24 +96,27 @@
 bool ColdServerPacer::IsOwner(const BackendServer& server,
                               const Pool& pool,
                               Instant now) {
-  Ownership& ownership = ownership_[server.id];
-  if (ownership.determined_at == Instant() ||
-      now - ownership.determined_at >= kOwnershipLifetime)
-    ownership = {DetermineOwner(server, pool), now};
-  return ownership.owned;
+  const auto [entry, is_first] = ownership_.try_emplace(server.id);
+  Ownership& ownership = entry->second;
+  if (is_first || now - ownership.determined_at >= kOwnershipLifetime) {
+    const bool owned = DetermineOwner(server.id, pool);
+    if (owned && !ownership.owned && !is_first)
+      ownership.usable_from = now + kWindow;
+    ownership.owned = owned;
+    ownership.determined_at = now;
+  }
+  return ownership.owned && now >= ownership.usable_from;
 }
 
-bool ColdServerPacer::DetermineOwner(const BackendServer& server,
+bool ColdServerPacer::DetermineOwner(const BackendId& server,
                                      const Pool& pool) const {
-  const auto members = members_.All();
   if (!members_.Find(self_))
     return false;
-  const std::string key =
-      server.id.value() + '/' + std::to_string(server.started_at_ms);
-  const std::uint64_t own = RendezvousWeight(key, self_.value());
+  const auto members = members_.All();
+  const std::uint64_t own = RendezvousWeight(server.value(), self_.value());
   const auto ahead =
       std::count_if(members.begin(), members.end(), [&](const Member* member) {
-        return RendezvousWeight(key, member->instance.value()) > own;
+        return RendezvousWeight(server.value(), member->instance.value()) > own;
       });
   return ahead < OwnerCount(pool, members.size());
 }
@@ -120,9 +131,11 @@
 void ColdServerPacer::Expire(Instant now) {
   std::erase_if(cold_until_,
                 [now](const auto& item) { return item.second <= now; });
-  std::erase_if(unreachable_at_, [now](const auto& item) {
+  const auto is_old = [now](const auto& item) {
     return now - item.second >= kRetention;
-  });
+  };
+  std::erase_if(restarted_at_, is_old);
+  std::erase_if(unreachable_at_, is_old);
   std::erase_if(sent_, [now](const auto& item) {
     return item.second.empty() || now - item.second.back() >= kWindow;
   });
--- a/src/gateway/placement/cold_server_pacer.h
+++ b/src/gateway/placement/cold_server_pacer.h
@@ -29,14 +29,16 @@
 class ColdServerPacer {
  public:
   // The most owners of a server. Several, so that the server is not idle if
-  // some have failed.
-  static constexpr int kMaxOwners = 8;
+  // some have failed; few enough that the rate is kept, with the slack that the
+  // operator allows, if instances disagree on the owners for a moment.
+  static constexpr int kMaxOwners = 6;
   // The time in which an owner's requests are counted: the second for which the
   // rate holds, and a margin for delays on the way to the server.
   static constexpr Millis kWindow{1100};
   // A server that was unreachable may return this long after the last failed
-  // attempt, and is cold from then on.
-  static constexpr Millis kMaxAbsence{5000};
+  // attempt, and is cold from then on. No shorter than the longest ejection of
+  // a server, in which there are no attempts.
+  static constexpr Millis kMaxAbsence{8000};
 
   // `self`: this instance. `members` must outlive the pacer.
   ColdServerPacer(const InstanceId& self, const MemberRegistry& members)
@@ -45,7 +47,11 @@
   // Records that the server's row was read. Its `cold_remaining` counts from
   // now.
   void RecordListed(const BackendServer& server, Instant now);
-  // Records that this instance could not reach the server or got no answer.
+  // Records that another process started under the server's id. The row may say
+  // late that it is cold.
+  void RecordRestart(const BackendId& server, Instant now);
+  // Records that this instance could not connect to the server, or that the
+  // connection broke before an answer began.
   void RecordUnreachable(const BackendId& server, Instant now);
   // Records the servers that another instance could not reach.
   void MergeUnreachable(const std::vector<UnreachableServer>& servers,
@@ -68,15 +74,19 @@
   struct Ownership {
     bool owned = false;
     Instant determined_at;
+    // An instance that becomes an owner later waits until then, so that the
+    // requests of the owner before it no longer count.
+    Instant usable_from;
   };
 
   static int OwnerCount(const Pool& pool, std::size_t instances);
   bool IsOwner(const BackendServer& server, const Pool& pool, Instant now);
-  bool DetermineOwner(const BackendServer& server, const Pool& pool) const;
+  bool DetermineOwner(const BackendId& server, const Pool& pool) const;
 
   const InstanceId self_;
   const MemberRegistry& members_;
   std::map<BackendId, Instant> cold_until_;
+  std::map<BackendId, Instant> restarted_at_;
   std::map<BackendId, Instant> unreachable_at_;
   std::map<ZoneId, Instant> evacuation_ended_at_;
   std::map<BackendId, Ownership> ownership_;
--- a/src/gateway/traffic/traffic_policy.cc
+++ b/src/gateway/traffic/traffic_policy.cc
@@ -30,8 +30,13 @@
   const auto routes = routes_by_host_.find(NormalizeHost(host));
   if (routes == routes_by_host_.end())
     return regions;
-  for (const auto& [prefix, route] : routes->second)
-    regions.RestrictTo(route.allowed_regions);
+  std::set<RegionId> allowed;
+  for (const auto& [prefix, route] : routes->second) {
+    if (route.allowed_regions.empty())
+      return regions;
+    allowed.insert(route.allowed_regions.begin(), route.allowed_regions.end());
+  }
+  regions.RestrictTo(allowed);
   return regions;
 }
 
--- a/src/gateway/traffic/traffic_policy.h
+++ b/src/gateway/traffic/traffic_policy.h
@@ -61,7 +61,7 @@
   // none matches. `path` has no query. The pointer is valid for as long as the
   // policy.
   const Route* FindRoute(const std::string& host, std::string_view path) const;
-  // The regions in which all routes of the host may be served.
+  // The regions in which some route of the host may be served.
   RegionLimit RegionsOf(const std::string& host) const;
   // Null if no customer has the key.
   const KeyGrant* FindKey(const std::string& key) const;
