Refuse only the least urgent routes at engines

Change: urgent requests count as demand but are only limited by the instance, as before; requests above the target occupancy lower the capacity slowly.

--- a/src/gateway/admission/admission_controller.cc
+++ b/src/gateway/admission/admission_controller.cc
@@ -16,10 +16,13 @@
 // Below this share of the slots in use nothing is refused.
 constexpr double kMinOccupancyToRefuse = 0.5;
 // Relative change of the capacity in a second for each unit by which the
-// occupancy misses its target, and the largest miss that counts. The occupancy
-// is known about one second late; faster changes would oscillate.
+// occupancy misses its target, and the largest misses that count. The occupancy
+// is known about one second late; faster changes would oscillate. Requests
+// above the target lower the capacity slowly, because most of them were
+// admitted before the overload was known.
 constexpr double kCapacityGainPerSecond = 1;
-constexpr double kMaxOccupancyError = 0.5;
+constexpr double kMaxFreeOccupancy = 0.5;
+constexpr double kMaxExcessOccupancy = 0.1;
 constexpr double kMinCapacityFactor = 0.5;
 constexpr double kMaxCapacityFactor = 4;
 // Longest step of the correction.
@@ -74,7 +77,7 @@
       pool.fractions.limited() && pool.occupancy >= kMinOccupancyToRefuse;
   const double exponent =
       refuses ? std::clamp(target_occupancy - pool.occupancy,
-                           -kMaxOccupancyError, kMaxOccupancyError)
+                           -kMaxExcessOccupancy, kMaxFreeOccupancy)
               : -std::log(pool.capacity_factor);
   pool.capacity_factor *=
       std::exp(kCapacityGainPerSecond * exponent * step.count());
@@ -87,6 +90,8 @@
                                 Instant now) {
   meter_.RecordOffered(request.pool, request.tier, request.customer,
                        request.server_seconds, now);
+  if (!request.sheddable)
+    return true;
   const auto pool = pools_.find(request.pool);
   if (pool == pools_.end() || !pool->second.fractions.limited() ||
       pool->second.occupancy < kMinOccupancyToRefuse) {
--- a/src/gateway/admission/admission_controller.h
+++ b/src/gateway/admission/admission_controller.h
@@ -32,6 +32,9 @@
   // kNoCustomer if the request has none.
   CustomerId customer;
   double server_seconds = 0;
+  // Whether the request may be refused. Others count as demand all the same, so
+  // that those that may be refused leave room for them.
+  bool sheddable = true;
 };
 
 // Reported when the demand on a pool rises above its capacity or falls below.
--- a/src/gateway/forwarding/fleet_admission.cc
+++ b/src/gateway/forwarding/fleet_admission.cc
@@ -91,7 +91,10 @@
   const AdmissionRequest query{
       cost.pool, request.urgency,
       request.customer.empty() ? kNoCustomer : request.customer,
-      state.cost_model().ServerSeconds(cost, slots)};
+      state.cost_model().ServerSeconds(cost, slots),
+      // Engines serve urgent requests first, even if late; they are refused
+      // only by the limits of this instance, after the less urgent ones.
+      !cost.engine || request.policy->IsLeastUrgent(*request.route)};
   if (state.admission().Admit(query, dispatcher.Random(), now))
     return std::nullopt;
   dispatcher.metrics().Increment(
--- a/src/gateway/traffic/traffic_policy.h
+++ b/src/gateway/traffic/traffic_policy.h
@@ -54,6 +54,10 @@
   // most urgent. Requests are ranked by the customer's tier, or by the route's
   // tier if the customer has none, and among equals by the route's tier.
   Tier Urgency(const Route& route, const std::optional<Tier>& customer) const;
+  // Whether no route of the configuration has a less urgent tier.
+  bool IsLeastUrgent(const Route& route) const {
+    return route.tier == *route_tiers_.rbegin();
+  }
   // Number of ranks that Urgency can return.
   int urgency_levels() const;
 
--- a/tests/gateway/admission_controller_test.cc
+++ b/tests/gateway/admission_controller_test.cc
@@ -115,9 +115,9 @@
       controller.Update(
           kPool, {false, kServers, kSlots, reported_at_service_, kInstances},
           At(now));
-    const bool admitted =
-        controller.Admit({kPool, group.first, group.second, kServerSeconds},
-                         draw(random_), At(now));
+    const bool admitted = controller.Admit(
+        {kPool, group.first, group.second, kServerSeconds, true}, draw(random_),
+        At(now));
     if (admitted && AtService() < kMaxAtService)
       ++queued_;
     if (now < kMeasureFrom)
@@ -185,6 +185,19 @@
   BOOST_TEST(Share(outcomes[other]) < 0.5);
 }
 
+// Guards against urgent requests of an engine that get no answer where they
+// could get a late one.
+BOOST_AUTO_TEST_CASE(requests_that_must_not_be_shed_only_count_as_demand) {
+  Instance instance;
+  for (int i = 0; i < 1000; ++i)
+    BOOST_TEST(instance.controller.Admit({kPool, Tier(0), kLarge, 1, false}, 0,
+                                         At(0)));
+  instance.controller.Update(kPool, {true, kServers, kSlots, kSlots, 1}, At(0));
+  BOOST_TEST(
+      instance.controller.Admit({kPool, Tier(0), kLarge, 1, false}, 0, At(0)));
+  BOOST_TEST(!instance.controller.Admit({kPool, Tier(1), kSmall, 1}, 0, At(0)));
+}
+
 // Guards against refusals while fewer than half of the slots are in use.
 BOOST_AUTO_TEST_CASE(nothing_is_refused_while_most_slots_are_free) {
   Instance instance;
