--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -68,6 +68,14 @@
     7028, Severity::kInfo, "backend_paused",
     "A backend server refused a request and asked for a pause; it gets no "
     "requests of this instance for that time."};
+inline constexpr LogEvent kEvacuationBegan{
+    7016, Severity::kInfo, "evacuation_began",
+    "The operator takes an availability zone out of use; its backend servers "
+    "get no new requests."};
+inline constexpr LogEvent kEvacuationEnded{
+    7017, Severity::kInfo, "evacuation_ended",
+    "The backend servers of the availability zone may be used again. If the "
+    "configuration limits cold servers, they get few requests at first."};
 inline constexpr LogEvent kMemberUnreadable{
     7023, Severity::kWarning, "member_row_unreadable",
     "The row of an instance cannot be parsed. Check that all instances run "
@@ -103,6 +111,14 @@
     7034, Severity::kWarning, "poison_part_found",
     "Engines crashed one after the other while they answered requests with a "
     "part of the prompt; requests with the part are refused."};
+inline constexpr LogEvent kPoolOverloaded{
+    7050, Severity::kWarning, "pool_overloaded",
+    "The demand on a pool exceeds its capacity, both in servers; this instance "
+    "refuses requests of the lowest admitted tier in part, and all of less "
+    "urgent tiers."};
+inline constexpr LogEvent kPoolRecovered{
+    7051, Severity::kInfo, "pool_recovered",
+    "The demand on a pool fits its capacity again."};
 inline constexpr LogEvent kLeaseTaken{
     7040, Severity::kInfo, "duty_lease_taken",
     "This instance acquired the duty lease and now reports usage and orders "
@@ -133,7 +149,8 @@
     kMemberUnreadable, kMemberListed,      kMemberGone,       kPeerRowsFailed,
     kRequestPlaced,    kRequestRefused,    kAttemptFailed,    kRequestEnded,
     kPoisonPartFound,  kLeaseTaken,        kLeaseLost,        kUsageReported,
-    kUsageNotReported, kBackendsOrdered,   kOrderFailed};
+    kUsageNotReported, kBackendsOrdered,   kOrderFailed,      kPoolOverloaded,
+    kPoolRecovered,    kEvacuationBegan,   kEvacuationEnded};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <optional>
 
+#include "gateway/admission/admission_controller.h"
+#include "gateway/admission/request_cost_model.h"
 #include "gateway/boot_clock.h"
 #include "gateway/control/async_table_store.h"
 #include "gateway/duties/incarnation_usage.h"
@@ -15,6 +17,7 @@
 #include "gateway/membership/state_freshness.h"
 #include "gateway/placement/backend_loads.h"
 #include "gateway/placement/backend_selector.h"
+#include "gateway/placement/cold_server_pacer.h"
 #include "gateway/placement/poison_part_detector.h"
 #include "gateway/traffic/traffic_policy.h"
 
@@ -87,7 +90,12 @@
   ServerHealth& health() { return health_; }
   PrefillThroughput& prefill_throughput() { return prefill_throughput_; }
   BackendSelector& selector() { return selector_; }
+  ColdServerPacer& cold_pacer() { return cold_pacer_; }
   PoisonPartDetector& poison_parts() { return poison_parts_; }
+  DemandMeter& demand_meter() { return demand_meter_; }
+  FleetDemand& fleet_demand() { return fleet_demand_; }
+  RequestCostModel& cost_model() { return cost_model_; }
+  AdmissionController& admission() { return admission_; }
   UsageLedger& usage() { return usage_; }
   // The latest usage window that has ended.
   WindowNumber LastEndedWindow(Instant now) const;
@@ -136,7 +144,12 @@
   ServerHealth health_;
   PrefillThroughput prefill_throughput_;
   BackendSelector selector_{loads_, health_, prefill_throughput_};
+  ColdServerPacer cold_pacer_{settings_.instance, members_};
   PoisonPartDetector poison_parts_;
+  DemandMeter demand_meter_;
+  FleetDemand fleet_demand_;
+  RequestCostModel cost_model_{prefill_throughput_};
+  AdmissionController admission_{demand_meter_, fleet_demand_};
   UsageLedger usage_;
   UsageByIncarnation peer_usage_;
   UsageDelivery usage_delivery_;
--- a/src/gateway/traffic/traffic_policy.cc
+++ b/src/gateway/traffic/traffic_policy.cc
@@ -25,6 +25,21 @@
   return nullptr;
 }
 
+RegionLimit TrafficPolicy::RegionsOf(const std::string& host) const {
+  RegionLimit regions;
+  const auto routes = routes_by_host_.find(NormalizeHost(host));
+  if (routes == routes_by_host_.end())
+    return regions;
+  std::set<RegionId> allowed;
+  for (const auto& [prefix, route] : routes->second) {
+    if (route.allowed_regions.empty())
+      return regions;
+    allowed.insert(route.allowed_regions.begin(), route.allowed_regions.end());
+  }
+  regions.RestrictTo(allowed);
+  return regions;
+}
+
 Tier TrafficPolicy::Urgency(const Route& route,
                             const std::optional<Tier>& customer) const {
   const auto rank = [](const std::set<Tier>& tiers, Tier tier) {
