Bound what an HTTP reader buffers, and refuse folded heads

Cause: Beast's buffer had no maximum for callers and for the store, so trailers, chunk extensions and chunk sizes grew until the process ran out of memory; a field value of 64 KiB raised an exception that ended it. Beast joins folded lines, which hid a Transfer-Encoding field from the check of the message's end. Trailers were added to the head after the key had to be in it.

Change: BoundedHttpReader (src/base) reads a message with a bounded buffer and checks the raw head with HttpHeadScanner before it is parsed: folded lines, bare CR or LF and NUL bytes are errors, which callers get as 400. ChunkFramingMeter ends a request whose chunk framing exceeds 16,384 bytes plus 4 for each byte of the body. Trailers are dropped. Each step of a head is a read of its own.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -1,11 +1,14 @@
 // Public header of the base library: identifiers, units, errors, clocks,
-// digests, hashing and the framing of HTTP messages.
+// digests, hashing and the framing of HTTP messages. Its reader of HTTP
+// messages is in base/bounded_http_reader.h, which includes Boost.Beast.
 #ifndef BASE_BASE_H_
 #define BASE_BASE_H_
 
+#include "base/chunk_framing_meter.h"
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/error.h"
+#include "base/http_head_scanner.h"
 #include "base/ids.h"
 #include "base/message_framing.h"
 #include "base/rendezvous_hash.h"
--- a/src/gateway/control/http_channel.cc
+++ b/src/gateway/control/http_channel.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 
+#include "base/bounded_http_reader.h"
 #include "base/message_framing.h"
 #include "gateway/forwarding/endpoint.h"
 
@@ -17,6 +18,9 @@
 constexpr unsigned kHttp11 = 11;
 // Large enough for a full page of rows, encoded as base64 in JSON.
 constexpr std::uint64_t kMaxResponseBytes = 8'388'608;
+// Bounds the head of a response, and its chunk framing that is not yet
+// complete.
+constexpr std::size_t kMaxHeadBytes = 65'536;
 
 }  // namespace
 
@@ -54,7 +58,7 @@
     std::array<char, 1> probe{};
     error_code error;
     socket_.receive(asio::buffer(probe), tcp::socket::message_peek, error);
-    return keep_alive_ && buffer_.size() == 0 &&
+    return keep_alive_ && reader_.buffered_bytes() == 0 &&
            error == asio::error::would_block;
   }
 
@@ -123,13 +127,14 @@
 
   void Read() {
     parser_.emplace();
+    reader_.BeginMessage(kMaxHeadBytes);
     parser_->body_limit(kMaxResponseBytes);
     ReadSome();
   }
 
   void ReadSome() {
-    http::async_read_some(
-        socket_, buffer_, *parser_,
+    reader_.ReadSome(
+        socket_, *parser_,
         [self = shared_from_this()](const error_code& error, std::size_t size) {
           if (!self->done_)
             return;
@@ -195,7 +200,7 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   const std::string address_;
-  beast::flat_buffer buffer_;
+  BoundedHttpReader reader_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   Millis timeout_{0};
--- a/src/gateway/forwarding/backend_attempt.cc
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -12,14 +12,16 @@
 // Covers the retransmission of a lost packet within a region and leaves time to
 // try another server.
 constexpr Millis kConnectTimeout{500};
-constexpr std::uint32_t kMaxReplyHeaderBytes = 65536;
+// Bounds the head of a reply, and its chunk framing that is not yet complete.
+constexpr std::size_t kMaxReplyHeaderBytes = 65536;
 // Used if the server does not announce its idle timeout; such servers may close
 // idle connections early.
 constexpr Millis kDefaultIdleTimeout{1000};
 // A server that sends more responses to other requests than this is considered
 // faulty.
 constexpr int kMaxMismatchedReplies = 2;
-// The same for the bytes of their bodies, and for 1xx responses.
+// The same for the bytes of their bodies with chunk framing, and for 1xx
+// responses.
 constexpr std::size_t kMaxMismatchedBytes = 1'048'576;
 constexpr int kMaxInformationalHeads = 8;
 
@@ -106,21 +108,27 @@
 
 void BackendAttempt::ReadHead() {
   parser_.emplace();
-  parser_->header_limit(kMaxReplyHeaderBytes);
+  connection_->reader.BeginMessage(kMaxReplyHeaderBytes);
   // The observer bounds what is buffered. The maximum is set explicitly,
   // because boost::none does not lift Beast's limit.
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (options_.head_request)
     parser_->skip(true);
-  http::async_read_header(
-      connection_->socket, connection_->buffer, *parser_,
+  ReadHeadSome();
+}
+
+void BackendAttempt::ReadHeadSome() {
+  connection_->reader.ReadSome(
+      connection_->socket, *parser_,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         if (!self->observer_)
           return;
         if (error)
           self->EndAttempt(AttemptOutcome::kInterrupted);
-        else
+        else if (self->parser_->is_header_done())
           self->OnHead();
+        else
+          self->ReadHeadSome();
       });
 }
 
@@ -170,15 +178,15 @@
   body.data = chunk_.data();
   body.size = chunk_.size();
   body.more = true;
-  http::async_read_some(
-      connection_->socket, connection_->buffer, *parser_,
-      [self = shared_from_this()](const error_code& error, std::size_t) {
+  connection_->reader.ReadSome(
+      connection_->socket, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t used) {
         if (self->observer_)
-          self->OnBodyRead(error);
+          self->OnBodyRead(error, used);
       });
 }
 
-void BackendAttempt::OnBodyRead(const error_code& error) {
+void BackendAttempt::OnBodyRead(const error_code& error, std::size_t used) {
   const std::size_t size = chunk_.size() - parser_->get().body().size;
   bool read_on = true;
   if (size > 0 && !mismatched_reply_) {
@@ -187,7 +195,7 @@
       return;
   }
   if (mismatched_reply_)
-    mismatched_bytes_ += size;
+    mismatched_bytes_ += used;
   const bool broken = error && error != http::error::need_buffer;
   if (broken || mismatched_bytes_ > kMaxMismatchedBytes) {
     EndAttempt(AttemptOutcome::kInterrupted);
@@ -212,7 +220,7 @@
   // Surplus bytes, or a request body that is still being sent, would corrupt
   // the next exchange on the connection.
   const bool reusable = parser_->get().keep_alive() && write_done_ &&
-                        connection_->buffer.size() == 0;
+                        connection_->reader.buffered_bytes() == 0;
   if (reusable) {
     connection_->idle_timeout = idle_timeout_;
     environment_.connections.Release(server_.id, std::move(connection_),
--- a/src/gateway/forwarding/backend_attempt.h
+++ b/src/gateway/forwarding/backend_attempt.h
@@ -97,9 +97,11 @@
   void Connect();
   void SendRequest();
   void ReadHead();
+  void ReadHeadSome();
   void OnHead();
   void ReadBody();
-  void OnBodyRead(const error_code& error);
+  // `used` is the number of bytes read, with chunk framing.
+  void OnBodyRead(const error_code& error, std::size_t used);
   void FinishReply();
   void EndAttempt(AttemptOutcome outcome);
   void CloseConnection();
--- a/src/gateway/forwarding/backend_connection_pool.h
+++ b/src/gateway/forwarding/backend_connection_pool.h
@@ -5,20 +5,19 @@
 #include <memory>
 #include <vector>
 
+#include "base/bounded_http_reader.h"
 #include "gateway/boot_clock.h"
 #include "gateway/internal/asio.h"
 
 namespace bamboomount {
 
-// A connection to a backend server. All reads go through `buffer`, whose size
-// is bounded: it grows with a head, or with a chunk header that never ends.
+// A connection to a backend server. All reads go through `reader`, which bounds
+// what is buffered.
 struct BackendConnection {
-  static constexpr std::size_t kMaxBufferedBytes = 131072;
-
   explicit BackendConnection(asio::io_context& context) : socket(context) {}
 
   tcp::socket socket;
-  beast::flat_buffer buffer{kMaxBufferedBytes};
+  BoundedHttpReader reader;
   // How long the server keeps the connection open while it is idle.
   Millis idle_timeout{0};
   Instant idle_since;
--- a/src/gateway/forwarding/caller_connection.cc
+++ b/src/gateway/forwarding/caller_connection.cc
@@ -60,9 +60,12 @@
   ++request_number_;
   const CallerLimits limits = owner_.limits();
   parser_.emplace();
-  parser_->header_limit(limits.header_bytes);
   parser_->body_limit(limits.body_bytes);
-  if (buffer_.size() > 0) {
+  chunked_head_.reset();
+  framing_meter_ = {};
+  body_size_ = 0;
+  reader_.BeginMessage(limits.header_bytes);
+  if (reader_.buffered_bytes() > 0) {
     ReadHeader();
     return;
   }
@@ -80,18 +83,27 @@
 void CallerConnection::ReadHeader() {
   phase_ = Phase::kReadingHeader;
   phase_start_ = BootClock::now();
-  http::async_read_header(
-      socket_, buffer_, *parser_,
+  ReadHeaderSome();
+}
+
+void CallerConnection::ReadHeaderSome() {
+  reader_.ReadSome(
+      socket_, *parser_,
       [self = shared_from_this()](const error_code& error, std::size_t) {
-        if (self->phase_ != Phase::kReadingHeader)
-          return;
-        if (error)
-          self->OnReadError(error);
-        else
-          self->ReadBody();
+        if (self->phase_ == Phase::kReadingHeader)
+          self->OnHeaderRead(error);
       });
 }
 
+void CallerConnection::OnHeaderRead(const error_code& error) {
+  if (error)
+    OnReadError(error);
+  else if (parser_->is_header_done())
+    ReadBody();
+  else
+    ReadHeaderSome();
+}
+
 void CallerConnection::ReadBody() {
   if (!IsUnambiguous(FramingOf(parser_->get()))) {
     Refuse(http::status::bad_request);
@@ -108,6 +120,8 @@
     DeliverRequest();
     return;
   }
+  if (parser_->chunked())
+    chunked_head_ = parser_->get().base();
   phase_ = Phase::kReadingBody;
   if (beast::iequals(parser_->get()[http::field::expect], "100-continue"))
     QueueBytes("HTTP/1.1 100 Continue\r\n\r\n");
@@ -117,19 +131,21 @@
 // Reads step by step, because a read of the whole body could not be stopped
 // between its steps.
 void CallerConnection::ReadBodySome() {
-  http::async_read_some(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const error_code& error, std::size_t) {
+  reader_.ReadSome(
+      socket_, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t used) {
         if (self->phase_ != Phase::kReadingBody)
           self->parser_.reset();
         else
-          self->OnBodyRead(error);
+          self->OnBodyRead(error, used);
       });
 }
 
-void CallerConnection::OnBodyRead(const error_code& error) {
+void CallerConnection::OnBodyRead(const error_code& error, std::size_t used) {
   if (error) {
     OnReadError(error);
+  } else if (!FramingIsInProportion(used)) {
+    Refuse(http::status::bad_request);
   } else if (!ReserveBodyMemory()) {
     parser_.reset();
     Refuse(http::status::service_unavailable);
@@ -140,6 +156,12 @@
   }
 }
 
+bool CallerConnection::FramingIsInProportion(std::size_t used) {
+  const std::size_t body_size = parser_->get().body().size();
+  const std::size_t added = body_size - std::exchange(body_size_, body_size);
+  return framing_meter_.Record(used, added);
+}
+
 bool CallerConnection::ReserveBodyMemory() {
   const std::size_t held = parser_->get().body().capacity();
   if (held <= reserved_bytes_)
@@ -153,6 +175,8 @@
 void CallerConnection::DeliverRequest() {
   phase_ = Phase::kResponding;
   IncomingRequest request{parser_->release(), phase_start_};
+  if (chunked_head_)
+    request.message.base() = std::move(*chunked_head_);
   keep_alive_ = request.message.keep_alive();
   head_request_ = request.message.method() == http::verb::head;
   parser_.reset();
@@ -346,7 +370,8 @@
 }
 
 void CallerConnection::DiscardInput() {
-  // Not `buffer_`: the read of a header that was cancelled may still use it.
+  // Not through `reader_`: the read of a header that was cancelled may still
+  // use it.
   discarded_.resize(kReadBytes);
   socket_.async_read_some(
       asio::buffer(discarded_),
--- a/src/gateway/forwarding/caller_connection.h
+++ b/src/gateway/forwarding/caller_connection.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/bounded_http_reader.h"
 #include "gateway/boot_clock.h"
 #include "gateway/forwarding/caller_reply.h"
 #include "gateway/traffic/traffic_policy.h"
@@ -85,9 +86,15 @@
 
   void ReadNext();
   void ReadHeader();
+  void ReadHeaderSome();
+  void OnHeaderRead(const error_code& error);
   void ReadBody();
   void ReadBodySome();
-  void OnBodyRead(const error_code& error);
+  // `used` is the number of bytes read, with chunk framing.
+  void OnBodyRead(const error_code& error, std::size_t used);
+  // Whether chunk framing is in proportion to the body after a read of `used`
+  // bytes.
+  bool FramingIsInProportion(std::size_t used);
   // Reserves the memory that the body occupies now. Returns false if the bodies
   // in memory would exceed the server's limit.
   bool ReserveBodyMemory();
@@ -109,8 +116,13 @@
   tcp::socket socket_;
   CallerConnectionOwner& owner_;
   Phase phase_ = Phase::kIdle;
-  beast::flat_buffer buffer_;
+  BoundedHttpReader reader_;
   std::optional<Parser> parser_;
+  // The head of a request in chunks, without the trailers that the parser adds
+  // to it: a recipient must not take them for header fields (RFC 9110, 6.5.1).
+  std::optional<http::request_header<>> chunked_head_;
+  ChunkFramingMeter framing_meter_;
+  std::size_t body_size_ = 0;
   // Input after the last response; not used before.
   std::vector<char> discarded_;
   // When the current phase began. While a request is answered: when reading it
