--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -47,6 +47,7 @@
     return;
   }
   ProcessListedServer(server.value());
+  dispatcher_.state().cold_pacer().RecordAlive(id, now);
   backends().Update(server.value(), now);
 }
 
--- a/src/gateway/placement/cold_server_pacer.cc
+++ b/src/gateway/placement/cold_server_pacer.cc
@@ -20,11 +20,19 @@
     cold_until_[server.id] = now + server.cold_remaining;
 }
 
+void ColdServerPacer::RecordAlive(const BackendId& server, Instant now) {
+  alive_at_[server] = now;
+  unreachable_at_.erase(server);
+}
+
 void ColdServerPacer::RecordRestart(const BackendId& server, Instant now) {
   restarted_at_[server] = now;
 }
 
 void ColdServerPacer::RecordUnreachable(const BackendId& server, Instant now) {
+  const auto alive = alive_at_.find(server);
+  if (alive != alive_at_.end() && now <= alive->second)
+    return;
   Instant& at = unreachable_at_[server];
   at = std::max(at, now);
 }
@@ -134,6 +142,7 @@
   const auto is_old = [now](const auto& item) {
     return now - item.second >= kRetention;
   };
+  std::erase_if(alive_at_, is_old);
   std::erase_if(restarted_at_, is_old);
   std::erase_if(unreachable_at_, is_old);
   std::erase_if(sent_, [now](const auto& item) {
--- a/src/gateway/placement/cold_server_pacer.h
+++ b/src/gateway/placement/cold_server_pacer.h
@@ -47,6 +47,9 @@
   // Records that the server's row was read. Its `cold_remaining` counts from
   // now.
   void RecordListed(const BackendServer& server, Instant now);
+  // Records that the server has just written its row, which therefore says
+  // whether it is cold: earlier failures to reach it no longer count.
+  void RecordAlive(const BackendId& server, Instant now);
   // Records that another process started under the server's id. The row may say
   // late that it is cold.
   void RecordRestart(const BackendId& server, Instant now);
@@ -86,6 +89,7 @@
   const InstanceId self_;
   const MemberRegistry& members_;
   std::map<BackendId, Instant> cold_until_;
+  std::map<BackendId, Instant> alive_at_;
   std::map<BackendId, Instant> restarted_at_;
   std::map<BackendId, Instant> unreachable_at_;
   std::map<ZoneId, Instant> evacuation_ended_at_;
--- a/tests/gateway/cold_server_pacer_test.cc
+++ b/tests/gateway/cold_server_pacer_test.cc
@@ -129,6 +129,21 @@
   BOOST_TEST(witness.Unreachable(At(8000)).empty());
 }
 
+// Load: servers that crash and return while traffic goes on. Guards against a
+// server that is kept at the rate of a cold one although its row, written after
+// its return, says that it is warm.
+BOOST_AUTO_TEST_CASE(a_newer_row_ends_the_doubt_about_a_server) {
+  Fleet fleet;
+  ColdServerPacer& pacer = *fleet.pacers()[0];
+  pacer.RecordUnreachable(ColdServer().id, At(0));
+  pacer.RecordAlive(ColdServer().id, At(1000));
+  BOOST_TEST(!pacer.IsCold(ColdServer(), PacedPool(), At(1000)));
+  pacer.MergeUnreachable({{ColdServer().id, Millis(800)}}, At(1500));
+  BOOST_TEST(!pacer.IsCold(ColdServer(), PacedPool(), At(1500)));
+  pacer.RecordUnreachable(ColdServer().id, At(1600));
+  BOOST_TEST(pacer.IsCold(ColdServer(), PacedPool(), At(1600)));
+}
+
 // Load: an evacuated zone is given back with cold servers. Guards against a
 // flood before their rows say so.
 BOOST_AUTO_TEST_CASE(servers_are_cold_after_the_evacuation_of_their_zone) {
