--- a/src/gateway/forwarding/caller_reply.h
+++ b/src/gateway/forwarding/caller_reply.h
@@ -27,8 +27,8 @@
   virtual void Write(std::string piece) = 0;
   // Bytes that are queued and not yet written to the socket.
   virtual std::size_t pending_bytes() const = 0;
-  // Calls `drained` once, when few enough bytes are queued that the response can
-  // go on.
+  // Calls `drained` once, when few enough bytes are queued that the response
+  // can go on.
   virtual void WhenDrained(std::function<void()> drained) = 0;
   // Ends the body normally.
   virtual void Finish() = 0;
