Reserve the idle connections of a test before its loop

Cause: the linter failed on a vector that grows in a loop. Change: its capacity is reserved; the check is unchanged.

--- a/tests/entry/untrusted_caller_test.cc
+++ b/tests/entry/untrusted_caller_test.cc
@@ -238,6 +238,7 @@
       AddInstance("i-2", {{"memory_mb", kMemoryMb}, {"max_open_files", 128}});
   limited.WaitUntilReady();
   std::vector<HttpClient> idle;
+  idle.reserve(kIdle);
   for (int i = 0; i < kIdle; ++i)
     idle.emplace_back(limited.caller_address());
   BOOST_TEST(Call(limited, MakeRequest("POST", "/book/x")).status == 200);
