Split a stand-in's coroutine, so that the tests compile on x86-64

Case: make setup on x86-64 with g++ 12.2. Evidence: -Werror=mismatched-new-delete in BackendStandin::Handle(), a false positive of that compiler: it inlines the allocation of this large coroutine's frame and not its release. Measured: with the answers in a coroutine of their own, Answer(), the file compiles without the warning; nothing else changes. No warning is switched off.

--- a/tests/entry_fixture/backend_standin.cc
+++ b/tests/entry_fixture/backend_standin.cc
@@ -127,6 +127,13 @@
     exchange.Close(true);
     co_return;
   }
+  co_await Answer(exchange, std::move(reply));
+}
+
+boost::asio::awaitable<void> BackendStandin::Answer(standin::Exchange& exchange,
+                                                    HttpReply reply) {
+  const HttpRequest request = exchange.request();
+  const std::string request_id = request.header("X-Bamboomount-Request-Id");
   const bool begins_stream = request.path().ends_with("stream") &&
                              request.header("Last-Event-Id").empty();
   standin::Faults faults;
--- a/tests/entry_fixture/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -102,6 +102,9 @@
 
  private:
   boost::asio::awaitable<void> Handle(standin::Exchange& exchange);
+  // Answers a request that runs as the mode has it.
+  boost::asio::awaitable<void> Answer(standin::Exchange& exchange,
+                                      standin::HttpReply reply);
   boost::asio::awaitable<void> Stream(standin::Exchange& exchange,
                                       standin::HttpReply head);
   boost::asio::awaitable<void> RunScript(standin::Exchange& exchange);
