Bound how deeply a peer's message may be nested

Evidence: the JSON library calls itself for each level of MessagePack. A datagram of 32 KB has room for some 30,000 levels, the stack for fewer; the sender is checked only after the parse. The new cases of gossip_message and peer_rows end the test program on the code before.

--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "gateway/replication/msgpack_parser.h"
+
 namespace bamboomount {
 namespace {
 
@@ -247,7 +249,7 @@
 Result<GossipMessage> DecodeGossipMessage(const std::uint8_t* data,
                                           std::size_t size) {
   try {
-    const Json json = Json::from_msgpack(data, data + size);
+    const Json json = ParseMsgpack(data, size);
     GossipMessage message;
     message.instance = InstanceId(json.at(0).get<std::string>());
     message.sequence = json.at(1).get<std::uint64_t>();
--- a/src/gateway/replication/peer_rows.cc
+++ b/src/gateway/replication/peer_rows.cc
@@ -9,6 +9,7 @@
 #include "gateway/events.h"
 #include "gateway/forwarding/request_target.h"
 #include "gateway/replication/compression.h"
+#include "gateway/replication/msgpack_parser.h"
 #include "telemetry/log.h"
 
 namespace bamboomount {
@@ -23,6 +24,11 @@
 // Bound on the rows of a response, before compression.
 constexpr std::size_t kMaxRowsBytes = 33'554'432;
 
+Json Parse(const std::string& bytes) {
+  return ParseMsgpack(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                      bytes.size());
+}
+
 std::vector<std::uint8_t> CompressRows(const std::vector<TableRow>& rows) {
   Json list = Json::array();
   for (const TableRow& row : rows) {
@@ -89,7 +95,7 @@
 Result<PeerRows> DecodePeerRows(const std::string& table,
                                 const std::string& body) {
   try {
-    const Json json = Json::from_msgpack(body.begin(), body.end());
+    const Json json = Parse(body);
     PeerRows rows;
     rows.is_snapshot = json.at("whole").get<bool>();
     rows.status.revision = RowVersion(json.at("revision").get<std::uint64_t>());
@@ -101,7 +107,7 @@
         Decompress(std::string_view(reinterpret_cast<const char*>(frame.data()),
                                     frame.size()),
                    kMaxRowsBytes));
-    rows.rows = DecodeRowList(table, Json::from_msgpack(list));
+    rows.rows = DecodeRowList(table, Parse(list));
     return rows;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/tests/gateway/gossip_message_test.cc
+++ b/tests/gateway/gossip_message_test.cc
@@ -1,6 +1,8 @@
 #include "gateway/replication/gossip_message.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <vector>
 
 namespace bamboomount {
 namespace {
@@ -127,6 +129,18 @@
     BOOST_TEST(!DecodeGossipMessage(bytes.data(), size));
 }
 
+// Guards against a datagram that ends the process: the parser calls itself for
+// each level, and the stack has room for fewer levels than a datagram.
+BOOST_AUTO_TEST_CASE(deeply_nested_messages_are_rejected) {
+  constexpr std::size_t kDatagramBytes = 32'768;
+  constexpr std::uint8_t kArrayOfOne = 0x91;
+  constexpr std::uint8_t kMapOfOne = 0x81;
+  for (const std::uint8_t level : {kArrayOfOne, kMapOfOne}) {
+    const std::vector<std::uint8_t> bytes(kDatagramBytes, level);
+    BOOST_TEST(!DecodeGossipMessage(bytes.data(), bytes.size()));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/gateway/peer_rows_test.cc
+++ b/tests/gateway/peer_rows_test.cc
@@ -76,6 +76,8 @@
   BOOST_TEST(!Decompress(frame.substr(0, frame.size() / 2), kMaxBytes));
   BOOST_TEST(!Decompress("text", kMaxBytes));
   BOOST_TEST(!DecodePeerRows("op", "text"));
+  constexpr char kArrayOfOne = '\x91';
+  BOOST_TEST(!DecodePeerRows("op", std::string(kMaxBytes, kArrayOfOne)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
