Give the parser no part of a last chunk that it can't take

Case: fuzz/corpus/requests-last-chunk-in-pieces: a caller sends the last chunk of an empty body as "0", an empty line, and then the other empty line byte by byte. Evidence: Beast 1.74 asserts in parse_chunk_header that it gets five bytes once it has seen the beginning of the last chunk. Programs that are built with assertions, as make build does, end; those of the platform are built without, where the parser goes on rightly. The reader now waits for five bytes after a part of a chunk's framing.

--- a/src/base/bounded_http_reader.cc
+++ b/src/base/bounded_http_reader.cc
@@ -31,6 +31,7 @@
   if (buffer_.size() == 0)
     buffer_.shrink_to_fit();
   scanner_.Reset();
+  framing_is_incomplete_ = false;
 }
 
 std::size_t BoundedHttpReader::ScanHead(Error& error) {
--- a/src/base/bounded_http_reader.h
+++ b/src/base/bounded_http_reader.h
@@ -56,6 +56,10 @@
   template <typename Stream, typename Parser>
   class ReadOperation;
 
+  // Beast asserts that it gets at least this much of the last chunk, "0" with
+  // its two empty lines, once it has seen its beginning.
+  static constexpr std::size_t kMinFramingBytes = 5;
+
   // Scans the buffered part of a head. Returns its size once it is complete, 0
   // before.
   std::size_t ScanHead(Error& error);
@@ -71,6 +75,8 @@
   boost::beast::flat_buffer buffer_;
   HttpHeadScanner scanner_;
   std::size_t max_bytes_ = kMaxBytes;
+  // The parser needs more bytes of a chunk's framing than it got.
+  bool framing_is_incomplete_ = false;
 };
 
 template <typename Parser>
@@ -99,7 +105,10 @@
 std::size_t BoundedHttpReader::ParseBody(Parser& parser, Error& error) {
   std::size_t total = 0;
   while (!error && !parser.is_done() && buffer_.size() > 0) {
+    if (framing_is_incomplete_ && buffer_.size() < kMinFramingBytes)
+      break;
     const std::size_t used = parser.put(buffer_.data(), error);
+    framing_is_incomplete_ = used == 0;
     buffer_.consume(used);
     total += used;
   }
