Refuse chunk framing that readers understand differently

Case: fuzz/corpus/requests-folded-trailer: trailers with a folded line, a bare LF or a blank before the colon were accepted, though such heads are refused. Evidence: the parser takes them, the strict reader doesn't. ChunkedBodyScanner follows each body in chunks by the letter of RFC 9112, 7.1, in all readers of the entry instance.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -5,6 +5,7 @@
 #define BASE_BASE_H_
 
 #include "base/chunk_framing_meter.h"
+#include "base/chunked_body_scanner.h"
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/error.h"
--- a/src/base/bounded_http_reader.cc
+++ b/src/base/bounded_http_reader.cc
@@ -31,6 +31,8 @@
   if (buffer_.size() == 0)
     buffer_.shrink_to_fit();
   scanner_.Reset();
+  chunks_.Reset();
+  scanned_bytes_ = 0;
   framing_is_incomplete_ = false;
 }
 
@@ -47,4 +49,16 @@
   return 0;
 }
 
+bool BoundedHttpReader::ScanChunks(Error& error) {
+  const auto bytes = buffer_.data();
+  const std::string_view added(
+      static_cast<const char*>(bytes.data()) + scanned_bytes_,
+      bytes.size() - scanned_bytes_);
+  if (!chunks_.ended())
+    scanned_bytes_ += chunks_.Scan(added);
+  if (chunks_.failed())
+    error = http::error::bad_chunk;
+  return !chunks_.failed();
+}
+
 }  // namespace bamboomount
--- a/src/base/bounded_http_reader.h
+++ b/src/base/bounded_http_reader.h
@@ -1,6 +1,7 @@
 #ifndef BASE_BOUNDED_HTTP_READER_H_
 #define BASE_BOUNDED_HTTP_READER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <string_view>
 // Boost 1.74 awaitable.hpp uses std::exchange without including <utility>.
@@ -15,18 +16,21 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "base/chunked_body_scanner.h"
 #include "base/http_head_scanner.h"
 
 namespace bamboomount {
 
 // Reads HTTP messages from a stream and bounds what is buffered before there is
 // something to pass on: heads, chunk sizes, chunk extensions and trailers.
-// Heads are checked by HttpHeadScanner before they are parsed.
+// Heads are checked by HttpHeadScanner before they are parsed, bodies in chunks
+// by ChunkedBodyScanner.
 //
 // Errors of the input are those of Beast's HTTP category: header_limit for a
 // head that is too large, buffer_overflow for chunk framing that is too large,
 // bad_obs_fold, bad_line_ending and bad_value for a head that
-// HttpHeadScanner rejects, and those of the parser. Not thread-safe.
+// HttpHeadScanner rejects, bad_chunk for a body that ChunkedBodyScanner
+// rejects, and those of the parser. Not thread-safe.
 class BoundedHttpReader {
  public:
   using Error = boost::system::error_code;
@@ -63,6 +67,9 @@
   // Scans the buffered part of a head. Returns its size once it is complete, 0
   // before.
   std::size_t ScanHead(Error& error);
+  // Scans the bytes of a body in chunks that were not scanned yet. Returns
+  // false, and sets the error, if they break the rules.
+  bool ScanChunks(Error& error);
   template <typename Parser>
   std::size_t Parse(Parser& parser, Error& error);
   template <typename Parser>
@@ -75,6 +82,9 @@
   boost::beast::flat_buffer buffer_;
   HttpHeadScanner scanner_;
   std::size_t max_bytes_ = kMaxBytes;
+  ChunkedBodyScanner chunks_;
+  // The buffered bytes of a body in chunks that were scanned already.
+  std::size_t scanned_bytes_ = 0;
   // The parser needs more bytes of a chunk's framing than it got.
   bool framing_is_incomplete_ = false;
 };
@@ -103,6 +113,8 @@
 
 template <typename Parser>
 std::size_t BoundedHttpReader::ParseBody(Parser& parser, Error& error) {
+  if (parser.chunked() && !ScanChunks(error))
+    return 0;
   std::size_t total = 0;
   while (!error && !parser.is_done() && buffer_.size() > 0) {
     if (framing_is_incomplete_ && buffer_.size() < kMinFramingBytes)
@@ -110,6 +122,7 @@
     const std::size_t used = parser.put(buffer_.data(), error);
     framing_is_incomplete_ = used == 0;
     buffer_.consume(used);
+    scanned_bytes_ -= std::min(scanned_bytes_, used);
     total += used;
   }
   if (error == boost::beast::http::error::need_more) {
