Refuse a response whose status is below 100

Evidence: the parser takes any three digits, and 0 stands for "no response" in the exchange. Such a response now counts as a broken one.

--- a/src/gateway/forwarding/backend_attempt.cc
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -14,6 +14,8 @@
 constexpr Millis kConnectTimeout{500};
 // Bounds the head of a reply, and its chunk framing that is not yet complete.
 constexpr std::size_t kMaxReplyHeaderBytes = 65536;
+// The parser takes any three digits for a status.
+constexpr unsigned kLowestStatus = 100;
 // Used if the server does not announce its idle timeout; such servers may close
 // idle connections early.
 constexpr Millis kDefaultIdleTimeout{1000};
@@ -134,7 +136,8 @@
 
 void BackendAttempt::OnHead() {
   const auto& header = parser_->get().base();
-  if (!IsUnambiguous(FramingOf(header))) {
+  if (!IsUnambiguous(FramingOf(header)) ||
+      header.result_int() < kLowestStatus) {
     EndAttempt(AttemptOutcome::kInterrupted);
     return;
   }
