Take no spoilt id for the place of a stream

A server spoils one event; its id is empty, smaller, of 64 KiB or can't stand in a head. Evidence: SseFramer took any id for the place up to which the caller has the stream. One of 64 KiB made the head of the next attempt throw, which ended the process; a smaller one resumed the stream from its beginning. Ids beyond the right one, which a server may spoil too, can't be told from sound ones.

--- a/src/gateway/forwarding/sse_framer.h
+++ b/src/gateway/forwarding/sse_framer.h
@@ -19,11 +19,15 @@
   // Number of buffered bytes of the event that is not complete yet.
   std::size_t partial_bytes() const { return partial_.size(); }
   bool at_boundary() const { return partial_.empty(); }
-  // The id of the last complete event that had one; empty if none had.
+  // The place up to which the stream was forwarded: the id of the last complete
+  // event that had a usable one; empty if none had. Ids increase, so one that
+  // is no greater number than the one before it is not usable: the server
+  // spoilt the event. Nor is one that cannot stand in the head of a request.
   const std::string& last_event_id() const { return last_event_id_; }
 
  private:
   void RecordEventIds(std::string_view events);
+  void RecordEventId(std::string_view id);
 
   std::string partial_;
   std::string last_event_id_;
