--- a/fuzz/document_checks.cc
+++ b/fuzz/document_checks.cc
@@ -161,7 +161,7 @@
 // Whether the row has the fields that the pages of the platform name, each of
 // its type.
 bool NamesServer(const std::string& text) {
-  constexpr double kMaxColdMs = 1e12;
+  constexpr double kMaxColdMs = 1e9;
   const Json row = Json::parse(text, nullptr, false);
   if (!row.is_object())
     return false;
--- a/tests/platform/row_decoder_test.cc
+++ b/tests/platform/row_decoder_test.cc
@@ -1,6 +1,8 @@
 #include "platform/row_decoder.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
 
 #include "platform/base64.h"
 #include "platform/http_discovery_protocol.h"
@@ -98,14 +100,16 @@
 // Guards against a row of another writer that is taken for a server, although
 // nothing can listen at its address or its numbers are out of range.
 BOOST_AUTO_TEST_CASE(rows_that_name_no_usable_server_are_errors) {
-  const std::string rest = R"(,"service":"s","zone":"z","state":"ready"})";
+  const std::string rest =
+      R"(,"service":"s","zone":"z","state":"ready","sequence":1,)"
+      R"("cold_remaining_ms":0})";
   const std::string address = R"(,"address":"10.0.0.1:8")";
   for (std::string row :
        {R"({"slots":8,"address":"10.0.0.1:65536")",
         R"({"slots":8,"address":"10.0.0.1:0")",
         R"({"slots":8,"address":"10.0.0.1:-1")",
         R"({"slots":8,"address":"10.0.0.1")", R"({"slots":8,"address":":8")"}) {
-    row += rest;
+    row += R"(,"version":"v1")" + rest;
     BOOST_TEST(!RowDecoder().DecodeBackend("e", row), row);
   }
   for (std::string row :
@@ -116,6 +120,8 @@
         R"({"slots":8,"born":18446744073709551615)",
         R"({"slots":8,"version":1)"}) {
     row += address;
+    if (row.find("version") == std::string::npos)
+      row += R"(,"version":"v1")";
     row += rest;
     BOOST_TEST(!RowDecoder().DecodeBackend("e", row), row);
   }
@@ -127,11 +133,31 @@
   const auto server = RowDecoder().DecodeBackend(
       "e-1",
       R"({"service":"s","address":"10.0.0.1:8","zone":"z","slots":64,
-          "state":"draining","spot":true,"born":1781246569019,"new":1})");
+          "state":"draining","spot":true,"born":1781246569019,"new":1,
+          "version":"v1","sequence":4,"cold_remaining_ms":1500.5})");
   BOOST_TEST(server.value().id == BackendId("e-1"));
   BOOST_TEST(server.value().draining);
   BOOST_TEST(server.value().reclaimable);
   BOOST_TEST(server.value().started_at_ms == 1781246569019);
+  BOOST_TEST(server.value().cold_remaining.count() == 1500);
+}
+
+// Guards against a row of another writer that is taken for a server although a
+// field is missing or of another type.
+BOOST_AUTO_TEST_CASE(each_field_of_a_server_is_needed_with_its_type) {
+  const auto sound = nlohmann::json::parse(
+      R"({"service":"s","address":"10.0.0.1:8","zone":"z","version":"v1",
+          "slots":8,"state":"ready","sequence":0,"cold_remaining_ms":0})");
+  BOOST_TEST(bool(RowDecoder().DecodeBackend("e", sound.dump())));
+  for (const auto& [name, value] : sound.items()) {
+    auto row = sound;
+    row.erase(name);
+    BOOST_TEST(!RowDecoder().DecodeBackend("e", row.dump()), name);
+    for (const char* odd : {"null", "[]", "true", "-1", "1e300"}) {
+      row[name] = nlohmann::json::parse(odd);
+      BOOST_TEST(!RowDecoder().DecodeBackend("e", row.dump()), name);
+    }
+  }
 }
 
 // Guards against row values that change on their way through the store, in
