--- a/tests/entry/fleet_gossip_test.cc
+++ b/tests/entry/fleet_gossip_test.cc
@@ -87,7 +87,10 @@
     message.instance = member_.instance;
     message.sequence = ++sequence_;
     message.usage_update = update;
-    const auto bytes = EncodeGossipMessage(message);
+    SendBytes(address, EncodeGossipMessage(message));
+  }
+  void SendBytes(const std::string& address,
+                 const std::vector<std::uint8_t>& bytes) {
     const auto endpoint = ParseIpEndpoint(address).value();
     socket_.send_to(boost::asio::buffer(bytes),
                     {endpoint.address(), endpoint.port()});
@@ -302,6 +305,24 @@
   BOOST_TEST(store().Table(tables::kIncarnationUsage).empty());
 }
 
+// Guards against a datagram that ends the process by its nesting, whoever sends
+// it.
+BOOST_AUTO_TEST_CASE(a_deeply_nested_datagram_is_dropped) {
+  constexpr std::size_t kDatagramBytes = 32'768;
+  constexpr std::uint8_t kArrayOfOne = 0x91;
+  EntryInstance& instance = AddGossipInstance("i-1");
+  BOOST_TEST(WaitUntil(
+      [&] { return !store().Get(tables::kInstances, "i-1").empty(); }));
+  const Member member =
+      DecodeMember(store().Get(tables::kInstances, "i-1")).value();
+  GossipPeer("i-2").SendBytes(
+      member.peer_address,
+      std::vector<std::uint8_t>(kDatagramBytes, kArrayOfOne));
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST(Call(instance, MakeRequest("POST", "/book/x")).status == 200);
+  BOOST_TEST(instance.process().running());
+}
+
 // Guards against a holder that orders backend servers by old loads because
 // regular rounds of a large fleet rarely reach it.
 BOOST_AUTO_TEST_CASE(usage_comes_with_the_loads) {
