--- a/tests/platform/row_decoder_test.cc
+++ b/tests/platform/row_decoder_test.cc
@@ -1,6 +1,7 @@
 #include "platform/row_decoder.h"
 
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -97,6 +98,26 @@
     BOOST_TEST(!decoder.DecodeBackend("e", value));
 }
 
+// Guards against a number whose conversion is undefined, and against a document
+// that is nested deeper than the stack.
+BOOST_AUTO_TEST_CASE(a_configuration_with_impossible_numbers_is_an_error) {
+  for (const std::string number : {"1e300", "-1e300", "3e9", "-1.5", "1e999"}) {
+    const std::string config =
+        R"({"version":1,"routes":[{"host":"h","prefix":"/a/","attempts":)" +
+        number + "}]}";
+    BOOST_TEST(!RowDecoder().DecodePolicy(config), config);
+  }
+  const auto policy = RowDecoder().DecodePolicy(
+      R"({"version":1,"routes":[{"host":"h","prefix":"/a/","service":"s",
+          "timeout_ms":9223372036854775807}]})");
+  BOOST_TEST((policy.value()->FindRoute("h", "/a/")->timeout <
+              std::chrono::hours(24 * 365)));
+  constexpr std::size_t kDepth = 1'000'000;
+  BOOST_TEST(!RowDecoder().DecodePolicy(R"({"version":1,"routes":)" +
+                                        std::string(kDepth, '[') +
+                                        std::string(kDepth, ']') + "}"));
+}
+
 // Guards against a row of another writer that is taken for a server, although
 // nothing can listen at its address or its numbers are out of range.
 BOOST_AUTO_TEST_CASE(rows_that_name_no_usable_server_are_errors) {
