Refuse numbers of peers that are not whole

Case: a gossip message with a float in place of a count. Evidence: its conversion to an integer is undefined if it is out of range; instances send whole numbers only. Measured: the new case of gossip_message; the old code decoded such a message.

--- a/src/gateway/replication/msgpack_parser.cc
+++ b/src/gateway/replication/msgpack_parser.cc
@@ -1,6 +1,7 @@
 #include "gateway/replication/msgpack_parser.h"
 
 #include <stdexcept>
+#include <string>
 
 namespace bamboomount {
 namespace {
@@ -14,6 +15,11 @@
 
   explicit BoundedBuilder(Json& value) : Base(value, false) {}
 
+  // Instances send whole numbers only. The conversion of another one to an
+  // integer may be undefined.
+  bool number_float(double /*value*/, const std::string& /*text*/) {
+    return false;
+  }
   bool start_object(std::size_t size) {
     return ++depth_ <= kMaxMsgpackDepth && Base::start_object(size);
   }
@@ -41,7 +47,8 @@
   const bool parsed = Json::sax_parse(data, data + size, &builder,
                                       Json::input_format_t::msgpack);
   if (!parsed)
-    throw std::runtime_error("malformed or too deeply nested MessagePack");
+    throw std::runtime_error(
+        "malformed MessagePack, or not as instances send it");
   return value;
 }
 
--- a/src/gateway/replication/msgpack_parser.h
+++ b/src/gateway/replication/msgpack_parser.h
@@ -11,9 +11,10 @@
 // instances need less.
 inline constexpr std::size_t kMaxMsgpackDepth = 32;
 
-// Parses a MessagePack message. Throws std::runtime_error if it is malformed or
-// nested deeper than kMaxMsgpackDepth: the JSON library calls itself for each
-// level, and a datagram has room for more levels than the stack.
+// Parses a MessagePack message. Throws std::runtime_error if it is malformed,
+// has a number that is not whole, or is nested deeper than kMaxMsgpackDepth:
+// the JSON library calls itself for each level, and a datagram has room for
+// more levels than the stack.
 nlohmann::json ParseMsgpack(const std::uint8_t* data, std::size_t size);
 
 }  // namespace bamboomount
--- a/tests/gateway/gossip_message_test.cc
+++ b/tests/gateway/gossip_message_test.cc
@@ -1,6 +1,8 @@
 #include "gateway/replication/gossip_message.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -129,6 +131,19 @@
     BOOST_TEST(!DecodeGossipMessage(bytes.data(), size));
 }
 
+// Guards against a number whose conversion to an integer is undefined.
+BOOST_AUTO_TEST_CASE(numbers_that_are_not_whole_are_rejected) {
+  auto bytes = EncodeGossipMessage(MakeMessage());
+  // The sequence number, behind the array of 16 and the text "a".
+  constexpr std::ptrdiff_t kSequence = 5;
+  constexpr std::array<std::uint8_t, 9> kHugeFloat{0xcb, 0x7e, 0x37, 0xe4, 0x3c,
+                                                   0x88, 0x00, 0x75, 0x9c};
+  BOOST_TEST(bytes.at(kSequence) == 7);
+  bytes.erase(bytes.begin() + kSequence);
+  bytes.insert(bytes.begin() + kSequence, kHugeFloat.begin(), kHugeFloat.end());
+  BOOST_TEST(!DecodeGossipMessage(bytes.data(), bytes.size()));
+}
+
 // Guards against a datagram that ends the process: the parser calls itself for
 // each level, and the stack has room for fewer levels than a datagram.
 BOOST_AUTO_TEST_CASE(deeply_nested_messages_are_rejected) {
