--- a/fuzz/checks.h
+++ b/fuzz/checks.h
@@ -29,6 +29,9 @@
 // Datagrams and rows of other instances.
 void CheckPeerMessages(Choices& choices);
 
+// A datagram as another instance may send it, sound or spoilt.
+std::string GeneratePeerDatagram(Choices& choices);
+
 // Runs the check that the first byte of `input` selects on the rest.
 void CheckInput(std::string_view input);
 // The name of that check.
--- a/fuzz/document_checks.cc
+++ b/fuzz/document_checks.cc
@@ -330,6 +330,15 @@
     CheckServerRow(choices);
 }
 
+std::string GeneratePeerDatagram(Choices& choices) {
+  // Longer ones are truncated by the receiver.
+  constexpr std::size_t kMaxBytes = 32'768;
+  bool is_sound = true;
+  const auto encoded = EncodeGossipMessage(SoundGossip());
+  return SpoilBytes({encoded.begin(), encoded.end()}, choices, is_sound)
+      .substr(0, kMaxBytes);
+}
+
 void CheckPeerMessages(Choices& choices) {
   bool is_sound = true;
   if (choices.OneIn(2)) {
--- a/fuzz/http_grammar.cc
+++ b/fuzz/http_grammar.cc
@@ -243,7 +243,7 @@
     start = choices.Pick(kOddStarts);
     message.is_sound = false;
   }
-  Assemble(start, "Host: h\r\n" + fields, choices, message);
+  Assemble(start, fields, choices, message);
   // The coding is not known to HTTP/1.0.
   if (is_old) {
     message.is_last = true;
--- a/fuzz/http_grammar.h
+++ b/fuzz/http_grammar.h
@@ -21,8 +21,8 @@
   bool until_close = false;
 };
 
-// A request with the given fields besides its own. `fields` ends with a line
-// end.
+// A request with the given fields, which include Host, besides its own.
+// `fields` ends with a line end.
 GeneratedMessage GenerateRequest(Choices& choices, const std::string& fields);
 GeneratedMessage GenerateResponse(Choices& choices, const std::string& fields);
 // Cuts the bytes into the pieces in which they arrive.
--- a/fuzz/message_checks.cc
+++ b/fuzz/message_checks.cc
@@ -250,7 +250,8 @@
   const auto messages =
       GenerateMessages(choices, [&choices](std::size_t /*number*/) {
         return GenerateRequest(
-            choices, choices.OneIn(8) ? "Expect: 100-continue\r\n" : "");
+            choices, choices.OneIn(8) ? "Host: h\r\nExpect: 100-continue\r\n"
+                                      : "Host: h\r\n");
       });
   const std::string sent = Join(messages);
   asio::io_context context;
--- a/fuzz/wire.cc
+++ b/fuzz/wire.cc
@@ -54,14 +54,17 @@
 }
 
 void Wire::RunProduct() {
-  context_.restart();
-  while (context_.poll() > 0) {
+  bool goes_on = true;
+  while (goes_on) {
+    context_.restart();
+    goes_on = context_.poll() > 0;
     std::array<char, 16384> bytes{};
     ssize_t size = 0;
     while (descriptor_ >= 0 &&
-           (size = recv(descriptor_, bytes.data(), bytes.size(), 0)) > 0)
+           (size = recv(descriptor_, bytes.data(), bytes.size(), 0)) > 0) {
       output_.append(bytes.data(), static_cast<std::size_t>(size));
-    context_.restart();
+      goes_on = true;
+    }
   }
 }
 
--- a/fuzz/wire.h
+++ b/fuzz/wire.h
@@ -23,15 +23,15 @@
 
   // The end for the product; can be taken once.
   tcp::socket TakeSocket() { return std::move(socket_); }
-  // Sends the bytes and runs the product until it waits. What the product sent
-  // is added to output().
+  // Sends the bytes and calls RunProduct().
   void Deliver(std::string_view bytes);
   void End(Ending ending);
+  // Runs the product until it waits and takes what it sent.
+  void RunProduct();
+  // All that the product has sent.
   const std::string& output() const { return output_; }
 
  private:
-  void RunProduct();
-
   asio::io_context& context_;
   tcp::socket socket_;
   int descriptor_ = -1;
