Explore orders of events of the lease, replication and attempts

Real classes of the product in small worlds: DutyLease; TableFollower with StateFreshness; Exchange with its attempts, without a network. All orders of steps up to a depth, each state once.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CASES ?= 10000
 JOBS ?= $(shell nproc)
 
-.PHONY: setup packages build test demo bench soak fault-soak format lint
+.PHONY: setup packages build test demo bench soak fault-soak fuzz model-check guards format lint
 packages:
 	apt-get update
 	apt-get install -y --no-install-recommends $(PACKAGES)
@@ -57,6 +57,29 @@
 	@echo "SEED=$(SEED) SECONDS=$(SECONDS)"
 	$(BUILD)/bin/fault_soak --seed $(SEED) --seconds $(SECONDS) --logs $(BUILD)/fault-soak-$(SEED)
 
+# Generated messages for the readers and for a running instance, then chosen by coverage; see fuzz/README.md.
+fuzz: $(SETUP_MARK)
+	$(MAKE) build
+	@echo "SEED=$(SEED) SECONDS=$(SECONDS)"
+	$(BUILD)/bin/fuzz_messages --seed $(SEED) --seconds $(SECONDS) --keep $(BUILD)
+	$(BUILD)/bin/fuzz_instance --seed $(SEED) --seconds $(SECONDS)
+	apt-get install -y --no-install-recommends clang libclang-rt-14-dev
+	cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DBAMBOOMOUNT_COVERAGE_FUZZER=ON >/dev/null
+	cmake --build $(BUILD)-fuzz -j $(JOBS) --target fuzz_coverage
+	mkdir -p $(BUILD)-fuzz/corpus
+	$(BUILD)-fuzz/bin/fuzz_coverage -seed=$(SEED) -max_total_time=$(SECONDS) -max_len=400 \
+	  -artifact_prefix=$(BUILD)-fuzz/ $(BUILD)-fuzz/corpus fuzz/corpus
+
+# Explores orders of events up to a depth, 0 for that of CI; see check/README.md.
+DEPTH ?= 0
+model-check: $(SETUP_MARK)
+	$(MAKE) build
+	$(BUILD)/bin/model_check --depth $(DEPTH) --states 20000000
+
+# Shows that each property fails without its guard.
+guards:
+	check/guards.py
+
 format:
 	git ls-files '*.h' '*.cc' | xargs clang-format -i
 
--- /dev/null
+++ b/check/guards.py
@@ -0,0 +1,135 @@
+#!/usr/bin/env python3
+"""Takes out one guard of the product at a time and shows which property breaks.
+
+Usage: check/guards.py [NAME...]. Works on a copy of the sources in a temporary
+folder, which it builds there. Prints a row for each guard; exits with 1 if a
+property holds without its guard.
+"""
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
+SRC = "src/gateway/"
+MODEL = ["build/bin/model_check"]
+FUZZ = ["build/bin/fuzz_messages", "--seed", "1", "--seconds", "20"]
+
+# Name, file, what stands there, what replaces it, program that must fail.
+GUARDS = [
+    ("takeover only after expiry", SRC + "duties/duty_lease.cc",
+     "now - observed_since_ < duration_ + kTakeoverMargin", "now < observed_since_",
+     MODEL + ["--world", "lease", "--depth", "14"]),
+    ("lease counted from the send", SRC + "duties/duty_lease.cc",
+     "if (claim.row == *row)\n      sent = claim.sent;", "if (claim.row == *row)\n      sent = now;",
+     MODEL + ["--world", "lease", "--depth", "14"]),
+    ("row of another holder ends the lease", SRC + "duties/duty_lease.cc",
+     "if (!row || row->incarnation != incarnation_)", "if (!row)", MODEL + ["--world", "lease", "--depth", "14"]),
+    ("token rises with each takeover", SRC + "duties/duty_lease.cc",
+     "observed_row_->token + FencingToken(1)", "FencingToken(1)", MODEL + ["--world", "lease", "--depth", "14"]),
+    ("position of a peer proves nothing alone", SRC + "replication/table_replica.cc",
+     "if (!has_newest_change && status.digest != digest_)", "if (false)", MODEL + ["--world", "replication-2"]),
+    ("history starts anew after an advance by digest", SRC + "replication/table_replica.cc",
+     "history_start_ = std::max(history_start_, status.revision);", "{}", MODEL + ["--world", "replication-3"]),
+    ("old snapshot is dropped", SRC + "replication/table_follower.cc",
+     "response.info.position >= replica_.position()", "true", MODEL + ["--world", "replication-lost", "--depth", "8"]),
+    ("old change is dropped", SRC + "replication/table_replica.cc",
+     "if (row.version <= position_)", "if (false)", MODEL + ["--world", "replication-2"]),
+    ("confirmed when the store answered, not now", SRC + "membership/state_freshness.cc",
+     "RecordConfirmed(EarliestLocalTime(store_time), store_time);", "RecordConfirmed(now, store_time);",
+     MODEL + ["--world", "replication-2"]),
+    ("work that may run once is not repeated", SRC + "forwarding/retry_rules.cc",
+     "!MayRepeat(route.kind) || ", "", MODEL + ["--world", "attempts-once-2"]),
+    ("no more runs than attempts", SRC + "forwarding/retry_rules.cc",
+     " || history.possible_runs >= route.attempts", "", MODEL + ["--world", "attempts-safe-1"]),
+    ("unmarked refusal is no promise", SRC + "forwarding/exchange.cc",
+     "bool PromisesNotRun(unsigned status) {",
+     "bool PromisesNotRun(unsigned status) {\n  if (status > 0)\n    return false;",
+     MODEL + ["--world", "attempts-once-1"]),
+    ("only the mark states not run", SRC + "forwarding/response_relay.cc",
+     "return head.not_executed ||", "return head.not_executed || head.status == 503 ||",
+     MODEL + ["--world", "attempts-once-1"]),
+    ("failed work is no refusal", SRC + "forwarding/exchange.cc",
+     "if (retries_.history().possible_runs == 0)\n    RefuseTemporarily(reason);",
+     "if (true)\n    RefuseTemporarily(reason);", MODEL + ["--world", "attempts-once-1"]),
+    ("success needs its proof", SRC + "forwarding/response_relay.cc",
+     "(success && !head.sealed)", "false", MODEL + ["--world", "attempts-safe-1"]),
+    ("answer of another request is skipped", SRC + "forwarding/backend_attempt.cc",
+     "mismatched_reply_ = head.request_id != options_.id;", "mismatched_reply_ = false;",
+     MODEL + ["--world", "attempts-safe-1"]),
+    ("broken event is dropped", SRC + "forwarding/exchange.cc",
+     "relay_.DropPartialEvent();", "", MODEL + ["--world", "attempts-resumable-2"]),
+    ("spoilt id is no place", SRC + "forwarding/sse_framer.cc",
+     "if (last && (!next || *next <= *last))", "if (false)", MODEL + ["--world", "attempts-resumable-2"]),
+    ("ambiguous framing is refused", "src/base/message_framing.cc",
+     "bool IsUnambiguous(const MessageFraming& framing) {",
+     "bool IsUnambiguous(const MessageFraming& framing) {\n  if (framing.version > 0)\n    return true;", FUZZ),
+    ("odd heads are refused", "src/base/http_head_scanner.cc", "HeadVerdict::kFoldedLine", "HeadVerdict::kIncomplete",
+     FUZZ),
+    ("odd chunks are refused", "src/base/bounded_http_reader.cc", "return !chunks_.failed();",
+     "error = {};\n  return true;", FUZZ),
+    ("last chunk is given as a whole", "src/base/bounded_http_reader.h", "kMinFramingBytes = 5", "kMinFramingBytes = 0",
+     FUZZ),
+    ("trailers are no fields", SRC + "forwarding/caller_connection.cc",
+     "if (chunked_head_)\n    request.message", "if (false)\n    request.message", FUZZ),
+    ("connection with surplus bytes is closed", SRC + "forwarding/backend_attempt.cc",
+     "connection_->reader.buffered_bytes() == 0;", "true;", FUZZ),
+    ("idle connection with input is closed", SRC + "forwarding/backend_connection_pool.cc",
+     "return error == asio::error::would_block;", "return true;", FUZZ),
+    ("nesting of peers' messages is bounded", SRC + "replication/msgpack_parser.h", "kMaxMsgpackDepth = 32",
+     "kMaxMsgpackDepth = 1'000'000", FUZZ),
+    ("status is at least 100", SRC + "forwarding/backend_attempt.cc", "kLowestStatus = 100", "kLowestStatus = 0", FUZZ),
+    ("id fits into a head", SRC + "forwarding/sse_framer.cc", "if (!IsUsableId(id))", "if (id.empty())", FUZZ),
+    ("row needs its fields", "platform/row_decoder.cc",
+     'IntegerIn(json.at("sequence"), 0, std::numeric_limits<std::int64_t>::max());', "", FUZZ),
+]
+
+
+def build(folder):
+    subprocess.run(["cmake", "--build", "build", "--target", "model_check", "fuzz_messages"], cwd=folder, check=True,
+                   stdout=subprocess.DEVNULL)
+
+
+def first_line(output):
+    for line in output.splitlines():
+        if ": " in line and "states" not in line and "repeat" not in line and "inputs" not in line:
+            return line.split("; sent")[0][:110]
+    return output[:110]
+
+
+def check(folder, guard):
+    name, file, old, new, command = guard
+    path = folder / file
+    text = path.read_text()
+    if text.count(old) == 0:
+        sys.exit(f"{name}: {file} has no {old!r}")
+    path.write_text(text.replace(old, new))
+    try:
+        build(folder)
+        run = subprocess.run(["timeout", "400"] + command, cwd=folder, capture_output=True, text=True,
+                             errors="replace")
+    finally:
+        path.write_text(text)
+    fails = run.returncode not in (0, 124)
+    print(f"{'fails' if fails else 'HOLDS'} | {name} | {first_line(run.stdout + run.stderr) if fails else ''}", flush=True)
+    return fails
+
+
+def main():
+    names = sys.argv[1:]
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(temporary) / "copy"
+        shutil.copytree(REPOSITORY, folder, ignore=shutil.ignore_patterns("build*", "target", "journal", ".git"))
+        # A guard that is taken out leaves unused names behind.
+        listing = folder / "CMakeLists.txt"
+        listing.write_text(listing.read_text().replace("add_compile_options(-Wall -Wextra -Werror)", ""))
+        subprocess.run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja"], cwd=folder, check=True,
+                       stdout=subprocess.DEVNULL)
+        build(folder)
+        results = [check(folder, guard) for guard in GUARDS if not names or guard[0] in names]
+    sys.exit(0 if all(results) else 1)
+
+
+if __name__ == "__main__":
+    main()
