--- a/check/attempts_world.h
+++ b/check/attempts_world.h
@@ -57,7 +57,6 @@
   void CheckStream();
   void Fail(const std::string& property);
 
-  const Route* route_ = nullptr;
   const RequestKind kind_;
   const int attempts_;
   asio::io_context context_;
