Take no row without a start time for a restart

Evidence: the registry compared 0 with the known start and dropped the announcement; the observer forgot the server's health. A row without a start time now says nothing about the process.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -56,9 +56,10 @@
   const BackendServer* known = backends().Find(server.id);
   if (known && known->draining == server.draining &&
       known->address == server.address &&
-      known->started_at_ms == server.started_at_ms)
+      IsSameProcess(known->started_at_ms, server.started_at_ms))
     return;
-  const bool restarted = known && known->started_at_ms != server.started_at_ms;
+  const bool restarted =
+      known && !IsSameProcess(known->started_at_ms, server.started_at_ms);
   if (restarted) {
     dispatcher_.state().cold_pacer().RecordRestart(server.id, BootClock::now());
     dispatcher_.connections().CloseIdleConnections(server.id);
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -7,8 +7,11 @@
 
 void BackendRegistry::Update(BackendServer server, Instant now) {
   const BackendServer* known = Find(server.id);
-  const bool same = known && known->started_at_ms == server.started_at_ms;
+  const bool same =
+      known && IsSameProcess(known->started_at_ms, server.started_at_ms);
   server.listed_since = same ? known->listed_since : now;
+  if (same && server.started_at_ms == 0)
+    server.started_at_ms = known->started_at_ms;
   if (HasAnnounced(server, now))
     server.draining = true;
   servers_.insert_or_assign(server.id, Entry{server, std::nullopt});
@@ -19,7 +22,8 @@
   const auto announcement = announcements_.find(server.id);
   if (announcement == announcements_.end())
     return false;
-  if (announcement->second.started_at_ms != server.started_at_ms) {
+  if (!IsSameProcess(announcement->second.started_at_ms,
+                     server.started_at_ms)) {
     announcements_.erase(announcement);
     return false;
   }
@@ -30,7 +34,7 @@
 bool BackendRegistry::MarkLeaving(const BackendServer& server, Instant now) {
   const auto entry = servers_.find(server.id);
   if (entry != servers_.end() &&
-      entry->second.server.started_at_ms != server.started_at_ms)
+      !IsSameProcess(entry->second.server.started_at_ms, server.started_at_ms))
     return false;
   const auto [announcement, is_new] =
       announcements_.try_emplace(server.id, Announcement{});
--- a/src/gateway/membership/backend_server.h
+++ b/src/gateway/membership/backend_server.h
@@ -34,6 +34,14 @@
   Instant listed_since;
 };
 
+// Whether the start times are those of one process. A row without a start time
+// says nothing about it, so it does not stand for a restart.
+inline bool IsSameProcess(std::int64_t started_at_ms,
+                          std::int64_t other_started_at_ms) {
+  return started_at_ms == 0 || other_started_at_ms == 0 ||
+         started_at_ms == other_started_at_ms;
+}
+
 }  // namespace bamboomount
 
 #endif  // GATEWAY_MEMBERSHIP_BACKEND_SERVER_H_
--- a/tests/gateway/backend_registry_test.cc
+++ b/tests/gateway/backend_registry_test.cc
@@ -86,6 +86,24 @@
   BOOST_TEST(registry.Usable(PoolId("p")).empty());
 }
 
+// Guards against requests to a server that is leaving after a row without a
+// start time, which was taken for another process.
+BOOST_AUTO_TEST_CASE(a_row_without_a_start_time_is_no_restart) {
+  constexpr std::int64_t kStart = 1000;
+  BackendRegistry registry;
+  BackendServer server = Server("a");
+  server.started_at_ms = kStart;
+  registry.Update(server, At(0));
+  BOOST_TEST(registry.MarkLeaving(server, At(0)));
+  registry.Update(Server("a"), At(100));
+  BOOST_TEST(!registry.FindUsable(BackendId("a")));
+  registry.Update(server, At(200));
+  BOOST_TEST(!registry.FindUsable(BackendId("a")));
+  server.started_at_ms = kStart + 1;
+  registry.Update(server, At(300));
+  BOOST_TEST(registry.FindUsable(BackendId("a")) != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
