--- a/tests/entry/odd_server_row_test.cc
+++ b/tests/entry/odd_server_row_test.cc
@@ -125,6 +125,30 @@
   }
 }
 
+// Guards against rows of another part of a table that are taken for the
+// configuration and the servers: the feed of changes has all parts.
+BOOST_AUTO_TEST_CASE(rows_of_another_part_are_not_used) {
+  Configure(1, DefaultCustomers());
+  AddBackend("e-1");
+  EntryInstance& instance = AddInstance("i-1");
+  instance.WaitUntilReady();
+  BackendStandin other("e-9");
+  store().PutInPart("servers", "draft", "e-9", other.RowValue("pool"));
+  store().PutInPart(
+      "op", "draft", "config",
+      MakeConfig(2, json::array({{{"name", "new"}, {"api_keys", {"key-new"}}}}))
+          .dump());
+  // The instance has read the rows above once it knows this one.
+  AddBackend("e-2");
+  BOOST_TEST(WaitUntil(
+      [&] { return Contains(Logged(instance, "backend_listed"), "e-2"); }));
+  BOOST_TEST(!Contains(Logged(instance, "backend_listed"), "e-9"));
+  BOOST_TEST(Call(instance, MakeRequest("POST", "/book/x")).status == 200);
+  BOOST_TEST(Call(instance, MakeRequest("POST", "/book/x", "key-new")).status ==
+             401);
+  BOOST_TEST(other.ArrivalCount() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/entry_fixture/store_standin.cc
+++ b/tests/entry_fixture/store_standin.cc
@@ -32,6 +32,13 @@
   server_.Run([&] { Write({table, key}, value, false); });
 }
 
+void StoreStandin::PutInPart(const std::string& table,
+                             const std::string& part,
+                             const std::string& key,
+                             const std::string& value) {
+  Put(table, part + kPartEnd + key, value);
+}
+
 void StoreStandin::Remove(const std::string& table, const std::string& key) {
   server_.Run([&] { Write({table, key}, "", true); });
 }
@@ -161,8 +168,10 @@
   body["rows"] = json::array();
   body["has_more"] = false;
   for (const auto& [key, row] : rows_) {
-    if (key.first == request.query("table") && !row.deleted)
-      body["rows"].push_back(RowJson(key, row));
+    const json listed = RowJson(key, row);
+    if (key.first == request.query("table") &&
+        listed["part"] == request.query("part") && !row.deleted)
+      body["rows"].push_back(listed);
   }
   return JsonReply(200, body);
 }
@@ -193,9 +202,11 @@
 }
 
 json StoreStandin::RowJson(const Key& key, const Row& row) {
+  const std::size_t part_end = key.second.find(kPartEnd);
+  const bool has_part = part_end != std::string::npos;
   return {{"table", key.first},
-          {"part", ""},
-          {"key", key.second},
+          {"part", has_part ? key.second.substr(0, part_end) : ""},
+          {"key", has_part ? key.second.substr(part_end + 1) : key.second},
           {"value", EncodeBase64(row.value)},
           {"schema_version", row.version},
           {"deleted", row.deleted}};
--- a/tests/entry_fixture/store_standin.h
+++ b/tests/entry_fixture/store_standin.h
@@ -46,6 +46,11 @@
   void Put(const std::string& table,
            const std::string& key,
            const std::string& value);
+  // Writes a row of another part of the table.
+  void PutInPart(const std::string& table,
+                 const std::string& part,
+                 const std::string& key,
+                 const std::string& value);
   void Remove(const std::string& table, const std::string& key);
   // The value of a row; empty if there is no such row.
   std::string Get(const std::string& table, const std::string& key);
@@ -65,7 +70,9 @@
   std::map<std::int64_t, nlohmann::json> LatestUsageCounts();
 
  private:
+  // The table, and the key behind its part and kPartEnd if it is in one.
   using Key = std::pair<std::string, std::string>;
+  static constexpr char kPartEnd = '\x1f';
   struct Row {
     std::string value;
     std::uint64_t version = 0;
