--- a/fuzz/http_grammar.cc
+++ b/fuzz/http_grammar.cc
@@ -182,11 +182,12 @@
 void Damage(Choices& choices, GeneratedMessage& message) {
   if (!choices.OneIn(8))
     return;
+  constexpr std::size_t kEndlessBytes = 140'000;
   message.is_sound = false;
   std::string& bytes = message.bytes;
   do {
     const std::size_t position = choices.Below(bytes.size());
-    switch (choices.Below(4)) {
+    switch (choices.Below(5)) {
       case 0:
         bytes[position] = choices.Character();
         break;
@@ -196,6 +197,11 @@
       case 2:
         bytes.erase(position, 1 + choices.Below(3));
         break;
+      case 3:
+        // Stands for bytes without end: more than any reader may keep.
+        if (bytes.size() < kEndlessBytes)
+          bytes.insert(position, kEndlessBytes, choices.Character());
+        break;
       default:
         bytes.resize(position + 1);
     }
