Wait for five bytes only if the parser asked for more

Case: found by reading. A response reader whose buffer is full consumes nothing either, and the next chunk's data of fewer than five bytes then waited for the bytes behind them. Evidence: only need_more stands for a part of a chunk's framing.

--- a/src/base/bounded_http_reader.h
+++ b/src/base/bounded_http_reader.h
@@ -120,7 +120,7 @@
     if (framing_is_incomplete_ && buffer_.size() < kMinFramingBytes)
       break;
     const std::size_t used = parser.put(buffer_.data(), error);
-    framing_is_incomplete_ = used == 0;
+    framing_is_incomplete_ = error == boost::beast::http::error::need_more;
     buffer_.consume(used);
     scanned_bytes_ -= std::min(scanned_bytes_, used);
     total += used;
