Send generated answers of the store to its client

A check of its own drives HttpTableStore and HttpChannel over a loopback connection: messages by the grammar, and rows with odd fields, cut short or followed by another message.

--- a/fuzz/checks.cc
+++ b/fuzz/checks.cc
@@ -11,9 +11,9 @@
 };
 
 constexpr std::array kChecks{
-    Check{"requests", CheckRequests}, Check{"responses", CheckResponses},
-    Check{"requests", CheckRequests}, Check{"responses", CheckResponses},
-    Check{"events", CheckEvents},     Check{"rows", CheckRows},
+    Check{"requests", CheckRequests},  Check{"responses", CheckResponses},
+    Check{"store", CheckStoreAnswers}, Check{"responses", CheckResponses},
+    Check{"events", CheckEvents},      Check{"rows", CheckRows},
     Check{"peers", CheckPeerMessages}};
 
 }  // namespace
--- a/fuzz/checks.h
+++ b/fuzz/checks.h
@@ -26,6 +26,8 @@
 void CheckEvents(Choices& choices);
 // A row of a server and a configuration, as another writer may write them.
 void CheckRows(Choices& choices);
+// Answers of the store, read by HttpTableStore.
+void CheckStoreAnswers(Choices& choices);
 // Datagrams and rows of other instances.
 void CheckPeerMessages(Choices& choices);
 
