Test broken and sound answers of servers on the readers as they stand

Answers of a stand-in that are broken in one way each, and sound ones in each way that HTTP allows, are read by the entry instance, by its channel to the store, orders and other instances, and by the daemon's readers.

- Channel and daemon: a reset while the call is written fails the call.
- All: an early whole answer, with a length or ended in order, arrives.

RawServer can reset its connections and takes a request in small pieces, so that a long one is still being written when the answer comes. EndlessServer moves from a test to the support library.

--- /dev/null
+++ b/tests/entry/broken_reply_test.cc
@@ -0,0 +1,138 @@
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "entry_fixture/entry_fleet.h"
+#include "support/reply_checks.h"
+#include "support/wait_until.h"
+
+namespace bamboomount::entry_test {
+namespace {
+
+using nlohmann::json;
+using support::CheckDelivered;
+using support::CheckNoAnswer;
+using support::ClientRequest;
+using support::ClientResponse;
+using support::ConnectionEnd;
+using support::ReplyExample;
+using support::ReplyExamples;
+using support::WaitUntil;
+
+constexpr char kBody[] = "booked for the race of 4 March";
+constexpr char kFields[] =
+    "X-Bamboomount-Request-Id: {id}\r\nX-Bamboomount-Response-Seal: s\r\n";
+// Larger than the buffers of the connection to a RawServer.
+constexpr std::size_t kUploadBytes = 4'194'304;
+// Larger than a body that the instance buffers before it passes it on.
+constexpr std::size_t kLargePartBytes = 1'000'000;
+
+// An instance, and backend servers that each answer one request.
+class BrokenReplyFleet : public EntryFleet {
+ public:
+  BrokenReplyFleet() {
+    json config = MakeConfig(1, DefaultCustomers());
+    config["limits"]["max_body_bytes"] = kUploadBytes;
+    store().Put("op", "config", config.dump());
+    instance_ = &AddInstance();
+  }
+
+  const ReplyExamples& examples() const { return examples_; }
+
+  // What the caller of `request` gets when the server at `address` answers it.
+  ClientResponse AnswerOf(const std::string& address,
+                          const ClientRequest& request) {
+    const std::string id = "e-" + address;
+    store().Put("servers", id, BackendRow(address).dump());
+    ClientResponse response;
+    // Refused until the instance has read the row.
+    WaitUntil([&] {
+      response = Call(*instance_, request);
+      return response.status != 503;
+    });
+    store().Remove("servers", id);
+    return response;
+  }
+
+  // The body of the success that the caller of `request` gets; empty if it gets
+  // a failure or an answer that is not complete.
+  std::optional<std::string> BodyFrom(const std::string& address,
+                                      const ClientRequest& request) {
+    const ClientResponse response = AnswerOf(address, request);
+    // A server ran the request, so the refusal must not say that none did.
+    BOOST_TEST((response.status / 100 == 2 || response.status == 502));
+    if (response.status != 502)
+      BOOST_TEST(response.header("X-Bamboomount-Response-Seal") == "s");
+    if (response.status / 100 != 2 || !response.complete)
+      return std::nullopt;
+    return response.body;
+  }
+
+  support::ReplyReader Booking() {
+    return [this](const std::string& address) {
+      return BodyFrom(address, MakeRequest("POST", "/book/x"));
+    };
+  }
+  support::ReplyReader UploadTo(const std::string& target) {
+    return [this, target](const std::string& address) {
+      ClientRequest request = MakeRequest("POST", target);
+      request.body.assign(kUploadBytes, 'x');
+      return BodyFrom(address, request);
+    };
+  }
+
+ private:
+  const ReplyExamples examples_{kFields, kBody};
+  EntryInstance* instance_ = nullptr;
+};
+
+std::string HeadUntilClose(const std::string& type) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n" + kFields + "\r\n";
+}
+
+BOOST_FIXTURE_TEST_SUITE(broken_reply, BrokenReplyFleet)
+
+// Guards against a head in which a field's name holds a blank or a control
+// byte: the line was passed on, or hid the length of the body.
+BOOST_AUTO_TEST_CASE(a_reply_with_an_invalid_field_name_is_no_answer) {
+  CheckNoAnswer(examples().InvalidFields(), Booking());
+}
+
+// Guards against a success with an empty or short body when a server closes in
+// the middle of its head.
+BOOST_AUTO_TEST_CASE(a_reply_that_ends_in_its_head_is_no_answer) {
+  CheckNoAnswer(examples().TruncatedHeads(), Booking());
+}
+
+// Guards against a part of a body that is framed as a whole one.
+BOOST_AUTO_TEST_CASE(a_reply_that_ends_in_its_body_is_no_answer) {
+  CheckNoAnswer(examples().TruncatedBodies(), Booking());
+}
+
+// Guards against checks that refuse sound answers.
+BOOST_AUTO_TEST_CASE(a_sound_reply_is_delivered) {
+  CheckDelivered(examples().SoundReplies(), kBody, Booking());
+}
+
+// Guards against an early answer that is lost because its server does not read
+// the rest of the request.
+BOOST_AUTO_TEST_CASE(a_whole_reply_during_the_upload_is_delivered) {
+  const std::vector<ReplyExample> until_close = {
+      {"until the close", HeadUntilClose("text/plain") + kBody}};
+  const std::vector<ReplyExample> with_length = {
+      {"with a length",
+       "HTTP/1.1 200 OK\r\n" + std::string(kFields) + "Content-Length: " +
+           std::to_string(std::string(kBody).size()) + "\r\n\r\n" + kBody}};
+  for (const ConnectionEnd end :
+       {ConnectionEnd::kOrderly, ConnectionEnd::kOrderlyThenReset}) {
+    CheckDelivered(until_close, kBody, UploadTo("/book/x"), end);
+    CheckDelivered(with_length, kBody, UploadTo("/book/x"), end);
+  }
+  CheckDelivered(with_length, kBody, UploadTo("/book/x"),
+                 ConnectionEnd::kReset);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount::entry_test
--- /dev/null
+++ b/tests/entry/store_reply_test.cc
@@ -0,0 +1,83 @@
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "gateway/control/http_channel.h"
+#include "support/endless_server.h"
+#include "support/reply_checks.h"
+
+namespace bamboomount::entry_test {
+namespace {
+
+using support::CheckDelivered;
+using support::CheckNoAnswer;
+using support::ConnectionEnd;
+using support::EndlessReply;
+using support::EndlessServer;
+using support::ReplyExamples;
+
+constexpr char kBody[] = R"({"rows":[],"schema_version":7})";
+constexpr char kFields[] = "Content-Type: application/json\r\n";
+// Larger than the buffers of the connection to a RawServer.
+constexpr std::size_t kUploadBytes = 16'777'216;
+// What the channel may read, and what socket buffers take besides.
+constexpr std::size_t kMaxBytes = 24U << 20U;
+
+// The response to a call of the service at `address`, which is the store, the
+// interface for orders or another instance.
+HttpResponse CallService(const std::string& address, HttpCall call) {
+  asio::io_context context;
+  HttpChannel channel(context, address);
+  HttpResponse result;
+  channel.Call(std::move(call), [&](HttpResponse response) {
+    result = std::move(response);
+    // Ends the wait for timers of the channel.
+    context.stop();
+  });
+  context.run();
+  return result;
+}
+
+HttpCall Commit(std::size_t body_bytes) {
+  HttpCall call;
+  call.method = http::verb::post;
+  call.target = "/rows-tx";
+  call.body.assign(body_bytes, 'x');
+  return call;
+}
+
+std::optional<std::string> BodyFrom(const std::string& address, HttpCall call) {
+  const HttpResponse response = CallService(address, std::move(call));
+  BOOST_TEST(response.may_have_run);
+  if (!response.answered())
+    return std::nullopt;
+  return response.body;
+}
+
+std::optional<std::string> CommitBody(const std::string& address) {
+  return BodyFrom(address, Commit(2));
+}
+
+std::optional<std::string> UploadBody(const std::string& address) {
+  return BodyFrom(address, Commit(kUploadBytes));
+}
+
+BOOST_AUTO_TEST_SUITE(store_reply)
+
+// Guards against a body that is not the store's, behind a field whose name
+// holds a blank or a control byte.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_is_no_answer) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), CommitBody);
+}
+
+// Guards against a part of a response that is taken for the whole when the
+// connection is reset while the call is written.
+BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_call_is_no_answer) {
+  CheckNoAnswer({{"part", "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[]}"}}, UploadBody,
+                ConnectionEnd::kReset);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount::entry_test
--- a/tests/provider/http_exchange_test.cc
+++ b/tests/provider/http_exchange_test.cc
@@ -1,15 +1,42 @@
 #include "provider/internal/http_exchange.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <string>
 
+#include "support/endless_server.h"
 #include "support/framing_examples.h"
-#include "support/raw_server.h"
+#include "support/reply_checks.h"
 
 namespace bamboomount::internal {
 namespace {
 
+using support::CheckDelivered;
+using support::CheckNoAnswer;
+using support::ConnectionEnd;
+using support::EndlessReply;
+using support::EndlessServer;
+using support::ReplyExamples;
+
 constexpr Millis kTimeout{5000};
+constexpr char kBody[] = R"({"rows":[]})";
+constexpr char kFields[] = "Content-Type: application/json\r\n";
+// Larger than the buffers of the connection to a RawServer.
+constexpr std::size_t kUploadBytes = 16'777'216;
+
+std::optional<std::string> BodyFrom(const std::string& address,
+                                    std::size_t upload_bytes) {
+  const auto response = SendRequest(
+      address, {"POST", "/", std::string(upload_bytes, 'x')}, kTimeout);
+  if (response)
+    return response.value().body;
+  BOOST_TEST((response.error().verdict == RunVerdict::kMayHaveRun));
+  return std::nullopt;
+}
+
+std::optional<std::string> UploadAnswerFrom(const std::string& address) {
+  return BodyFrom(address, kUploadBytes);
+}
 
 BOOST_AUTO_TEST_SUITE(http_exchange)
 
@@ -29,6 +56,16 @@
   }
 }
 
+// Guards against an early answer that is lost because the platform does not
+// read the rest of the request.
+BOOST_AUTO_TEST_CASE(a_whole_response_during_the_upload_is_delivered) {
+  CheckDelivered({{"with a length",
+                   "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\n{}"}},
+                 "{}", UploadAnswerFrom, ConnectionEnd::kReset);
+  CheckDelivered({{"until the close", "HTTP/1.1 413 Too Large\r\n\r\n{}"}},
+                 "{}", UploadAnswerFrom, ConnectionEnd::kOrderlyThenReset);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/router/backend_call_test.cc
+++ b/tests/router/backend_call_test.cc
@@ -2,36 +2,87 @@
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "support/endless_server.h"
 #include "support/framing_examples.h"
-#include "support/raw_server.h"
+#include "support/reply_checks.h"
 
 namespace bamboomount {
 namespace {
 
 using support::AmbiguousFramings;
+using support::CheckDelivered;
+using support::CheckNoAnswer;
+using support::ConnectionEnd;
+using support::EndlessReply;
+using support::EndlessServer;
 using support::FramingExample;
 using support::RawServer;
+using support::ReplyExamples;
 
 constexpr Millis kTimeout{5000};
-constexpr std::size_t kMaxBytes = 1024;
+constexpr std::size_t kMaxBodyBytes = 1'048'576;
+constexpr char kBody[] = "a certificate";
+constexpr char kFields[] = "X-Request-Id: r\r\n";
+// Larger than the buffers of the connection to a RawServer.
+constexpr std::size_t kUploadBytes = 16'777'216;
+
+// What a caller would get from the server at `address`.
+struct Outcome {
+  std::optional<std::string> body;
+  // Of the error, if there is no body.
+  RunVerdict verdict = RunVerdict::kNotRun;
+};
 
-// Whether a complete response arrives from the server at `address`.
 asio::awaitable<void> CallServer(std::shared_ptr<RunningRequest> running,
                                  const std::string& address,
-                                 bool& complete) {
+                                 const BackendRequest& request,
+                                 Outcome& outcome) {
   BackendCall call(*running);
   const auto connected = co_await call.Connect(address, kTimeout);
   BOOST_TEST(connected.has_value());
-  BackendRequest request(http::verb::get, "/", 11);
   const auto sent = co_await call.Send(request, kTimeout);
-  BOOST_TEST(sent.has_value());
+  if (!sent) {
+    outcome.verdict = sent.error().verdict;
+    co_return;
+  }
   const auto head = co_await call.ReadHead(kTimeout);
-  if (!head)
+  if (!head) {
+    outcome.verdict = head.error().verdict;
     co_return;
-  const auto body = co_await call.ReadAll(kMaxBytes, kTimeout);
-  complete = body.has_value();
+  }
+  const auto body = co_await call.ReadAll(kMaxBodyBytes, kTimeout);
+  if (body)
+    outcome.body = body.value();
+  else
+    outcome.verdict = body.error().verdict;
+}
+
+std::optional<std::string> BodyFrom(const std::string& address,
+                                    std::size_t upload_bytes) {
+  BackendRequest request(http::verb::post, "/", 11);
+  request.body().assign(upload_bytes, 'x');
+  request.prepare_payload();
+  asio::io_context context;
+  const auto running = std::make_shared<RunningRequest>(
+      context.get_executor(), RequestId("r"), std::nullopt);
+  Outcome outcome;
+  asio::co_spawn(context, CallServer(running, address, request, outcome),
+                 asio::detached);
+  context.run();
+  if (!outcome.body)
+    BOOST_TEST((outcome.verdict == RunVerdict::kMayHaveRun));
+  return outcome.body;
+}
+
+std::optional<std::string> AnswerFrom(const std::string& address) {
+  return BodyFrom(address, 2);
+}
+
+std::optional<std::string> UploadAnswerFrom(const std::string& address) {
+  return BodyFrom(address, kUploadBytes);
 }
 
 BOOST_AUTO_TEST_SUITE(backend_call)
@@ -44,18 +95,19 @@
     BOOST_TEST_CONTEXT(framing.name) {
       RawServer server(framing.version + " 200 OK\r\n" + framing.fields +
                        "\r\n" + body);
-      asio::io_context context;
-      const auto running = std::make_shared<RunningRequest>(
-          context.get_executor(), RequestId("r"), std::nullopt);
-      bool complete = false;
-      asio::co_spawn(context, CallServer(running, server.address(), complete),
-                     asio::detached);
-      context.run();
-      BOOST_TEST(!complete);
+      BOOST_TEST(!AnswerFrom(server.address()).has_value());
     }
   }
 }
 
+// Guards against a part of a body that is taken for the whole when the
+// connection is reset while the request is written.
+BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_upload_fails) {
+  CheckNoAnswer(
+      {{"part", std::string("HTTP/1.1 200 OK\r\n") + kFields + "\r\n" + kBody}},
+      UploadAnswerFrom, ConnectionEnd::kReset);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <sstream>
 #include <utility>
 
@@ -12,12 +13,24 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-std::string ReplaceId(std::string text, const std::string& id) {
-  const std::string placeholder = "{id}";
-  for (std::size_t at = text.find(placeholder); at != std::string::npos;
-       at = text.find(placeholder, at + id.size()))
-    text.replace(at, placeholder.size(), id);
-  return text;
+// Small, so that a long request is still being written when the reply is sent.
+constexpr int kReceiveBufferBytes = 65'536;
+// In this time the client takes what was sent. A reset can discard the rest.
+constexpr std::chrono::milliseconds kPauseBeforeReset{50};
+
+tcp::acceptor OpenAcceptor(asio::io_context& context) {
+  tcp::acceptor acceptor(context, tcp::v4());
+  acceptor.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+  acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+  acceptor.listen();
+  return acceptor;
+}
+
+void Reset(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
 }
 
 }  // namespace
@@ -25,7 +38,7 @@
 std::string RequestIdOf(const asio::streambuf& request) {
   const std::string text(asio::buffers_begin(request.data()),
                          asio::buffers_end(request.data()));
-  const std::string name = "X-Bamboomount-Request-Id: ";
+  const std::string name = "Request-Id: ";
   const std::size_t field = text.find(name);
   if (field == std::string::npos)
     return {};
@@ -33,9 +46,18 @@
   return text.substr(begin, text.find("\r\n", begin) - begin);
 }
 
-RawServer::RawServer(std::string reply)
+std::string WithRequestId(std::string text, const std::string& id) {
+  const std::string placeholder = "{id}";
+  for (std::size_t at = text.find(placeholder); at != std::string::npos;
+       at = text.find(placeholder, at + id.size()))
+    text.replace(at, placeholder.size(), id);
+  return text;
+}
+
+RawServer::RawServer(std::string reply, ConnectionEnd end)
     : reply_(std::move(reply)),
-      acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
+      end_(end),
+      acceptor_(OpenAcceptor(context_)),
       thread_([this] { Run(); }) {}
 
 RawServer::~RawServer() {
@@ -54,6 +76,11 @@
   return text.str();
 }
 
+void RawServer::SetReply(std::string reply) {
+  const std::lock_guard lock(mutex_);
+  reply_ = std::move(reply);
+}
+
 void RawServer::Run() {
   while (!stopping_) {
     boost::system::error_code error;
@@ -70,10 +97,20 @@
   asio::read_until(socket, request, "\r\n\r\n", error);
   if (error)
     return;
+  std::string reply;
+  {
+    const std::lock_guard lock(mutex_);
+    reply = WithRequestId(reply_, RequestIdOf(request));
+  }
   ++request_count_;
-  asio::write(socket, asio::buffer(ReplaceId(reply_, RequestIdOf(request))),
-              error);
-  socket.shutdown(tcp::socket::shutdown_send, error);
+  asio::write(socket, asio::buffer(reply), error);
+  if (end_ != ConnectionEnd::kReset)
+    socket.shutdown(tcp::socket::shutdown_send, error);
+  if (end_ != ConnectionEnd::kOrderly) {
+    std::this_thread::sleep_for(kPauseBeforeReset);
+    Reset(socket);
+    return;
+  }
   // Closing with unread input would reset the connection and discard the reply.
   while (!error)
     asio::read(socket, request, asio::transfer_at_least(1), error);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -5,26 +5,44 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/streambuf.hpp>
+#include <mutex>
 #include <string>
 #include <thread>
 
 namespace bamboomount::support {
 
-// Value of the X-Bamboomount-Request-Id field of a request; empty if it has
-// none.
+// Value of the X-Bamboomount-Request-Id or X-Request-Id field of a request;
+// empty if it has none.
 std::string RequestIdOf(const boost::asio::streambuf& request);
+// Puts `id` in the place of each "{id}" in `text`.
+std::string WithRequestId(std::string text, const std::string& id);
+
+// How a RawServer ends a connection after its reply.
+enum class ConnectionEnd {
+  // Ends its own side and reads until the client closes.
+  kOrderly,
+  // Resets the connection without reading on.
+  kReset,
+  // Ends its own side, and resets the connection when the client has had time
+  // to notice the end.
+  kOrderlyThenReset,
+};
 
 // A server that answers the first request of each connection with the same
-// bytes and closes the connection. In the bytes, "{id}" stands for the value of
-// the request's X-Bamboomount-Request-Id field.
+// bytes as soon as the head of the request has arrived, and ends the
+// connection. In the bytes, "{id}" stands for the id of the request, see
+// RequestIdOf().
 class RawServer {
  public:
   // Listens on a free port of the loopback interface.
-  explicit RawServer(std::string reply);
+  explicit RawServer(std::string reply,
+                     ConnectionEnd end = ConnectionEnd::kOrderly);
   ~RawServer();
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
 
+  // Answers the requests to come with other bytes.
+  void SetReply(std::string reply);
   // "ip:port".
   std::string address() const;
   // Number of requests answered so far.
@@ -34,7 +52,9 @@
   void Run();
   void Serve(boost::asio::ip::tcp::socket socket);
 
-  const std::string reply_;
+  std::mutex mutex_;
+  std::string reply_;
+  const ConnectionEnd end_;
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<int> request_count_{0};
