Take no part before a reset for a whole answer

Cause: the error of a reset is reported once on a socket. The write that was in progress took it, and the read that followed saw an end like that of an orderly close, which is where a body without a length ends. The reader of the entry instance ignored how the write had ended, and so did the daemon's calls to the platform.

Change: a body that ends with its connection counts as cut if writing the request failed with anything but broken_pipe. Bodies with a length or in chunks need no such check.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -1,6 +1,7 @@
 // Public header of the base library: identifiers, units, errors, clocks,
-// digests, hashing and the framing of HTTP messages. Its reader of HTTP
-// messages is in base/bounded_http_reader.h, which includes Boost.Beast.
+// digests, hashing and the framing of HTTP messages. What needs Boost.Beast or
+// Boost.Asio has headers of its own: the reader of HTTP messages in
+// base/bounded_http_reader.h and the check of their end in base/response_end.h.
 #ifndef BASE_BASE_H_
 #define BASE_BASE_H_
 
--- a/src/gateway/forwarding/backend_attempt.cc
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/message_framing.h"
+#include "base/response_end.h"
 #include "gateway/forwarding/endpoint.h"
 
 namespace bamboomount {
@@ -104,6 +105,7 @@
         // A failed write also ends the read, which may still return a response
         // that the server sent before it closed the connection.
         self->write_done_ = !error;
+        self->write_error_ = error;
       });
   ReadHead();
 }
@@ -200,7 +202,8 @@
   if (mismatched_reply_)
     mismatched_bytes_ += used;
   const bool broken = error && error != http::error::need_buffer;
-  if (broken || mismatched_bytes_ > kMaxMismatchedBytes) {
+  if (broken || mismatched_bytes_ > kMaxMismatchedBytes ||
+      MayBeCutByReset(*parser_, write_error_)) {
     EndAttempt(AttemptOutcome::kInterrupted);
     return;
   }
--- a/src/gateway/forwarding/backend_attempt.h
+++ b/src/gateway/forwarding/backend_attempt.h
@@ -119,6 +119,8 @@
   bool sent_ = false;
   bool reused_ = false;
   bool write_done_ = false;
+  // How writing the request ended, if it failed.
+  error_code write_error_;
   // The response that is being read belongs to another request.
   bool mismatched_reply_ = false;
   int mismatched_replies_ = 0;
--- a/src/provider/internal/http_exchange.cc
+++ b/src/provider/internal/http_exchange.cc
@@ -12,6 +12,8 @@
 #include <optional>
 #include <utility>
 
+#include "base/response_end.h"
+
 namespace bamboomount::internal {
 namespace {
 
@@ -102,6 +104,8 @@
   void OnRead(beast::error_code error) {
     if (!error && !IsUnambiguous(FramingOf(parser_.get())))
       error = http::error::bad_transfer_encoding;
+    else if (!error && MayBeCutByReset(parser_, write_error_))
+      error = write_error_;
     error_ = error && write_error_ ? write_error_ : error;
   }
 
--- a/tests/entry/broken_reply_test.cc
+++ b/tests/entry/broken_reply_test.cc
@@ -114,6 +114,29 @@
   CheckDelivered(examples().SoundReplies(), kBody, Booking());
 }
 
+// Guards against a part of a body that is passed on as a whole one: the server
+// resets the connection while the request is written, the write takes the error
+// from the socket, and the read that follows sees an orderly end.
+BOOST_AUTO_TEST_CASE(a_reply_that_is_reset_during_the_upload_is_no_answer) {
+  const std::string event = "id: 1\ndata: piece 1\n\n";
+  const std::vector<ReplyExample> plain = {
+      {"empty part", HeadUntilClose("text/plain")},
+      {"short part", HeadUntilClose("text/plain") + kBody},
+      {"long part",
+       HeadUntilClose("text/plain") + std::string(kLargePartBytes, 'x')},
+      {"after a 100",
+       "HTTP/1.1 100 Continue\r\n\r\n" + HeadUntilClose("text/plain") + kBody},
+  };
+  const std::vector<ReplyExample> streams = {
+      {"event", HeadUntilClose("text/event-stream") + event},
+      {"no event", HeadUntilClose("text/event-stream")},
+  };
+  CheckNoAnswer(plain, UploadTo("/book/x"), ConnectionEnd::kReset);
+  CheckNoAnswer(plain, UploadTo("/lookup/x"), ConnectionEnd::kReset);
+  CheckNoAnswer(streams, UploadTo("/talk/stream"), ConnectionEnd::kReset);
+  CheckNoAnswer(streams, UploadTo("/resume/stream"), ConnectionEnd::kReset);
+}
+
 // Guards against an early answer that is lost because its server does not read
 // the rest of the request.
 BOOST_AUTO_TEST_CASE(a_whole_reply_during_the_upload_is_delivered) {
--- a/tests/provider/http_exchange_test.cc
+++ b/tests/provider/http_exchange_test.cc
@@ -56,6 +56,14 @@
   }
 }
 
+// Guards against a part of a response that is taken for the whole when the
+// connection is reset while the request is written.
+BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_upload_fails) {
+  CheckNoAnswer({{"part", "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[]}"},
+                 {"empty part", "HTTP/1.1 200 OK\r\n\r\n"}},
+                UploadAnswerFrom, ConnectionEnd::kReset);
+}
+
 // Guards against an early answer that is lost because the platform does not
 // read the rest of the request.
 BOOST_AUTO_TEST_CASE(a_whole_response_during_the_upload_is_delivered) {
