Read answers in the daemon by the bounded reader

Cause: BackendCall and the daemon's calls to the platform read with the HTTP parser alone. It joins folded lines, and it buffers a chunk header without a limit. The entry instance reads with BoundedHttpReader, which refuses both.

Change: both use BoundedHttpReader, which bounds heads and chunk framing to 16 and 64 KiB and checks heads and chunks by the letter of RFC 9112. Names with a blank or a control byte elsewhere were refused before as well.

--- a/src/provider/internal/http_exchange.cc
+++ b/src/provider/internal/http_exchange.cc
@@ -4,7 +4,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -12,6 +11,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/bounded_http_reader.h"
 #include "base/response_end.h"
 
 namespace bamboomount::internal {
@@ -24,6 +24,9 @@
 // Limit on the size of a response. The largest bodies are objects such as
 // snapshots of the change log.
 constexpr std::uint64_t kMaxBodyBytes = 64ULL << 20;
+// Bounds the head of a response, and its chunk framing that is not yet
+// complete.
+constexpr std::size_t kMaxHeadBytes = 65'536;
 
 std::optional<asio::ip::tcp::endpoint> ParseAddress(
     const std::string& address) {
@@ -59,7 +62,6 @@
     request_.keep_alive(false);
     request_.body() = call.body;
     request_.prepare_payload();
-    parser_.body_limit(kMaxBodyBytes);
   }
 
   Result<PlatformResponse> Run(const asio::ip::tcp::endpoint& endpoint,
@@ -69,8 +71,8 @@
         endpoint, [this](beast::error_code error) { OnConnected(error); });
     context_.run();
     if (!error_) {
-      return PlatformResponse{static_cast<int>(parser_.get().result_int()),
-                              std::move(parser_.get().body())};
+      return PlatformResponse{static_cast<int>(parser_->get().result_int()),
+                              std::move(parser_->get().body())};
     }
     return Unavailable(
         connected_ ? RunVerdict::kMayHaveRun : RunVerdict::kNotRun,
@@ -96,24 +98,58 @@
       error_ = error;
       return;
     }
-    http::async_read(
-        stream_, buffer_, parser_,
-        [this](beast::error_code failure, std::size_t) { OnRead(failure); });
+    ReadMessage();
   }
 
-  void OnRead(beast::error_code error) {
-    if (!error && !IsUnambiguous(FramingOf(parser_.get())))
-      error = http::error::bad_transfer_encoding;
-    else if (!error && MayBeCutByReset(parser_, write_error_))
-      error = write_error_;
-    error_ = error && write_error_ ? write_error_ : error;
+  void ReadMessage() {
+    parser_.emplace();
+    parser_->body_limit(kMaxBodyBytes);
+    reader_.BeginMessage(kMaxHeadBytes);
+    ReadSome();
+  }
+
+  void ReadSome() {
+    const bool in_body = parser_->is_header_done();
+    reader_.ReadSome(stream_, *parser_,
+                     [this, in_body](beast::error_code error, std::size_t) {
+                       if (error)
+                         Fail(error);
+                       else if (in_body)
+                         OnBodyRead();
+                       else
+                         OnHeadRead();
+                     });
+  }
+
+  void OnHeadRead() {
+    if (!parser_->is_header_done()) {
+      ReadSome();
+      return;
+    }
+    if (!IsUnambiguous(FramingOf(parser_->get()))) {
+      Fail(http::error::bad_transfer_encoding);
+      return;
+    }
+    if (!parser_->is_done())
+      ReadSome();
+  }
+
+  void OnBodyRead() {
+    if (MayBeCutByReset(*parser_, write_error_))
+      Fail(write_error_);
+    else if (!parser_->is_done())
+      ReadSome();
+  }
+
+  void Fail(beast::error_code error) {
+    error_ = write_error_ ? write_error_ : error;
   }
 
   asio::io_context context_{1};
   beast::tcp_stream stream_;
   http::request<http::string_body> request_;
-  http::response_parser<http::string_body> parser_;
-  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  BoundedHttpReader reader_;
   beast::error_code error_;
   beast::error_code write_error_;
   bool connected_ = false;
--- a/src/router/internal/backend_call.cc
+++ b/src/router/internal/backend_call.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kReadBufferBytes = 8'192;
+// Bounds the head of a response, and its chunk framing that is not yet
+// complete.
 constexpr std::size_t kMaxResponseHeaderBytes = 16'384;
 
 }  // namespace
@@ -17,10 +19,6 @@
     : request_(request),
       stream_(request.executor()),
       chunk_(kReadBufferBytes, '\0') {
-  // ReadAll limits the size of the bodies that it collects. In Boost 1.74,
-  // boost::none does not remove the parser's limit.
-  parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
-  parser_.header_limit(kMaxResponseHeaderBytes);
   request_.SetCancelAction([this] { stream_.close(); });
 }
 
@@ -67,31 +65,44 @@
 
 asio::awaitable<Result<BackendResponseHead>> BackendCall::ReadHead(
     Millis timeout) {
-  error_code error;
   stream_.expires_after(timeout);
-  co_await http::async_read_header(stream_, buffer_, parser_,
-                                   RedirectError(error));
-  if (error)
-    co_return MakeFailure("read header", error);
-  const auto& response = parser_.get();
-  if (!IsUnambiguous(FramingOf(response)))
+  const auto read = co_await ReadNextHead();
+  if (!read)
+    co_return read.error();
+  if (!IsUnambiguous(FramingOf(parser_->get())))
     co_return MakeFailure("read header", http::error::bad_transfer_encoding);
+  const auto& response = parser_->get();
   co_return BackendResponseHead{
       static_cast<int>(response.result_int()),
       std::string(response[http::field::content_type]),
       std::string(response["X-Request-Id"])};
 }
 
+asio::awaitable<Result<void>> BackendCall::ReadNextHead() {
+  parser_.emplace();
+  // ReadAll limits the size of the bodies that it collects. In Boost 1.74,
+  // boost::none does not remove the parser's limit.
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  reader_.BeginMessage(kMaxResponseHeaderBytes);
+  while (!parser_->is_header_done()) {
+    error_code error;
+    co_await reader_.ReadSome(stream_, *parser_, RedirectError(error));
+    if (error)
+      co_return MakeFailure("read header", error);
+  }
+  co_return Success();
+}
+
 asio::awaitable<Result<std::optional<std::string_view>>> BackendCall::ReadSome(
     Millis timeout) {
-  while (!parser_.is_done()) {
-    auto& body = parser_.get().body();
+  while (!parser_->is_done()) {
+    auto& body = parser_->get().body();
     body.data = chunk_.data();
     body.size = chunk_.size();
+    body.more = true;
     error_code error;
     stream_.expires_after(timeout);
-    co_await http::async_read_some(stream_, buffer_, parser_,
-                                   RedirectError(error));
+    co_await reader_.ReadSome(stream_, *parser_, RedirectError(error));
     if (error && error != http::error::need_buffer)
       co_return MakeFailure("read body", error);
     const std::size_t size = chunk_.size() - body.size;
--- a/src/router/internal/backend_call.h
+++ b/src/router/internal/backend_call.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "base/base.h"
+#include "base/bounded_http_reader.h"
 #include "router/internal/asio.h"
 #include "router/internal/running_request.h"
 
@@ -50,13 +51,17 @@
                                                Millis timeout);
 
  private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  // Reads the head of the next response.
+  asio::awaitable<Result<void>> ReadNextHead();
   Error MakeFailure(const std::string& operation,
                     const error_code& error) const;
 
   RunningRequest& request_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
-  http::response_parser<http::buffer_body> parser_;
+  BoundedHttpReader reader_;
+  std::optional<Parser> parser_;
   std::string chunk_;
   RunVerdict verdict_ = RunVerdict::kNotRun;
 };
--- a/tests/provider/http_exchange_test.cc
+++ b/tests/provider/http_exchange_test.cc
@@ -34,6 +34,10 @@
   return std::nullopt;
 }
 
+std::optional<std::string> AnswerFrom(const std::string& address) {
+  return BodyFrom(address, 2);
+}
+
 std::optional<std::string> UploadAnswerFrom(const std::string& address) {
   return BodyFrom(address, kUploadBytes);
 }
@@ -56,6 +60,12 @@
   }
 }
 
+// Guards against a body that is not the platform's, behind a field whose name
+// holds a blank or a control byte.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_fails) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), AnswerFrom);
+}
+
 // Guards against a part of a response that is taken for the whole when the
 // connection is reset while the request is written.
 BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_upload_fails) {
@@ -74,6 +84,30 @@
                  "{}", UploadAnswerFrom, ConnectionEnd::kOrderlyThenReset);
 }
 
+// Guards against a process that runs out of memory when the platform sends
+// bytes that are no answer.
+BOOST_AUTO_TEST_CASE(bytes_without_an_end_are_cut_off) {
+  // The largest body, and what socket buffers take besides.
+  constexpr std::size_t kMaxBytes = 96U << 20U;
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const EndlessReply examples[] = {
+      {"status line", "", "xxxxxxxxxx"},
+      {"field", "HTTP/1.1 200 OK\r\nX-Odd: ", "xxxxxxxxxx"},
+      {"fields", "HTTP/1.1 200 OK\r\n", "X-Odd: 1\r\n"},
+      {"body until the close", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxx"},
+      {"chunk header", chunked + "8;x=", "xxxxxxxxxx"},
+      {"trailers", chunked + "0\r\n", "X-Odd: 1\r\n"},
+  };
+  for (const EndlessReply& example : examples) {
+    BOOST_TEST_CONTEXT(example.name) {
+      EndlessServer server(example);
+      BOOST_TEST(!AnswerFrom(server.address()).has_value());
+      BOOST_TEST(server.bytes_written() < kMaxBytes);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/router/backend_call_test.cc
+++ b/tests/router/backend_call_test.cc
@@ -85,6 +85,11 @@
   return BodyFrom(address, kUploadBytes);
 }
 
+std::string HeadInChunks() {
+  return std::string("HTTP/1.1 200 OK\r\n") + kFields +
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
 BOOST_AUTO_TEST_SUITE(backend_call)
 
 // Guards against a response whose body is not the one that the server sent: its
@@ -100,6 +105,12 @@
   }
 }
 
+// Guards against a head in which a field's name holds a blank or a control
+// byte: the line hid the length of the body.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_fails) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), AnswerFrom);
+}
+
 // Guards against a part of a body that is taken for the whole when the
 // connection is reset while the request is written.
 BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_upload_fails) {
@@ -108,6 +119,30 @@
       UploadAnswerFrom, ConnectionEnd::kReset);
 }
 
+// Guards against a process that runs out of memory, and ends with the requests
+// of all its callers, when a server sends bytes that are no answer.
+BOOST_AUTO_TEST_CASE(bytes_without_an_end_are_cut_off) {
+  // What the call may read, and what socket buffers take besides.
+  constexpr std::size_t kMaxBytes = 16U << 20U;
+  const std::string head = std::string("HTTP/1.1 200 OK\r\n") + kFields;
+  const EndlessReply examples[] = {
+      {"status line", "", "xxxxxxxxxx"},
+      {"field", head + "X-Odd: ", "xxxxxxxxxx"},
+      {"fields", head, "X-Odd: 1\r\n"},
+      {"body until the close", head + "\r\n", "xxxxxxxxxx"},
+      {"body in chunks", HeadInChunks(), "8\r\n12345678\r\n"},
+      {"chunk header", HeadInChunks() + "8;x=", "xxxxxxxxxx"},
+      {"trailers", HeadInChunks() + "0\r\n", "X-Odd: 1\r\n"},
+  };
+  for (const EndlessReply& example : examples) {
+    BOOST_TEST_CONTEXT(example.name) {
+      EndlessServer server(example);
+      BOOST_TEST(!AnswerFrom(server.address()).has_value());
+      BOOST_TEST(server.bytes_written() < kMaxBytes);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
