Check in one place which heads of a response are answers

Cause: HTTP parsers take any three digits for a status, and each reader decided for itself what to do with it. The entry instance refused statuses below 100 since, but passed on those above 599. The daemon passed on all of them, and took an informational response for the answer, as the daemon's calls to the platform and the channel to the store, the orders interface and other instances did. There, a status such as 099 or 100 also counted as the promise that nothing was done.

Change: ResponseHeadChecker, which all four readers use, refuses statuses that HTTP does not have, a change of protocol, and a head that leaves the end of its body in doubt. It skips informational heads, up to 8.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -14,6 +14,7 @@
 #include "base/ids.h"
 #include "base/message_framing.h"
 #include "base/rendezvous_hash.h"
+#include "base/response_head_checker.h"
 #include "base/result.h"
 #include "base/run_verdict.h"
 #include "base/strong_id.h"
--- a/src/gateway/control/http_channel.cc
+++ b/src/gateway/control/http_channel.cc
@@ -6,8 +6,8 @@
 #include <algorithm>
 #include <array>
 
+#include "base/base.h"
 #include "base/bounded_http_reader.h"
-#include "base/message_framing.h"
 #include "gateway/forwarding/endpoint.h"
 
 namespace bamboomount {
@@ -36,6 +36,7 @@
     done_ = std::move(done);
     response_ = {};
     received_bytes_ = 0;
+    head_checker_ = {};
     request_ = {call.method, call.target, kHttp11};
     request_.set(http::field::host, address_);
     for (const auto& [name, value] : call.headers)
@@ -133,34 +134,63 @@
   }
 
   void ReadSome() {
-    reader_.ReadSome(
-        socket_, *parser_,
-        [self = shared_from_this()](const error_code& error, std::size_t size) {
-          if (!self->done_)
-            return;
-          if (error)
-            self->Fail("receive: " + error.message());
-          else
-            self->OnReceived(size);
-        });
+    const bool in_body = parser_->is_header_done();
+    reader_.ReadSome(socket_, *parser_,
+                     [self = shared_from_this(), in_body](
+                         const error_code& error, std::size_t size) {
+                       if (!self->done_)
+                         return;
+                       if (error)
+                         self->Fail("receive: " + error.message());
+                       else if (in_body)
+                         self->OnBodyRead(size);
+                       else
+                         self->OnHeadRead(size);
+                     });
   }
 
-  void OnReceived(std::size_t size) {
-    if (parser_->is_header_done() &&
-        !IsUnambiguous(FramingOf(parser_->get()))) {
-      Fail("the end of the response is ambiguous");
+  void OnHeadRead(std::size_t size) {
+    if (!parser_->is_header_done()) {
+      ReadOn(size);
       return;
     }
-    if (parser_->is_done()) {
-      Succeed();
-      return;
+    switch (head_checker_.Check(parser_->get())) {
+      case StatusKind::kInvalid:
+        Fail("the head of the response is invalid");
+        return;
+      case StatusKind::kInformational:
+        received_bytes_ += size;
+        ArmTimer(TimeLeft());
+        Read();
+        return;
+      case StatusKind::kFinal:
+        break;
     }
+    if (parser_->is_done())
+      Succeed();
+    else
+      ReadOn(size);
+  }
+
+  void OnBodyRead(std::size_t size) {
+    if (parser_->is_done())
+      Succeed();
+    else
+      ReadOn(size);
+  }
+
+  // Reads more of a response, of which `size` further bytes have arrived.
+  void ReadOn(std::size_t size) {
     received_bytes_ += size;
+    ArmTimer(std::min(TimeLeft(), kStallTimeout));
+    ReadSome();
+  }
+
+  Millis TimeLeft() const {
     const Millis allowed =
         timeout_ + Millis(received_bytes_ / kMinBytesPerMilli);
     const Millis elapsed = ToMillis(BootClock::now() - response_.sent);
-    ArmTimer(std::clamp(allowed - elapsed, Millis(0), kStallTimeout));
-    ReadSome();
+    return std::max(Millis(0), allowed - elapsed);
   }
 
   void ArmTimer(Millis time) {
@@ -206,6 +236,7 @@
   Millis timeout_{0};
   Millis connect_timeout_{0};
   std::size_t received_bytes_ = 0;
+  ResponseHeadChecker head_checker_;
   HttpResponse response_;
   Done done_;
   bool keep_alive_ = true;
--- a/src/gateway/forwarding/backend_attempt.cc
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -3,7 +3,6 @@
 #include <limits>
 #include <utility>
 
-#include "base/message_framing.h"
 #include "base/response_end.h"
 #include "gateway/forwarding/endpoint.h"
 
@@ -15,18 +14,14 @@
 constexpr Millis kConnectTimeout{500};
 // Bounds the head of a reply, and its chunk framing that is not yet complete.
 constexpr std::size_t kMaxReplyHeaderBytes = 65536;
-// The parser takes any three digits for a status.
-constexpr unsigned kLowestStatus = 100;
 // Used if the server does not announce its idle timeout; such servers may close
 // idle connections early.
 constexpr Millis kDefaultIdleTimeout{1000};
 // A server that sends more responses to other requests than this is considered
 // faulty.
 constexpr int kMaxMismatchedReplies = 2;
-// The same for the bytes of their bodies with chunk framing, and for 1xx
-// responses.
+// The same for the bytes of their bodies with chunk framing.
 constexpr std::size_t kMaxMismatchedBytes = 1'048'576;
-constexpr int kMaxInformationalHeads = 8;
 
 }  // namespace
 
@@ -138,20 +133,15 @@
 
 void BackendAttempt::OnHead() {
   const auto& header = parser_->get().base();
-  if (!IsUnambiguous(FramingOf(header)) ||
-      header.result_int() < kLowestStatus) {
-    EndAttempt(AttemptOutcome::kInterrupted);
-    return;
-  }
-  if (header.result_int() / 100 == 1) {
-    // What follows a change of protocol, which no request asks for, is not
-    // HTTP.
-    if (header.result() == http::status::switching_protocols ||
-        ++informational_heads_ > kMaxInformationalHeads)
+  switch (head_checker_.Check(header)) {
+    case StatusKind::kInvalid:
       EndAttempt(AttemptOutcome::kInterrupted);
-    else
+      return;
+    case StatusKind::kInformational:
       ReadHead();
-    return;
+      return;
+    case StatusKind::kFinal:
+      break;
   }
   const ReplyHead head = environment_.protocol.DecodeReplyHead(header);
   idle_timeout_ = head.idle_timeout.value_or(kDefaultIdleTimeout);
--- a/src/gateway/forwarding/backend_attempt.h
+++ b/src/gateway/forwarding/backend_attempt.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "base/base.h"
 #include "gateway/forwarding/backend_connection_pool.h"
 #include "gateway/forwarding/message_protocol.h"
 #include "gateway/membership/backend_server.h"
@@ -125,7 +126,7 @@
   bool mismatched_reply_ = false;
   int mismatched_replies_ = 0;
   std::size_t mismatched_bytes_ = 0;
-  int informational_heads_ = 0;
+  ResponseHeadChecker head_checker_;
   bool close_counted_ = false;
 };
 
--- a/src/provider/internal/http_exchange.cc
+++ b/src/provider/internal/http_exchange.cc
@@ -126,9 +126,15 @@
       ReadSome();
       return;
     }
-    if (!IsUnambiguous(FramingOf(parser_->get()))) {
-      Fail(http::error::bad_transfer_encoding);
-      return;
+    switch (head_checker_.Check(parser_->get())) {
+      case StatusKind::kInvalid:
+        Fail(http::error::bad_status);
+        return;
+      case StatusKind::kInformational:
+        ReadMessage();
+        return;
+      case StatusKind::kFinal:
+        break;
     }
     if (!parser_->is_done())
       ReadSome();
@@ -150,6 +156,7 @@
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   BoundedHttpReader reader_;
+  ResponseHeadChecker head_checker_;
   beast::error_code error_;
   beast::error_code write_error_;
   bool connected_ = false;
--- a/src/router/internal/backend_call.cc
+++ b/src/router/internal/backend_call.cc
@@ -66,11 +66,15 @@
 asio::awaitable<Result<BackendResponseHead>> BackendCall::ReadHead(
     Millis timeout) {
   stream_.expires_after(timeout);
-  const auto read = co_await ReadNextHead();
-  if (!read)
-    co_return read.error();
-  if (!IsUnambiguous(FramingOf(parser_->get())))
-    co_return MakeFailure("read header", http::error::bad_transfer_encoding);
+  StatusKind kind = StatusKind::kInformational;
+  while (kind == StatusKind::kInformational) {
+    const auto read = co_await ReadNextHead();
+    if (!read)
+      co_return read.error();
+    kind = head_checker_.Check(parser_->get());
+  }
+  if (kind == StatusKind::kInvalid)
+    co_return MakeFailure("read header", http::error::bad_status);
   const auto& response = parser_->get();
   co_return BackendResponseHead{
       static_cast<int>(response.result_int()),
--- a/src/router/internal/backend_call.h
+++ b/src/router/internal/backend_call.h
@@ -40,6 +40,7 @@
                                         Millis timeout);
   asio::awaitable<Result<void>> Send(const BackendRequest& request,
                                      Millis timeout);
+  // Returns the head of the final response; skips informational ones.
   asio::awaitable<Result<BackendResponseHead>> ReadHead(Millis timeout);
   // Returns the next bytes of the body, or nothing at its end. The view is
   // valid until the next call. Fails if the connection closes before the end.
@@ -53,7 +54,7 @@
  private:
   using Parser = http::response_parser<http::buffer_body>;
 
-  // Reads the head of the next response.
+  // Reads the head of the next response, final or not.
   asio::awaitable<Result<void>> ReadNextHead();
   Error MakeFailure(const std::string& operation,
                     const error_code& error) const;
@@ -62,6 +63,7 @@
   beast::tcp_stream stream_;
   BoundedHttpReader reader_;
   std::optional<Parser> parser_;
+  ResponseHeadChecker head_checker_;
   std::string chunk_;
   RunVerdict verdict_ = RunVerdict::kNotRun;
 };
--- a/tests/entry/broken_reply_test.cc
+++ b/tests/entry/broken_reply_test.cc
@@ -92,6 +92,12 @@
 
 BOOST_FIXTURE_TEST_SUITE(broken_reply, BrokenReplyFleet)
 
+// Guards against an answer with a status that HTTP does not have, as 000, which
+// reached a caller as its answer.
+BOOST_AUTO_TEST_CASE(a_reply_with_an_invalid_status_is_no_answer) {
+  CheckNoAnswer(examples().InvalidStatuses(), Booking());
+}
+
 // Guards against a head in which a field's name holds a blank or a control
 // byte: the line was passed on, or hid the length of the body.
 BOOST_AUTO_TEST_CASE(a_reply_with_an_invalid_field_name_is_no_answer) {
--- a/tests/entry/store_reply_test.cc
+++ b/tests/entry/store_reply_test.cc
@@ -64,12 +64,24 @@
 
 BOOST_AUTO_TEST_SUITE(store_reply)
 
+// Guards against a status that HTTP does not have: the store's answer was taken
+// for a promise that nothing was done.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_status_is_no_answer) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidStatuses(), CommitBody);
+}
+
 // Guards against a body that is not the store's, behind a field whose name
 // holds a blank or a control byte.
 BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_is_no_answer) {
   CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), CommitBody);
 }
 
+// Guards against rows that are missing because the connection closed too early.
+BOOST_AUTO_TEST_CASE(a_response_that_ends_early_is_no_answer) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).TruncatedHeads(), CommitBody);
+  CheckNoAnswer(ReplyExamples(kFields, kBody).TruncatedBodies(), CommitBody);
+}
+
 // Guards against a part of a response that is taken for the whole when the
 // connection is reset while the call is written.
 BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_call_is_no_answer) {
@@ -77,6 +89,37 @@
                 ConnectionEnd::kReset);
 }
 
+// Guards against an informational response that is taken for the answer, and
+// against checks that refuse sound answers.
+BOOST_AUTO_TEST_CASE(a_sound_response_is_delivered) {
+  CheckDelivered(ReplyExamples(kFields, kBody).SoundReplies(), kBody,
+                 CommitBody);
+}
+
+// Guards against a call that never ends, and all calls behind it, and against
+// memory that fills up, when the service sends bytes that are no answer.
+BOOST_AUTO_TEST_CASE(bytes_without_an_end_are_cut_off) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const EndlessReply examples[] = {
+      {"status line", "", "xxxxxxxxxx"},
+      {"field", "HTTP/1.1 200 OK\r\nX-Odd: ", "xxxxxxxxxx"},
+      {"fields", "HTTP/1.1 200 OK\r\n", "X-Odd: 1\r\n"},
+      {"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+      {"body until the close", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxx"},
+      {"body in chunks", chunked, "8\r\n12345678\r\n"},
+      {"chunk header", chunked + "8;x=", "xxxxxxxxxx"},
+      {"trailers", chunked + "0\r\n", "X-Odd: 1\r\n"},
+  };
+  for (const EndlessReply& example : examples) {
+    BOOST_TEST_CONTEXT(example.name) {
+      EndlessServer server(example);
+      BOOST_TEST(!CommitBody(server.address()).has_value());
+      BOOST_TEST(server.bytes_written() < kMaxBytes);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/provider/http_exchange_test.cc
+++ b/tests/provider/http_exchange_test.cc
@@ -60,12 +60,25 @@
   }
 }
 
+// Guards against a status that HTTP does not have: the platform's answer was
+// taken for a refusal, which promises that nothing was done.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_status_fails) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidStatuses(), AnswerFrom);
+}
+
 // Guards against a body that is not the platform's, behind a field whose name
 // holds a blank or a control byte.
 BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_fails) {
   CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), AnswerFrom);
 }
 
+// Guards against rows or objects that are cut short because the connection
+// closed too early.
+BOOST_AUTO_TEST_CASE(a_response_that_ends_early_fails) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).TruncatedHeads(), AnswerFrom);
+  CheckNoAnswer(ReplyExamples(kFields, kBody).TruncatedBodies(), AnswerFrom);
+}
+
 // Guards against a part of a response that is taken for the whole when the
 // connection is reset while the request is written.
 BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_upload_fails) {
@@ -84,6 +97,13 @@
                  "{}", UploadAnswerFrom, ConnectionEnd::kOrderlyThenReset);
 }
 
+// Guards against an informational response that is taken for the answer, and
+// against checks that refuse sound answers.
+BOOST_AUTO_TEST_CASE(a_sound_response_is_delivered) {
+  CheckDelivered(ReplyExamples(kFields, kBody).SoundReplies(), kBody,
+                 AnswerFrom);
+}
+
 // Guards against a process that runs out of memory when the platform sends
 // bytes that are no answer.
 BOOST_AUTO_TEST_CASE(bytes_without_an_end_are_cut_off) {
@@ -95,6 +115,7 @@
       {"status line", "", "xxxxxxxxxx"},
       {"field", "HTTP/1.1 200 OK\r\nX-Odd: ", "xxxxxxxxxx"},
       {"fields", "HTTP/1.1 200 OK\r\n", "X-Odd: 1\r\n"},
+      {"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
       {"body until the close", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxx"},
       {"chunk header", chunked + "8;x=", "xxxxxxxxxx"},
       {"trailers", chunked + "0\r\n", "X-Odd: 1\r\n"},
--- a/tests/router/backend_call_test.cc
+++ b/tests/router/backend_call_test.cc
@@ -105,12 +105,25 @@
   }
 }
 
+// Guards against an answer with a status that HTTP does not have, as 000, which
+// reached a caller as its answer.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_status_fails) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidStatuses(), AnswerFrom);
+}
+
 // Guards against a head in which a field's name holds a blank or a control
 // byte: the line hid the length of the body.
 BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_fails) {
   CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), AnswerFrom);
 }
 
+// Guards against a success with an empty or short body when a server closes
+// too early.
+BOOST_AUTO_TEST_CASE(a_response_that_ends_early_fails) {
+  CheckNoAnswer(ReplyExamples(kFields, kBody).TruncatedHeads(), AnswerFrom);
+  CheckNoAnswer(ReplyExamples(kFields, kBody).TruncatedBodies(), AnswerFrom);
+}
+
 // Guards against a part of a body that is taken for the whole when the
 // connection is reset while the request is written.
 BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_the_upload_fails) {
@@ -119,6 +132,13 @@
       UploadAnswerFrom, ConnectionEnd::kReset);
 }
 
+// Guards against an informational response that is taken for the answer, and
+// against checks that refuse sound answers.
+BOOST_AUTO_TEST_CASE(a_sound_response_is_delivered) {
+  CheckDelivered(ReplyExamples(kFields, kBody).SoundReplies(), kBody,
+                 AnswerFrom);
+}
+
 // Guards against a process that runs out of memory, and ends with the requests
 // of all its callers, when a server sends bytes that are no answer.
 BOOST_AUTO_TEST_CASE(bytes_without_an_end_are_cut_off) {
@@ -129,6 +149,7 @@
       {"status line", "", "xxxxxxxxxx"},
       {"field", head + "X-Odd: ", "xxxxxxxxxx"},
       {"fields", head, "X-Odd: 1\r\n"},
+      {"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
       {"body until the close", head + "\r\n", "xxxxxxxxxx"},
       {"body in chunks", HeadInChunks(), "8\r\n12345678\r\n"},
       {"chunk header", HeadInChunks() + "8;x=", "xxxxxxxxxx"},
