Cut off answers whose chunk framing is out of proportion

The channel to the store allows a response more time as its bytes arrive, so that its call, and each call behind it, never ended.

Change: the readers of answers use ChunkFramingMeter, as the reader of requests does: 16 KiB of framing and 6 bytes for each byte of a body. Chunks of one byte stay within it.

--- a/src/gateway/control/http_channel.cc
+++ b/src/gateway/control/http_channel.cc
@@ -128,6 +128,8 @@
 
   void Read() {
     parser_.emplace();
+    framing_meter_ = {};
+    body_size_ = 0;
     reader_.BeginMessage(kMaxHeadBytes);
     parser_->body_limit(kMaxResponseBytes);
     ReadSome();
@@ -173,8 +175,12 @@
   }
 
   void OnBodyRead(std::size_t size) {
+    const std::size_t body_size = parser_->get().body().size();
+    const std::size_t added = body_size - std::exchange(body_size_, body_size);
     if (parser_->is_done())
       Succeed();
+    else if (!framing_meter_.Record(size, added))
+      Fail("the chunk framing of the response is out of proportion");
     else
       ReadOn(size);
   }
@@ -237,6 +243,8 @@
   Millis connect_timeout_{0};
   std::size_t received_bytes_ = 0;
   ResponseHeadChecker head_checker_;
+  ChunkFramingMeter framing_meter_;
+  std::size_t body_size_ = 0;
   HttpResponse response_;
   Done done_;
   bool keep_alive_ = true;
--- a/src/gateway/forwarding/backend_attempt.cc
+++ b/src/gateway/forwarding/backend_attempt.cc
@@ -107,6 +107,7 @@
 
 void BackendAttempt::ReadHead() {
   parser_.emplace();
+  framing_meter_ = {};
   connection_->reader.BeginMessage(kMaxReplyHeaderBytes);
   // The observer bounds what is buffered. The maximum is set explicitly,
   // because boost::none does not lift Beast's limit.
@@ -193,6 +194,7 @@
     mismatched_bytes_ += used;
   const bool broken = error && error != http::error::need_buffer;
   if (broken || mismatched_bytes_ > kMaxMismatchedBytes ||
+      !framing_meter_.Record(used, size) ||
       MayBeCutByReset(*parser_, write_error_)) {
     EndAttempt(AttemptOutcome::kInterrupted);
     return;
--- a/src/gateway/forwarding/backend_attempt.h
+++ b/src/gateway/forwarding/backend_attempt.h
@@ -127,6 +127,7 @@
   int mismatched_replies_ = 0;
   std::size_t mismatched_bytes_ = 0;
   ResponseHeadChecker head_checker_;
+  ChunkFramingMeter framing_meter_;
   bool close_counted_ = false;
 };
 
--- a/src/provider/internal/http_exchange.cc
+++ b/src/provider/internal/http_exchange.cc
@@ -110,15 +110,16 @@
 
   void ReadSome() {
     const bool in_body = parser_->is_header_done();
-    reader_.ReadSome(stream_, *parser_,
-                     [this, in_body](beast::error_code error, std::size_t) {
-                       if (error)
-                         Fail(error);
-                       else if (in_body)
-                         OnBodyRead();
-                       else
-                         OnHeadRead();
-                     });
+    reader_.ReadSome(
+        stream_, *parser_,
+        [this, in_body](beast::error_code error, std::size_t size) {
+          if (error)
+            Fail(error);
+          else if (in_body)
+            OnBodyRead(size);
+          else
+            OnHeadRead();
+        });
   }
 
   void OnHeadRead() {
@@ -140,9 +141,13 @@
       ReadSome();
   }
 
-  void OnBodyRead() {
+  void OnBodyRead(std::size_t size) {
+    const std::size_t body_size = parser_->get().body().size();
+    const std::size_t added = body_size - std::exchange(body_size_, body_size);
     if (MayBeCutByReset(*parser_, write_error_))
       Fail(write_error_);
+    else if (!framing_meter_.Record(size, added))
+      Fail(http::error::bad_chunk);
     else if (!parser_->is_done())
       ReadSome();
   }
@@ -157,6 +162,8 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   BoundedHttpReader reader_;
   ResponseHeadChecker head_checker_;
+  ChunkFramingMeter framing_meter_;
+  std::size_t body_size_ = 0;
   beast::error_code error_;
   beast::error_code write_error_;
   bool connected_ = false;
--- a/src/router/internal/backend_call.cc
+++ b/src/router/internal/backend_call.cc
@@ -106,10 +106,13 @@
     body.more = true;
     error_code error;
     stream_.expires_after(timeout);
-    co_await reader_.ReadSome(stream_, *parser_, RedirectError(error));
+    const std::size_t used =
+        co_await reader_.ReadSome(stream_, *parser_, RedirectError(error));
     if (error && error != http::error::need_buffer)
       co_return MakeFailure("read body", error);
     const std::size_t size = chunk_.size() - body.size;
+    if (!framing_meter_.Record(used, size))
+      co_return MakeFailure("read body", http::error::bad_chunk);
     if (size > 0)
       co_return std::optional(std::string_view(chunk_.data(), size));
   }
--- a/src/router/internal/backend_call.h
+++ b/src/router/internal/backend_call.h
@@ -64,6 +64,7 @@
   BoundedHttpReader reader_;
   std::optional<Parser> parser_;
   ResponseHeadChecker head_checker_;
+  ChunkFramingMeter framing_meter_;
   std::string chunk_;
   RunVerdict verdict_ = RunVerdict::kNotRun;
 };
--- a/tests/entry/endless_reply_test.cc
+++ b/tests/entry/endless_reply_test.cc
@@ -12,6 +12,9 @@
 using support::EndlessServer;
 using support::WaitUntil;
 
+// Size of a chunk extension.
+constexpr std::size_t kExtensionBytes = 1'000;
+
 // An endless reply, and the target of the request that it answers.
 struct Example {
   std::string target;
@@ -48,6 +51,17 @@
      {"fields of an informational response", "HTTP/1.1 103 Early Hints\r\n",
       "X-Odd: 1\r\n"}},
     {"/lookup/x", {"trailers", StreamHead("{id}") + "0\r\n", "X-Odd: 1\r\n"}},
+    {"/lookup/x",
+     {"chunk extensions of a plain reply", StreamHead("{id}"),
+      "1;" + std::string(kExtensionBytes, 'x') + "\r\n1\r\n"}},
+    {"/talk/stream",
+     {"chunk extensions of a stream", StreamHead("{id}"),
+      "1;" + std::string(kExtensionBytes, 'x') + "\r\n1\r\n"}},
+    {"/lookup/x",
+     {"chunk extensions without a seal",
+      "HTTP/1.1 200 OK\r\nX-Bamboomount-Request-Id: {id}\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      "1;" + std::string(kExtensionBytes, 'x') + "\r\n1\r\n"}},
     {"/lookup/x",
      {"body without a length and a seal",
       "HTTP/1.1 200 OK\r\nX-Bamboomount-Request-Id: {id}\r\n\r\n",
--- a/tests/entry/store_reply_test.cc
+++ b/tests/entry/store_reply_test.cc
@@ -101,6 +101,7 @@
 BOOST_AUTO_TEST_CASE(bytes_without_an_end_are_cut_off) {
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string extension(1'000, 'x');
   const EndlessReply examples[] = {
       {"status line", "", "xxxxxxxxxx"},
       {"field", "HTTP/1.1 200 OK\r\nX-Odd: ", "xxxxxxxxxx"},
@@ -109,6 +110,7 @@
       {"body until the close", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxx"},
       {"body in chunks", chunked, "8\r\n12345678\r\n"},
       {"chunk header", chunked + "8;x=", "xxxxxxxxxx"},
+      {"chunk extensions", chunked, "1;" + extension + "\r\n1\r\n"},
       {"trailers", chunked + "0\r\n", "X-Odd: 1\r\n"},
   };
   for (const EndlessReply& example : examples) {
--- a/tests/provider/http_exchange_test.cc
+++ b/tests/provider/http_exchange_test.cc
@@ -111,6 +111,7 @@
   constexpr std::size_t kMaxBytes = 96U << 20U;
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string extension(1'000, 'x');
   const EndlessReply examples[] = {
       {"status line", "", "xxxxxxxxxx"},
       {"field", "HTTP/1.1 200 OK\r\nX-Odd: ", "xxxxxxxxxx"},
@@ -118,6 +119,7 @@
       {"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
       {"body until the close", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxx"},
       {"chunk header", chunked + "8;x=", "xxxxxxxxxx"},
+      {"chunk extensions", chunked, "1;" + extension + "\r\n1\r\n"},
       {"trailers", chunked + "0\r\n", "X-Odd: 1\r\n"},
   };
   for (const EndlessReply& example : examples) {
--- a/tests/router/backend_call_test.cc
+++ b/tests/router/backend_call_test.cc
@@ -145,6 +145,7 @@
   // What the call may read, and what socket buffers take besides.
   constexpr std::size_t kMaxBytes = 16U << 20U;
   const std::string head = std::string("HTTP/1.1 200 OK\r\n") + kFields;
+  const std::string extension(1'000, 'x');
   const EndlessReply examples[] = {
       {"status line", "", "xxxxxxxxxx"},
       {"field", head + "X-Odd: ", "xxxxxxxxxx"},
@@ -153,6 +154,7 @@
       {"body until the close", head + "\r\n", "xxxxxxxxxx"},
       {"body in chunks", HeadInChunks(), "8\r\n12345678\r\n"},
       {"chunk header", HeadInChunks() + "8;x=", "xxxxxxxxxx"},
+      {"chunk extensions", HeadInChunks(), "1;" + extension + "\r\n1\r\n"},
       {"trailers", HeadInChunks() + "0\r\n", "X-Odd: 1\r\n"},
   };
   for (const EndlessReply& example : examples) {
