Cut off an event without an end in the daemon

Cause: the part of an event that has arrived was kept without a limit.

Change: a stream with an event beyond 1 MiB breaks off like one of a server that fails, and the splitter searches each byte once. event_stream_splitter tests that it still finds every blank line.

--- a/src/router/internal/chat_exchange.cc
+++ b/src/router/internal/chat_exchange.cc
@@ -31,6 +31,8 @@
 // cell.
 constexpr Millis kProgressReportInterval{250};
 constexpr std::size_t kMaxResponseBytes = 16'777'216;
+// A server that sends a longer event is considered faulty.
+constexpr std::size_t kMaxEventBytes = 1'048'576;
 constexpr int kHttpOk = 200;
 
 Error BackendError(std::string message) {
@@ -268,6 +270,8 @@
       co_return done.error();
     if (done.value())
       co_return Success();
+    if (events.buffered_bytes() > kMaxEventBytes)
+      co_return BackendError("an event of the stream is too long");
   }
 }
 
--- a/src/router/internal/event_stream_splitter.h
+++ b/src/router/internal/event_stream_splitter.h
@@ -1,6 +1,7 @@
 #ifndef ROUTER_INTERNAL_EVENT_STREAM_SPLITTER_H_
 #define ROUTER_INTERNAL_EVENT_STREAM_SPLITTER_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
 
  private:
   std::string buffer_;
+  // No event ends before this position.
+  std::size_t searched_ = 0;
 };
 
 // Whether `event` is the "data: [DONE]" event that ends a complete stream.
--- a/tests/system/broken_reply_test.cc
+++ b/tests/system/broken_reply_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "support/chat_client.h"
+#include "support/endless_server.h"
 #include "support/reply_checks.h"
 #include "support/wait_until.h"
 #include "system/admin_helpers.h"
@@ -85,6 +86,37 @@
   }
 }
 
+// Guards against a router that keeps an event without an end until it runs out
+// of memory, and ends with the requests of all its callers.
+BOOST_AUTO_TEST_CASE(an_event_without_an_end_is_cut_off) {
+  // What the router may read, and what socket buffers take besides.
+  constexpr std::size_t kMaxBytes = 16U << 20U;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "X-Request-Id: {id}\r\n";
+  const EndlessReply examples[] = {
+      {"in chunks", head + "Transfer-Encoding: chunked\r\n\r\n",
+       "a\r\ndata: xxxx\r\n"},
+      {"until the close", head + "\r\n", "data: xxxx"},
+  };
+  for (const EndlessReply& example : examples) {
+    BOOST_TEST_CONTEXT(example.name) {
+      EndlessServer server(example);
+      ReplaceBackend(fleet().engine(0).address(), server.address());
+      ChatParameters question;
+      question.key = fleet().key();
+      question.prompt = "a long answer";
+      // Refused while the router avoids the engine of the example before.
+      BOOST_TEST(WaitUntil([&] {
+        SendChatRequest(router_address(), question);
+        return server.closed();
+      }));
+      BOOST_TEST(server.bytes_written() < kMaxBytes);
+    }
+  }
+  BOOST_TEST(fleet().instance(0).router->running());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
