Answer every request before a planned stop ends

Cause: requests were taken for 2.9 s after the signal, however soon the process had to end, and those still in progress 0.7 s before the end were left to the close of their connections.

With the 8 s of the deployments so far, requests are refused in time, but those accepted before and still running at 7.3 s were cut as well.

Change: ShutdownSchedule takes requests for at most half of the time until those in progress have to end; with 8 s that is still 2.9 s. Then each of these gets its final answer: 503 if it was not passed on, 504 if it may have run; a stream that has begun is broken off. No waiting request is passed on in that moment.

Ruled out for the daemon: it has no deadline and waits for its requests, see graceful_shutdown/a_graceful_shutdown_interrupts_no_request.

--- a/check/attempts_world.cc
+++ b/check/attempts_world.cc
@@ -118,6 +118,8 @@
   void SetCallerGoneHandler(std::function<void()> handler) override {
     gone = std::move(handler);
   }
+  // The process does not stop in this world.
+  void SetEndHandler(std::function<void()>) override {}
 
   unsigned status = 0;
   bool sealed = false;
--- a/src/gateway/forwarding/caller_connection.cc
+++ b/src/gateway/forwarding/caller_connection.cc
@@ -343,6 +343,15 @@
   on_caller_gone_ = std::move(gone);
 }
 
+void CallerConnection::SetEndHandler(std::function<void()> end) {
+  on_end_ = std::move(end);
+}
+
+void CallerConnection::EndRequest() {
+  if (on_end_)
+    std::exchange(on_end_, nullptr)();
+}
+
 void CallerConnection::QueueBytes(std::string bytes) {
   if (pending_bytes_ == 0) {
     progress_bytes_ = sent_bytes_;
@@ -398,6 +407,7 @@
 
 void CallerConnection::EndResponse() {
   on_caller_gone_ = nullptr;
+  on_end_ = nullptr;
   on_drained_ = nullptr;
   writing_ = {};
   head_bytes_ = 0;
@@ -528,6 +538,7 @@
   socket_.close(ignored);
   charge_.Set(0);
   on_drained_ = nullptr;
+  on_end_ = nullptr;
   if (on_caller_gone_)
     std::exchange(on_caller_gone_, nullptr)();
 }
--- a/src/gateway/forwarding/caller_connection.h
+++ b/src/gateway/forwarding/caller_connection.h
@@ -58,6 +58,8 @@
   void CheckTimeouts(Instant now);
   // Closes the connection if no request is in progress.
   void CloseIfIdle();
+  // Lets the request in progress, if any, end with its final answer.
+  void EndRequest();
   // Whether bytes of a request have arrived that were not read yet.
   bool HasUnreadRequest() const;
   void Close();
@@ -75,6 +77,7 @@
   void Finish() override;
   void Abort() override;
   void SetCallerGoneHandler(std::function<void()> gone) override;
+  void SetEndHandler(std::function<void()> end) override;
 
  private:
   enum class Phase {
@@ -160,6 +163,7 @@
   std::size_t pending_bytes_ = 0;
   std::function<void()> on_drained_;
   std::function<void()> on_caller_gone_;
+  std::function<void()> on_end_;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/forwarding/caller_reply.h
+++ b/src/gateway/forwarding/caller_reply.h
@@ -38,6 +38,9 @@
   // Sets a handler that is called once if the connection closes before the
   // response is complete, other than by Abort. A null `gone` removes it.
   virtual void SetCallerGoneHandler(std::function<void()> gone) = 0;
+  // Sets a handler that is called if the response has to end now, because the
+  // process stops. A null `end` removes it.
+  virtual void SetEndHandler(std::function<void()> end) = 0;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -74,6 +74,8 @@
   WaitTicket AddWaiter(const PoolId& pool, Tier tier, WakeCallback wake);
   // Removes a request from the queue. Does nothing if it is no longer queued.
   void RemoveWaiter(const PoolId& pool, const WaitTicket& ticket);
+  // Removes all requests from the queues, so that none is woken any more.
+  void ClearWaiters() { waiters_.clear(); }
   // Wakes the first waiting request of the pool. Called when capacity becomes
   // free.
   void WakeOne(const PoolId& pool);
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -72,12 +72,16 @@
     return;
   reply_->SetCallerGoneHandler(
       [self = shared_from_this()] { self->OnCallerGone(); });
+  reply_->SetEndHandler([self = shared_from_this()] {
+    if (!self->ended_)
+      self->GiveUp("the instance stops");
+  });
   deadline_timer_.expires_after(
       std::max(Millis(0), TimeLeft(BootClock::now())));
   deadline_timer_.async_wait(
       [self = shared_from_this()](const error_code& error) {
         if (!error && !self->ended_)
-          self->OnDeadline();
+          self->GiveUp("the request deadline has passed");
       });
   FindServer();
 }
@@ -417,8 +421,7 @@
     Refuse(http::status::bad_gateway, reason);
 }
 
-void Exchange::OnDeadline() {
-  constexpr std::string_view kReason = "the request deadline has passed";
+void Exchange::GiveUp(std::string_view reason) {
   if (attempt_) {
     const BackendId server = attempt_->server().id;
     const bool sent = attempt_->sent();
@@ -428,9 +431,9 @@
       retries_.RecordPossibleRun(server);
   }
   if (relay_.started() || retries_.history().possible_runs == 0)
-    FailWithoutResponse(kReason);
+    FailWithoutResponse(reason);
   else
-    Refuse(http::status::gateway_timeout, kReason);
+    Refuse(http::status::gateway_timeout, reason);
 }
 
 void Exchange::OnResponseTimeout() {
@@ -497,6 +500,7 @@
   deadline_timer_.cancel();
   response_timer_.cancel();
   reply_->SetCallerGoneHandler(nullptr);
+  reply_->SetEndHandler(nullptr);
   dispatcher_.metrics().Increment(
       "bamboomount_requests_total",
       {{"route", RouteName()}, {"outcome", std::string(outcome)}});
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -58,7 +58,8 @@
   ServerSearchRequest SearchRequest() const;
   AttemptLoad::Request LoadRequest(const PrefixPlan& prefix) const;
   void ArmResponseTimer();
-  void OnDeadline();
+  // Ends the request without a complete response of a server.
+  void GiveUp(std::string_view reason);
   void OnResponseTimeout();
   void OnCallerGone();
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -37,15 +37,9 @@
 constexpr Millis kAcceptRetryDelay{50};
 // At most one log line about memory in this time.
 constexpr Millis kMemoryReportInterval{5000};
-// New requests are accepted for this time after a shutdown begins, because
-// callers still use cached addresses. Requests accepted later might not finish
-// before the process ends.
-constexpr Millis kShutdownAcceptPeriod{2900};
 // Retry-After of requests that are refused during a shutdown. Short, because
 // the caller can retry at another instance at once.
 constexpr Millis kShutdownRetryAfter{50};
-// Time before the stop deadline that is left for the last responses.
-constexpr Millis kShutdownMargin{700};
 
 http::response<http::string_body> TextReply(http::status status,
                                             const char* type,
@@ -318,7 +312,7 @@
 void GatewayServer::ServeCaller(IncomingRequest request,
                                 std::shared_ptr<CallerReply> reply) {
   if (shutdown_started_ &&
-      BootClock::now() - *shutdown_started_ >= kShutdownAcceptPeriod) {
+      BootClock::now() - *shutdown_started_ >= Schedule().accept_period) {
     auto refusal =
         TextReply(http::status::service_unavailable, "text/plain", "");
     refusal.set(http::field::retry_after, FormatSeconds(kShutdownRetryAfter));
@@ -418,16 +412,29 @@
 
 void GatewayServer::ContinueShutdown(Instant now) {
   const Millis elapsed = ToMillis(now - *shutdown_started_);
-  if (elapsed < kShutdownAcceptPeriod)
+  const ShutdownSchedule schedule = Schedule();
+  if (elapsed < schedule.accept_period)
     return;
   caller_listener_->StopAccepting();
   caller_listener_->CloseIdle();
-  const Millis limit =
-      dispatcher_.state().settings().stop_deadline - kShutdownMargin;
-  if ((!caller_listener_->IsBusy() || elapsed > limit) && on_shutdown_done_)
+  const bool over = elapsed > schedule.end_of_requests;
+  if (over)
+    EndRequests();
+  if ((!caller_listener_->IsBusy() || over) && on_shutdown_done_)
     std::exchange(on_shutdown_done_, nullptr)();
 }
 
+void GatewayServer::EndRequests() {
+  // A request that ends makes room at its server. No other one may use it now.
+  dispatcher_.ClearWaiters();
+  for (const auto& connection : caller_listener_->connections())
+    connection->EndRequest();
+}
+
+ShutdownSchedule GatewayServer::Schedule() const {
+  return ShutdownSchedule::For(dispatcher_.state().settings().stop_deadline);
+}
+
 void GatewayServer::OnMemoryCharged() {
   if (relief_scheduled_ || memory_->state() != MemoryState::kExhausted)
     return;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -10,6 +10,7 @@
 #include "gateway/discovery_protocol.h"
 #include "gateway/forwarding/caller_connection.h"
 #include "gateway/forwarding/dispatcher.h"
+#include "gateway/shutdown_schedule.h"
 
 namespace bamboomount {
 
@@ -36,8 +37,9 @@
   void Listen();
   // Begins a graceful shutdown. The instance is no longer ready, and requests
   // in progress are finished. New requests are still accepted for a short
-  // period; after it, `done` is called once no caller's request is in progress
-  // or the stop deadline is near.
+  // period; after it, `done` is called once no caller's request is in progress.
+  // When the stop deadline is near, those in progress get their final answers,
+  // which is a failure or the end of the connection, and `done` is called.
   void BeginShutdown(std::function<void()> done);
   bool shutting_down() const { return shutdown_started_.has_value(); }
 
@@ -56,6 +58,9 @@
   void ReportMemory(Instant now);
   void CountClosedConnections(const char* cause, std::size_t count);
   void ContinueShutdown(Instant now);
+  // Gives the requests of callers in progress their final answers.
+  void EndRequests();
+  ShutdownSchedule Schedule() const;
   CallerLimits limits() const;
 
   Dispatcher& dispatcher_;
--- a/tests/entry/store_sync_test.cc
+++ b/tests/entry/store_sync_test.cc
@@ -1,6 +1,10 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <csignal>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include "entry_fixture/entry_fleet.h"
@@ -200,6 +204,61 @@
   BOOST_TEST(instance.process().Wait() == 0);
 }
 
+// Guards against requests that are taken late in a graceful shutdown, passed
+// on, and cut without an answer when the process ends, among them bookings that
+// may have run. The stop deadline was shorter than the time in which requests
+// were taken.
+BOOST_AUTO_TEST_CASE(no_request_is_cut_at_the_end_of_a_graceful_shutdown) {
+  constexpr std::chrono::milliseconds kPause{50};
+  BackendStandin& backend = AddBackend("e-1");
+  Configure(1, DefaultCustomers());
+  EntryInstance& instance = AddInstance("i-1", {{"stop_deadline_s", 3}});
+  instance.WaitUntilReady();
+  backend.SetMode(BackendMode::kHold);
+  std::vector<support::HttpClient> callers;
+  std::vector<std::string> ids;
+  const auto call = [&](const std::string& target) {
+    const support::ClientRequest request = MakeRequest("POST", target);
+    callers.emplace_back(instance.caller_address());
+    callers.back().Send(request);
+    for (const auto& [name, value] : request.headers) {
+      if (name == "X-Bamboomount-Request-Id")
+        ids.push_back(value);
+    }
+  };
+  call("/book/x");
+  call("/talk/stream");
+  BOOST_TEST(
+      WaitUntil([&] { return backend.ExecutedRequests().size() == 2U; }));
+  instance.process().Signal(SIGTERM);
+  // Callers come until the listener is closed.
+  BOOST_TEST(WaitUntil([&] {
+    try {
+      call("/book/y");
+      std::this_thread::sleep_for(kPause);
+      return false;
+    } catch (const std::runtime_error&) {
+      return true;
+    }
+  }));
+  BOOST_TEST(instance.process().Wait() == 0);
+  std::set<std::string> ran;
+  for (const auto& request : backend.ExecutedRequests())
+    ran.insert(request.header("X-Bamboomount-Request-Id"));
+  int answered = 0;
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    const auto response = callers[i].ReadResponse();
+    BOOST_TEST(response.complete == (response.status != 0));
+    // A 503 says that the request did not run.
+    if (ran.contains(ids[i]))
+      BOOST_TEST(response.status == 504);
+    else
+      BOOST_TEST((response.status == 503 || response.status == 0));
+    answered += response.status == 504 ? 1 : 0;
+  }
+  BOOST_TEST(answered >= 2);
+}
+
 // Guards against requests that are cut off without an answer because their
 // connections are still in the backlog of the listener when it is closed, as
 // under load or after a pause of the process.
