Read operators' answers by the reader that the daemon uses

Cause: it read with the HTTP client of a library that is lenient with heads and chunks and knows neither informational responses nor bodies without a length.

Change: AdminClient uses SendRequest, the exchange of the calls to the platform, which becomes public in the provider library and takes header fields. What is only about the platform's answers stays internal, in platform_response. The client's timeout bounds the whole call now; addresses are ip:port, as documented, with an IPv6 address in brackets.

--- a/src/admin/admin_client.cc
+++ b/src/admin/admin_client.cc
@@ -1,25 +1,22 @@
 #include "admin/admin_client.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/replyheader.h>
-#include <cxxtools/http/request.h>
 #include <cxxtools/query_params.h>
 
 #include <utility>
 
-#include "admin/internal/header_framing.h"
-#include "admin/internal/host_port.h"
 #include "admin/internal/operator_json.h"
+#include "provider/provider.h"
 
 namespace bamboomount {
 namespace {
 
 using Json = nlohmann::json;
 
-Error UnreachableError(const std::string& address,
-                       const std::string& reason,
-                       RunVerdict verdict) {
-  return {ErrorCode::kNoBackend, verdict, address + ": " + reason, {}};
+constexpr int kHttpOk = 200;
+
+Error UnreachableError(const std::string& address, const Error& cause) {
+  return {
+      ErrorCode::kNoBackend, cause.verdict, address + ": " + cause.message, {}};
 }
 
 ErrorCode ParseErrorCode(const std::string& name) {
@@ -142,31 +139,16 @@
                                       const std::string& path,
                                       const std::string& query,
                                       const std::string& body) const {
-  const auto target = internal::ParseHostPort(address_);
-  if (!target)
-    return UnreachableError(address_, "invalid address, expected ip:port",
-                            RunVerdict::kNotRun);
-  const cxxtools::Milliseconds timeout(static_cast<double>(timeout_.count()));
-  cxxtools::http::Client client(target->host, target->port);
-  try {
-    cxxtools::http::Request request(path);
-    request.method(method);
-    request.qparams(query);
-    request.setHeader("Authorization", ("Bearer " + token_).c_str());
-    request.setHeader("Content-Type", "application/json");
-    request.body() << body;
-    // Applies the timeout to connecting as well; connect() has none.
-    client.execute(request, timeout, timeout);
-    if (!IsUnambiguous(internal::FramingOf(client.header())))
-      return UnreachableError(address_, "the end of the response is ambiguous",
-                              RunVerdict::kMayHaveRun);
-    const std::string response = client.readBody().body();
-    if (client.header().httpReturnCode() == 200)
-      return response;
-    return DecodeError(response);
-  } catch (const std::exception& error) {
-    return UnreachableError(address_, error.what(), RunVerdict::kMayHaveRun);
-  }
+  const ExchangeRequest request{method,
+                                query.empty() ? path : path + "?" + query,
+                                body,
+                                {{"Authorization", "Bearer " + token_}}};
+  const auto response = SendRequest(address_, request, timeout_);
+  if (!response)
+    return UnreachableError(address_, response.error());
+  if (response.value().status == kHttpOk)
+    return response.value().body;
+  return DecodeError(response.value().body);
 }
 
 }  // namespace bamboomount
--- a/src/admin/admin_client.h
+++ b/src/admin/admin_client.h
@@ -12,14 +12,13 @@
 namespace bamboomount {
 
 // Client of the operators' interface of one instance. Calls fail with
-// kNoBackend if the instance cannot be reached or does not respond in time
-// (verdict kMayHaveRun) or if the address is invalid (verdict kNotRun), and
-// with kInternal if the response is malformed. Errors that the instance returns
-// keep their codes. Thread-safe.
+// kNoBackend if the instance cannot be reached or the address is invalid
+// (verdict kNotRun), or if no whole response arrives in time (verdict
+// kMayHaveRun), and with kInternal if its body is malformed. Errors that the
+// instance returns keep their codes. Thread-safe.
 class AdminClient {
  public:
-  // `address` is "ip:port". Connecting and the exchange may each take
-  // `timeout`.
+  // `address` is "ip:port". `timeout` bounds each call.
   AdminClient(std::string address, std::string admin_token, Millis timeout);
 
   Result<FleetStatus> Status() const;
--- a/src/provider/http_backend_orders.cc
+++ b/src/provider/http_backend_orders.cc
@@ -9,8 +9,8 @@
                                        Millis timeout) {
   BOOST_OUTCOME_TRY(
       response,
-      internal::SendRequest(
-          address_, {"POST", "/orders", wire::ToJson(order).dump()}, timeout));
+      SendRequest(address_, {"POST", "/orders", wire::ToJson(order).dump()},
+                  timeout));
   if (response.status != 202)
     return internal::StatusError(response);
   return Success();
@@ -21,7 +21,7 @@
     Millis timeout) {
   BOOST_OUTCOME_TRY(
       response,
-      internal::SendRequest(
+      SendRequest(
           address_,
           {"GET", internal::WithQuery("/orders", "order_id", order_id), {}},
           timeout));
--- a/src/provider/internal/http_exchange.cc
+++ b/src/provider/http_exchange.cc
@@ -1,6 +1,4 @@
-#include "provider/internal/http_exchange.h"
-
-#include <cxxtools/query_params.h>
+#include "provider/http_exchange.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,7 +12,7 @@
 #include "base/bounded_http_reader.h"
 #include "base/response_end.h"
 
-namespace bamboomount::internal {
+namespace bamboomount {
 namespace {
 
 namespace asio = boost::asio;
@@ -33,8 +31,11 @@
   const auto colon = address.rfind(':');
   if (colon == std::string::npos)
     return std::nullopt;
+  std::string host = address.substr(0, colon);
+  if (host.size() > 1 && host.front() == '[' && host.back() == ']')
+    host = host.substr(1, host.size() - 2);
   boost::system::error_code error;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+  const auto ip = asio::ip::make_address(host, error);
   std::uint16_t port = 0;
   const char* end = address.data() + address.size();
   const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
@@ -43,7 +44,7 @@
   return asio::ip::tcp::endpoint(ip, port);
 }
 
-Error Unavailable(RunVerdict verdict, const std::string& message) {
+Error TransportError(RunVerdict verdict, const std::string& message) {
   return Error{ErrorCode::kStoreUnavailable, verdict, message, std::nullopt};
 }
 
@@ -51,7 +52,7 @@
 // io_context::run, and the deadline of the stream cancels the pending step.
 class RequestSession {
  public:
-  RequestSession(const PlatformRequest& call, const std::string& host)
+  RequestSession(const ExchangeRequest& call, const std::string& host)
       : stream_(context_) {
     request_.version(11);
     request_.method_string(call.method);
@@ -59,22 +60,24 @@
     request_.set(http::field::host, host);
     if (!call.body.empty())
       request_.set(http::field::content_type, "application/json");
+    for (const auto& [name, value] : call.headers)
+      request_.set(name, value);
     request_.keep_alive(false);
     request_.body() = call.body;
     request_.prepare_payload();
   }
 
-  Result<PlatformResponse> Run(const asio::ip::tcp::endpoint& endpoint,
+  Result<ExchangeResponse> Run(const asio::ip::tcp::endpoint& endpoint,
                                Millis timeout) {
     stream_.expires_after(timeout);
     stream_.async_connect(
         endpoint, [this](beast::error_code error) { OnConnected(error); });
     context_.run();
     if (!error_) {
-      return PlatformResponse{static_cast<int>(parser_->get().result_int()),
+      return ExchangeResponse{static_cast<int>(parser_->get().result_int()),
                               std::move(parser_->get().body())};
     }
-    return Unavailable(
+    return TransportError(
         connected_ ? RunVerdict::kMayHaveRun : RunVerdict::kNotRun,
         error_.message());
   }
@@ -171,43 +174,18 @@
 
 }  // namespace
 
-Result<PlatformResponse> SendRequest(const std::string& address,
-                                     const PlatformRequest& call,
+Result<ExchangeResponse> SendRequest(const std::string& address,
+                                     const ExchangeRequest& call,
                                      Millis timeout) {
   const auto endpoint = ParseAddress(address);
   if (!endpoint) {
-    return Unavailable(RunVerdict::kNotRun,
-                       "not an ip:port address: " + address);
+    return TransportError(RunVerdict::kNotRun,
+                          "not an ip:port address: " + address);
   }
   if (timeout <= Millis(0))
-    return Unavailable(RunVerdict::kNotRun,
-                       "the time limit of the call has already expired");
+    return TransportError(RunVerdict::kNotRun,
+                          "the time limit of the call has already expired");
   return RequestSession(call, address).Run(*endpoint, timeout);
 }
 
-std::string WithQuery(const std::string& path,
-                      const std::string& name,
-                      const std::string& value) {
-  cxxtools::QueryParams params;
-  params.add(name, value);
-  return path + "?" + params.getUrl();
-}
-
-Error StatusError(const PlatformResponse& response) {
-  const bool refused = (response.status >= 400 && response.status < 500) ||
-                       response.status == 503;
-  constexpr std::size_t kMaxQuotedBytes = 200;
-  return Error{response.status == 409 ? ErrorCode::kConflict
-                                      : ErrorCode::kStoreUnavailable,
-               refused ? RunVerdict::kNotRun : RunVerdict::kMayHaveRun,
-               "platform responded with status " +
-                   std::to_string(response.status) + ": " +
-                   response.body.substr(0, kMaxQuotedBytes),
-               std::nullopt};
-}
-
-Error MalformedResponse(const std::string& detail) {
-  return Unavailable(RunVerdict::kMayHaveRun, "malformed response: " + detail);
-}
-
-}  // namespace bamboomount::internal
+}  // namespace bamboomount
--- /dev/null
+++ b/src/provider/http_exchange.h
@@ -0,0 +1,39 @@
+#ifndef PROVIDER_HTTP_EXCHANGE_H_
+#define PROVIDER_HTTP_EXCHANGE_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/base.h"
+
+namespace bamboomount {
+
+// A request of an HTTP service, with a JSON body if it has one.
+struct ExchangeRequest {
+  // "GET", "PUT" or "POST".
+  std::string method;
+  // Path and query, already percent-encoded.
+  std::string target;
+  std::string body;
+  // Names and values of further fields.
+  std::vector<std::pair<std::string, std::string>> headers = {};
+};
+
+struct ExchangeResponse {
+  int status = 0;
+  std::string body;
+};
+
+// Sends one request over a new connection to `address`, "ip:port" with an IPv6
+// address in brackets, and reads the whole response. `timeout` bounds
+// connecting, sending and reading together. Errors have code kStoreUnavailable.
+// The verdict is kNotRun if and only if the connection was not established, so
+// that no byte was sent.
+Result<ExchangeResponse> SendRequest(const std::string& address,
+                                     const ExchangeRequest& call,
+                                     Millis timeout);
+
+}  // namespace bamboomount
+
+#endif  // PROVIDER_HTTP_EXCHANGE_H_
--- a/src/provider/http_instance_directory.cc
+++ b/src/provider/http_instance_directory.cc
@@ -6,20 +6,18 @@
 namespace bamboomount {
 
 Result<DirectoryListing> HttpInstanceDirectory::List(Millis timeout) {
-  BOOST_OUTCOME_TRY(
-      response,
-      internal::SendRequest(address_, {"GET", "/instances", {}}, timeout));
+  BOOST_OUTCOME_TRY(response,
+                    SendRequest(address_, {"GET", "/instances", {}}, timeout));
   return internal::ReadJson<DirectoryListing>(response,
                                               wire::DirectoryListingFrom);
 }
 
 Result<void> HttpInstanceDirectory::Register(const ListedInstance& instance,
                                              Millis timeout) {
-  BOOST_OUTCOME_TRY(
-      response,
-      internal::SendRequest(
-          address_, {"POST", "/instances", wire::ToJson(instance).dump()},
-          timeout));
+  BOOST_OUTCOME_TRY(response, SendRequest(address_,
+                                          {"POST", "/instances",
+                                           wire::ToJson(instance).dump()},
+                                          timeout));
   if (response.status != 200)
     return internal::StatusError(response);
   return Success();
--- a/src/provider/http_object_store.cc
+++ b/src/provider/http_object_store.cc
@@ -1,6 +1,6 @@
 #include "provider/http_object_store.h"
 
-#include "provider/internal/http_exchange.h"
+#include "provider/internal/platform_response.h"
 
 namespace bamboomount {
 
@@ -9,7 +9,7 @@
                                   Millis timeout) {
   BOOST_OUTCOME_TRY(
       response,
-      internal::SendRequest(
+      SendRequest(
           address_,
           {"PUT", internal::WithQuery("/objects", "name", name), content},
           timeout));
@@ -22,9 +22,9 @@
                                                         Millis timeout) {
   BOOST_OUTCOME_TRY(
       response,
-      internal::SendRequest(
-          address_, {"GET", internal::WithQuery("/objects", "name", name), {}},
-          timeout));
+      SendRequest(address_,
+                  {"GET", internal::WithQuery("/objects", "name", name), {}},
+                  timeout));
   if (response.status == 404)
     return std::optional<std::string>();
   if (response.status != 200)
--- a/src/provider/http_table_store.cc
+++ b/src/provider/http_table_store.cc
@@ -7,11 +7,10 @@
 
 Result<CommitOutcome> HttpTableStore::Commit(const Transaction& transaction,
                                              Millis timeout) {
-  BOOST_OUTCOME_TRY(
-      response,
-      internal::SendRequest(
-          address_, {"POST", "/table/commit", wire::ToJson(transaction).dump()},
-          timeout));
+  BOOST_OUTCOME_TRY(response, SendRequest(address_,
+                                          {"POST", "/table/commit",
+                                           wire::ToJson(transaction).dump()},
+                                          timeout));
   return internal::ReadJson<CommitOutcome>(
       response, [](const nlohmann::json& json) {
         return json.at("committed").get<bool>() ? CommitOutcome::kCommitted
@@ -23,9 +22,9 @@
                                                 Millis timeout) {
   BOOST_OUTCOME_TRY(
       response,
-      internal::SendRequest(
-          address_, {"GET", internal::WithQuery("/table/row", "key", key), {}},
-          timeout));
+      SendRequest(address_,
+                  {"GET", internal::WithQuery("/table/row", "key", key), {}},
+                  timeout));
   if (response.status == 404)
     return std::optional<Row>();
   return internal::ReadJson<std::optional<Row>>(response, wire::RowFrom);
@@ -35,7 +34,7 @@
                                               Millis timeout) {
   BOOST_OUTCOME_TRY(
       response,
-      internal::SendRequest(
+      SendRequest(
           address_,
           {"GET", internal::WithQuery("/table/scan", "prefix", prefix), {}},
           timeout));
--- a/src/provider/http_usage_reports.cc
+++ b/src/provider/http_usage_reports.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "provider/internal/http_exchange.h"
+#include "provider/internal/platform_response.h"
 #include "provider/wire.h"
 
 namespace bamboomount {
@@ -11,8 +11,8 @@
                                       Millis timeout) {
   BOOST_OUTCOME_TRY(
       response,
-      internal::SendRequest(
-          address_, {"POST", "/usage", wire::ToJson(report).dump()}, timeout));
+      SendRequest(address_, {"POST", "/usage", wire::ToJson(report).dump()},
+                  timeout));
   if (response.status != 202)
     return internal::StatusError(response);
   return Success();
--- a/src/provider/internal/json_response.h
+++ b/src/provider/internal/json_response.h
@@ -3,14 +3,14 @@
 
 #include <nlohmann/json.hpp>
 
-#include "provider/internal/http_exchange.h"
+#include "provider/internal/platform_response.h"
 
 namespace bamboomount::internal {
 
 // Applies `convert` to the JSON body of a response with status 200 or 202. Any
 // other status and a malformed body result in an error.
 template <typename T, typename Convert>
-Result<T> ReadJson(const PlatformResponse& response, Convert convert) {
+Result<T> ReadJson(const ExchangeResponse& response, Convert convert) {
   if (response.status != 200 && response.status != 202)
     return StatusError(response);
   try {
--- a/src/provider/provider.h
+++ b/src/provider/provider.h
@@ -1,10 +1,12 @@
 // Public header of the provider library: interfaces to the platform's table
-// service, object store, orders, usage reports and instance list.
+// service, object store, orders, usage reports and instance list, and the
+// exchange of one request and response that they are built on.
 #ifndef PROVIDER_PROVIDER_H_
 #define PROVIDER_PROVIDER_H_
 
 #include "provider/backend_orders.h"
 #include "provider/http_backend_orders.h"
+#include "provider/http_exchange.h"
 #include "provider/http_instance_directory.h"
 #include "provider/http_object_store.h"
 #include "provider/http_table_store.h"
--- a/tests/provider/http_exchange_test.cc
+++ b/tests/provider/http_exchange_test.cc
@@ -1,4 +1,4 @@
-#include "provider/internal/http_exchange.h"
+#include "provider/http_exchange.h"
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -8,7 +8,7 @@
 #include "support/framing_examples.h"
 #include "support/reply_checks.h"
 
-namespace bamboomount::internal {
+namespace bamboomount {
 namespace {
 
 using support::CheckDelivered;
@@ -134,4 +134,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace bamboomount::internal
+}  // namespace bamboomount
--- a/tests/support/platform_process.cc
+++ b/tests/support/platform_process.cc
@@ -3,15 +3,14 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "provider/internal/http_exchange.h"
+#include "provider/http_exchange.h"
 
 namespace bamboomount::support {
 namespace {
 
-std::string Call(const std::string& address,
-                 const internal::PlatformRequest& call) {
+std::string Call(const std::string& address, const ExchangeRequest& call) {
   const auto response =
-      internal::SendRequest(address, call, ChildProcess::kDefaultDeadline);
+      SendRequest(address, call, ChildProcess::kDefaultDeadline);
   if (!response)
     throw std::runtime_error(response.error().message);
   if (response.value().status != 200)
