--- a/tests/entry/stream_continuation_test.cc
+++ b/tests/entry/stream_continuation_test.cc
@@ -3,11 +3,22 @@
 #include <vector>
 
 #include "entry_fixture/entry_fleet.h"
+#include "support/reply_examples.h"
 
 namespace bamboomount::entry_test {
 namespace {
 
 using support::HttpClient;
+using support::ReplyExample;
+using support::ReplyExamples;
+
+constexpr char kContinuationFields[] =
+    "X-Bamboomount-Request-Id: {id}\r\nX-Bamboomount-Response-Seal: s\r\n"
+    "Content-Type: text/event-stream\r\n";
+// Settings with which each stream may be continued.
+const nlohmann::json kUnlimitedRetries = {{"retry_slack", 1000}};
+constexpr char kRestOfStream[] =
+    "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
 
 struct Example {
   std::string name;
@@ -93,6 +104,60 @@
   }
 }
 
+// Answers in place of the rest of a stream.
+std::vector<ReplyExample> BrokenContinuations() {
+  const ReplyExamples examples(kContinuationFields, kRestOfStream);
+  std::vector<ReplyExample> all = examples.TruncatedHeads();
+  for (const auto& more :
+       {examples.InvalidStatuses(), examples.InvalidFields()})
+    all.insert(all.end(), more.begin(), more.end());
+  // The events before a broken trailer are sound.
+  std::erase_if(all, [](const ReplyExample& example) {
+    return example.name.ends_with("trailer");
+  });
+  return all;
+}
+
+// Guards against an answer with a broken head, or one that ends in its head,
+// that is taken for the rest of a stream.
+BOOST_AUTO_TEST_CASE(a_broken_head_of_the_next_server_is_no_continuation) {
+  Configure(1, DefaultCustomers());
+  BackendStandin& one = AddBackend("e-1");
+  BackendStandin& two = AddBackend("e-2");
+  EntryInstance& instance = AddInstance("i-1", kUnlimitedRetries);
+  instance.WaitUntilReady();
+  for (const ReplyExample& example : BrokenContinuations()) {
+    BOOST_TEST_CONTEXT(example.name) {
+      one.SetScript({example.bytes, true});
+      two.SetScript({example.bytes, true});
+      const int arrivals = one.ArrivalCount() + two.ArrivalCount();
+      const StreamOutcome outcome = ReadStream(instance);
+      BOOST_TEST(one.ArrivalCount() + two.ArrivalCount() == arrivals + 2);
+      BOOST_TEST(outcome.events.size() == 2U);
+      BOOST_TEST(!outcome.clean);
+    }
+  }
+}
+
+// Guards against checks that refuse a sound continuation.
+BOOST_AUTO_TEST_CASE(a_sound_continuation_completes_the_stream) {
+  Configure(1, DefaultCustomers());
+  BackendStandin& one = AddBackend("e-1");
+  BackendStandin& two = AddBackend("e-2");
+  EntryInstance& instance = AddInstance("i-1", kUnlimitedRetries);
+  instance.WaitUntilReady();
+  for (const ReplyExample& example :
+       ReplyExamples(kContinuationFields, kRestOfStream).SoundReplies()) {
+    BOOST_TEST_CONTEXT(example.name) {
+      one.SetScript({example.bytes, true});
+      two.SetScript({example.bytes, true});
+      const StreamOutcome outcome = ReadStream(instance);
+      BOOST_TEST(outcome.events.size() == 4U);
+      BOOST_TEST(outcome.clean);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/support/reply_examples.cc
+++ b/tests/support/reply_examples.cc
@@ -85,10 +85,8 @@
                                  "Transfer-Encoding : chunked",
                                  "Transfer-Encoding\x0b: chunked",
                                  "Connection : close",
-                                 "X-Odd: a\x01"
-                                 "b",
-                                 "X-Odd: a\x7f"
-                                 "b",
+                                 "X-Odd: a\001b",
+                                 "X-Odd: a\177b",
                                  "X-Odd: a\rb"}) {
     examples.push_back({line + " first", kOk + line + "\r\n" + fields_ +
                                              LengthField() + "\r\n" + body_});
