--- a/tests/entry/store_reply_test.cc
+++ b/tests/entry/store_reply_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "gateway/control/http_channel.h"
+#include "platform/platform.h"
 #include "support/endless_server.h"
 #include "support/reply_checks.h"
 
@@ -14,6 +15,7 @@
 using support::ConnectionEnd;
 using support::EndlessReply;
 using support::EndlessServer;
+using support::RawServer;
 using support::ReplyExamples;
 
 constexpr char kBody[] = R"({"rows":[],"schema_version":7})";
@@ -122,6 +124,38 @@
   }
 }
 
+// Guards against a commit that counts as not done after a status that does not
+// say so, as 204 or 302.
+BOOST_AUTO_TEST_CASE(only_refusals_say_that_a_commit_was_not_done) {
+  struct Example {
+    unsigned status;
+    RunVerdict verdict;
+  };
+  const Example examples[] = {
+      {202, RunVerdict::kMayHaveRun}, {204, RunVerdict::kMayHaveRun},
+      {302, RunVerdict::kMayHaveRun}, {500, RunVerdict::kMayHaveRun},
+      {504, RunVerdict::kMayHaveRun}, {400, RunVerdict::kNotRun},
+      {429, RunVerdict::kNotRun},     {503, RunVerdict::kNotRun},
+  };
+  for (const Example& example : examples) {
+    BOOST_TEST_CONTEXT(example.status) {
+      RawServer server("HTTP/1.1 " + std::to_string(example.status) +
+                       " X\r\n\r\n");
+      asio::io_context context;
+      HttpTableStore store(context, server.address());
+      std::optional<RunVerdict> verdict;
+      store.Commit(StoreTransaction(),
+                   [&](const Result<CommitResponse>& commit) {
+                     BOOST_REQUIRE(!commit.has_value());
+                     verdict = commit.error().verdict;
+                     context.stop();
+                   });
+      context.run();
+      BOOST_TEST((verdict == example.verdict));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
