--- a/fuzz/http_grammar.cc
+++ b/fuzz/http_grammar.cc
@@ -268,8 +268,8 @@
       "HTTP/1.1 20 OK\r\n"sv,     "HTTP/1.1 2000 OK\r\n"sv,
       "HTTP/1.1  200 OK\r\n"sv,   "HTTP/1.1 200\r\n"sv,
       "HTTP/1.1 200 O\nK\r\n"sv,  "HTTP/1.1 000 OK\r\n"sv,
-      "HTTP/2 200 OK\r\n"sv,      "HTTP/1.1 -20 OK\r\n"sv,
-      "\r\nHTTP/1.1 200 OK\r\n"sv};
+      "HTTP/1.1 600 OK\r\n"sv,    "HTTP/2 200 OK\r\n"sv,
+      "HTTP/1.1 -20 OK\r\n"sv,    "\r\nHTTP/1.1 200 OK\r\n"sv};
   GeneratedMessage message;
   std::string start(choices.Pick(kStarts));
   if (choices.OneIn(16)) {
--- a/fuzz/strict_http_reader.cc
+++ b/fuzz/strict_http_reader.cc
@@ -264,7 +264,7 @@
   if (line->size() < kStatusEnd || !IsVersion(line->substr(0, kVersionSize)) ||
       (*line)[kVersionSize] != ' ' ||
       !std::all_of(status.begin(), status.end(), IsDigit) ||
-      status.front() == '0' ||
+      status.front() == '0' || status.front() > '5' ||
       (line->size() > kStatusEnd && (*line)[kStatusEnd] != ' ') ||
       !IsText(*line))
     return message;
