--- a/tests/router/backend_call_test.cc
+++ b/tests/router/backend_call_test.cc
@@ -29,8 +29,10 @@
 // Larger than the buffers of the connection to a RawServer.
 constexpr std::size_t kUploadBytes = 16'777'216;
 
-// What a caller would get from the server at `address`.
+// What a caller would get from a server.
 struct Outcome {
+  // Whether the whole request was sent.
+  bool sent = false;
   std::optional<std::string> body;
   // Of the error, if there is no body.
   RunVerdict verdict = RunVerdict::kNotRun;
@@ -44,6 +46,7 @@
   const auto connected = co_await call.Connect(address, kTimeout);
   BOOST_TEST(connected.has_value());
   const auto sent = co_await call.Send(request, kTimeout);
+  outcome.sent = sent.has_value();
   if (!sent) {
     outcome.verdict = sent.error().verdict;
     co_return;
@@ -60,8 +63,7 @@
     outcome.verdict = body.error().verdict;
 }
 
-std::optional<std::string> BodyFrom(const std::string& address,
-                                    std::size_t upload_bytes) {
+Outcome CallWithBody(const std::string& address, std::size_t upload_bytes) {
   BackendRequest request(http::verb::post, "/", 11);
   request.body().assign(upload_bytes, 'x');
   request.prepare_payload();
@@ -74,15 +76,18 @@
   context.run();
   if (!outcome.body)
     BOOST_TEST((outcome.verdict == RunVerdict::kMayHaveRun));
-  return outcome.body;
+  return outcome;
 }
 
 std::optional<std::string> AnswerFrom(const std::string& address) {
-  return BodyFrom(address, 2);
+  const Outcome outcome = CallWithBody(address, 2);
+  BOOST_TEST(outcome.sent);
+  return outcome.body;
 }
 
+// The connection may end before the whole request is sent.
 std::optional<std::string> UploadAnswerFrom(const std::string& address) {
-  return BodyFrom(address, kUploadBytes);
+  return CallWithBody(address, kUploadBytes).body;
 }
 
 std::string HeadInChunks() {
