Test resets of continuations, early answers in every form, and odd parts of rows

- The 11 sound answers also arrive at the channel and in the daemon when they come before the whole request is written; handled already.

--- a/tests/entry/broken_reply_test.cc
+++ b/tests/entry/broken_reply_test.cc
@@ -148,6 +148,26 @@
   CheckNoAnswer(streams, UploadTo("/resume/stream"), ConnectionEnd::kReset);
 }
 
+// Guards against a part of a continuation that is passed on as the whole rest
+// of a stream, when its server resets the connection during the upload.
+BOOST_AUTO_TEST_CASE(a_continuation_that_is_reset_is_not_the_rest_of_a_stream) {
+  BackendStandin& first = AddBackend("e-1");
+  first.SetMode(BackendMode::kCutInEvent);
+  support::RawServer second(
+      HeadUntilClose("text/event-stream") + "id: 3\ndata: piece 3\n\n",
+      ConnectionEnd::kReset);
+  ClientRequest request = MakeRequest("POST", "/resume/stream");
+  request.body.assign(kUploadBytes, 'x');
+  // The instance chooses which server is first, once it knows both.
+  BOOST_TEST(WaitUntil([&] {
+    const int resets = second.request_count();
+    const ClientResponse response = AnswerOf(second.address(), request);
+    BOOST_TEST(!response.complete);
+    const bool first_began = response.body.find("piece 1") != std::string::npos;
+    return first_began && second.request_count() > resets;
+  }));
+}
+
 // Guards against an early answer that is lost because its server does not read
 // the rest of the request.
 BOOST_AUTO_TEST_CASE(a_whole_reply_during_the_upload_is_delivered) {
--- a/tests/entry/store_reply_test.cc
+++ b/tests/entry/store_reply_test.cc
@@ -91,6 +91,12 @@
                 ConnectionEnd::kReset);
 }
 
+// Guards against an early answer that is lost although its sender reads on.
+BOOST_AUTO_TEST_CASE(a_whole_response_during_the_call_is_delivered) {
+  CheckDelivered(ReplyExamples(kFields, kBody).SoundReplies(), kBody,
+                 UploadBody);
+}
+
 // Guards against an informational response that is taken for the answer, and
 // against checks that refuse sound answers.
 BOOST_AUTO_TEST_CASE(a_sound_response_is_delivered) {
@@ -156,6 +162,33 @@
   }
 }
 
+// Guards against rows of another part, or of one whose name is no text, that
+// are taken for rows of this program.
+BOOST_AUTO_TEST_CASE(only_rows_without_a_part_are_read) {
+  const std::string body =
+      R"({"schema_version":9,"now_ms":1,"rows":[)"
+      R"({"key":"a","part":"","value":"","schema_version":1},)"
+      R"({"key":"b","value":"","schema_version":2},)"
+      R"({"key":"c","part":"draft","value":"","schema_version":3},)"
+      R"({"key":"d","part":7,"value":"","schema_version":4},)"
+      R"({"key":"e","part":null,"value":"","schema_version":5},)"
+      R"({"key":"f","part":[],"value":"","schema_version":6},)"
+      R"({"key":"g","part":{},"value":"","schema_version":7}]})";
+  RawServer server("HTTP/1.1 200 OK\r\n\r\n" + body);
+  asio::io_context context;
+  HttpTableStore store(context, server.address());
+  std::string keys;
+  store.ReadChanges("servers", RowVersion(0), Millis(0),
+                    [&](const Result<RowsResponse>& read) {
+                      BOOST_REQUIRE(read.has_value());
+                      for (const TableRow& row : read.value().rows)
+                        keys += row.key;
+                      context.stop();
+                    });
+  context.run();
+  BOOST_TEST(keys == "ab");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/router/backend_call_test.cc
+++ b/tests/router/backend_call_test.cc
@@ -137,6 +137,12 @@
       UploadAnswerFrom, ConnectionEnd::kReset);
 }
 
+// Guards against an early answer that is lost although its server reads on.
+BOOST_AUTO_TEST_CASE(a_whole_response_during_the_upload_is_delivered) {
+  CheckDelivered(ReplyExamples(kFields, kBody).SoundReplies(), kBody,
+                 UploadAnswerFrom);
+}
+
 // Guards against an informational response that is taken for the answer, and
 // against checks that refuse sound answers.
 BOOST_AUTO_TEST_CASE(a_sound_response_is_delivered) {
