Let the stream of the reset continuation begin at a known server

The stream begins now while there is one server, which holds it, and the other one is listed before it breaks off.

--- a/tests/entry/broken_reply_test.cc
+++ b/tests/entry/broken_reply_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
@@ -38,6 +39,16 @@
   }
 
   const ReplyExamples& examples() const { return examples_; }
+  EntryInstance& instance() { return *instance_; }
+
+  // Whether the instance has read the row of the server.
+  bool HasListed(const std::string& id) {
+    const auto lines = instance_->LogLines();
+    return std::any_of(lines.begin(), lines.end(), [&](const json& line) {
+      return line.is_object() && line.value("name", "") == "backend_listed" &&
+             line.value("backend", "") == id;
+    });
+  }
 
   // What the caller of `request` gets when the server at `address` answers it.
   ClientResponse AnswerOf(const std::string& address,
@@ -152,20 +163,25 @@
 // of a stream, when its server resets the connection during the upload.
 BOOST_AUTO_TEST_CASE(a_continuation_that_is_reset_is_not_the_rest_of_a_stream) {
   BackendStandin& first = AddBackend("e-1");
-  first.SetMode(BackendMode::kCutInEvent);
+  first.SetMode(BackendMode::kHold);
+  instance().WaitUntilReady();
+  ClientRequest request = MakeRequest("POST", "/resume/stream");
+  request.body.assign(kUploadBytes, 'x');
+  support::HttpClient caller(instance().caller_address());
+  caller.Send(request);
+  BOOST_REQUIRE(
+      WaitUntil([&] { return first.ExecutedRequests().size() == 1U; }));
   support::RawServer second(
       HeadUntilClose("text/event-stream") + "id: 3\ndata: piece 3\n\n",
       ConnectionEnd::kReset);
-  ClientRequest request = MakeRequest("POST", "/resume/stream");
-  request.body.assign(kUploadBytes, 'x');
-  // The instance chooses which server is first, once it knows both.
-  BOOST_TEST(WaitUntil([&] {
-    const int resets = second.request_count();
-    const ClientResponse response = AnswerOf(second.address(), request);
-    BOOST_TEST(!response.complete);
-    const bool first_began = response.body.find("piece 1") != std::string::npos;
-    return first_began && second.request_count() > resets;
-  }));
+  store().Put("servers", "e-2", BackendRow(second.address()).dump());
+  BOOST_REQUIRE(WaitUntil([&] { return HasListed("e-2"); }));
+  // The first server breaks off in its third event; only the second is left.
+  first.SetMode(BackendMode::kCutInEvent);
+  const ClientResponse response = caller.ReadResponse();
+  BOOST_TEST(second.request_count() == 1);
+  BOOST_TEST(response.body.find("piece 2") != std::string::npos);
+  BOOST_TEST(!response.complete);
 }
 
 // Guards against an early answer that is lost because its server does not read
