Move the listener of the gateway's server into a module of its own

The listener knows its server by an interface, and gets its limits as options. No behaviour changes.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,14 +1,10 @@
 #include "gateway/gateway_server.h"
 
 #include <algorithm>
-#include <sstream>
-#include <stdexcept>
-#include <tuple>
 #include <utility>
 
 #include "gateway/admission_rules.h"
 #include "gateway/events.h"
-#include "gateway/forwarding/endpoint.h"
 #include "gateway/forwarding/exchange.h"
 #include "telemetry/log.h"
 
@@ -17,7 +13,6 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr Millis kMaintenanceInterval{250};
-constexpr int kListenBacklog = 512;
 // The most addresses in one response.
 constexpr std::size_t kMaxAddresses = 64;
 constexpr Millis kAddressLifetime{2000};
@@ -33,8 +28,6 @@
 // for a backend server.
 constexpr std::size_t kCallerDescriptorDivisor = 2;
 constexpr std::size_t kOtherDescriptorDivisor = 32;
-// Delay after an accept that failed, for example for lack of descriptors.
-constexpr Millis kAcceptRetryDelay{50};
 // At most one log line about memory in this time.
 constexpr Millis kMemoryReportInterval{5000};
 // Retry-After of requests that are refused during a shutdown. Short, because
@@ -90,164 +83,6 @@
 
 }  // namespace
 
-// One listening address and its connections.
-class GatewayServer::Listener : public CallerConnectionOwner {
- public:
-  using Handler =
-      std::function<void(IncomingRequest, std::shared_ptr<CallerReply>)>;
-
-  // Only requests on the listener for callers, which has the divisor
-  // kCallerDescriptorDivisor, are refused when memory is scarce. Probes and
-  // other instances must be answered under load.
-  Listener(GatewayServer& server,
-           const std::string& address,
-           Handler handler,
-           std::size_t descriptor_divisor = kOtherDescriptorDivisor)
-      : server_(server),
-        handler_(std::move(handler)),
-        serves_callers_(descriptor_divisor == kCallerDescriptorDivisor),
-        max_connections_(MaxConnections(server.dispatcher_.state().settings(),
-                                        descriptor_divisor)),
-        acceptor_(server.dispatcher_.context()),
-        retry_timer_(server.dispatcher_.context()) {
-    const auto endpoint = ParseIpEndpoint(address);
-    if (!endpoint)
-      throw std::runtime_error("invalid listen address, expected ip:port: " +
-                               address);
-    acceptor_.open(endpoint->protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(*endpoint);
-    acceptor_.listen(kListenBacklog);
-    Accept();
-  }
-
-  void OnRequest(IncomingRequest request,
-                 std::shared_ptr<CallerReply> reply) override {
-    handler_(std::move(request), std::move(reply));
-  }
-  CallerLimits limits() const override { return server_.limits(); }
-  bool shutting_down() const override { return server_.shutting_down(); }
-  std::shared_ptr<MemoryBudget> memory() override { return server_.memory_; }
-  bool refuses_requests() const override {
-    return serves_callers_ && server_.memory_->state() != MemoryState::kNormal;
-  }
-  void OnMemoryCharged() override { server_.OnMemoryCharged(); }
-  const std::list<std::shared_ptr<CallerConnection>>& connections() const {
-    return connections_;
-  }
-  void EraseClosed() {
-    connections_.remove_if(
-        [](const auto& connection) { return connection->closed(); });
-  }
-
-  void CheckTimeouts(Instant now) {
-    for (const auto& connection : connections_)
-      connection->CheckTimeouts(now);
-    EraseClosed();
-  }
-
-  void StopAccepting() {
-    if (!acceptor_.is_open())
-      return;
-    AcceptPendingConnections();
-    error_code ignored;
-    acceptor_.close(ignored);
-  }
-
-  void CloseIdle() {
-    for (const auto& connection : connections_)
-      connection->CloseIfIdle();
-  }
-
-  bool IsBusy() const {
-    return std::any_of(
-        connections_.begin(), connections_.end(), [](const auto& connection) {
-          return connection->busy() || connection->HasUnreadRequest();
-        });
-  }
-
-  // "ip:port" with the port that is actually bound.
-  std::string address() const {
-    std::ostringstream text;
-    text << acceptor_.local_endpoint();
-    return text.str();
-  }
-
- private:
-  void Accept() {
-    acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
-      // Also if the listener was closed after the accept.
-      if (!error)
-        StartConnection(std::move(socket));
-      if (!acceptor_.is_open())
-        return;
-      if (error)
-        AcceptLater();
-      else
-        Accept();
-    });
-  }
-
-  void AcceptLater() {
-    retry_timer_.expires_after(kAcceptRetryDelay);
-    retry_timer_.async_wait([this](const error_code& error) {
-      if (!error && acceptor_.is_open())
-        Accept();
-    });
-  }
-
-  // Accepts the connections that the kernel has completed. Closing the listener
-  // would reset them, although their callers may have sent a request.
-  void AcceptPendingConnections() {
-    error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-      tcp::socket socket(server_.dispatcher_.context());
-      acceptor_.accept(socket, error);
-      if (!error)
-        StartConnection(std::move(socket));
-    }
-  }
-
-  void StartConnection(tcp::socket socket) {
-    if (connections_.size() >= max_connections_ && !CloseOneConnection())
-      return;
-    connections_.push_back(
-        std::make_shared<CallerConnection>(std::move(socket), *this));
-    connections_.back()->Start();
-  }
-
-  // Closes the connection that matters least, to accept another one. Returns
-  // false if every caller waits for a backend server.
-  bool CloseOneConnection() {
-    EraseClosed();
-    if (connections_.size() < max_connections_)
-      return true;
-    const auto least = std::min_element(
-        connections_.begin(), connections_.end(),
-        [](const auto& a, const auto& b) {
-          const ConnectionLoad first = a->load();
-          const ConnectionLoad second = b->load();
-          return std::tuple(first.activity, first.last_progress) <
-                 std::tuple(second.activity, second.last_progress);
-        });
-    server_.CountClosedConnections("descriptors", 1);
-    if ((*least)->load().activity == ConnectionActivity::kWaitingForServer)
-      return false;
-    (*least)->Close();
-    connections_.erase(least);
-    return true;
-  }
-
-  GatewayServer& server_;
-  const Handler handler_;
-  const bool serves_callers_;
-  const std::size_t max_connections_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer retry_timer_;
-  std::list<std::shared_ptr<CallerConnection>> connections_;
-};
-
 GatewayServer::GatewayServer(Dispatcher& dispatcher,
                              const DiscoveryProtocol& discovery,
                              PeerRequestHandler peer_request_handler)
@@ -261,50 +96,58 @@
 
 GatewayServer::~GatewayServer() = default;
 
+ConnectionListener& GatewayServer::AddListener(
+    ConnectionListener::Options options,
+    ConnectionListener::Handler handler) {
+  ConnectionListenerOwner& owner = *this;
+  listeners_.push_back(std::make_unique<ConnectionListener>(
+      dispatcher_.context(), owner, std::move(options), std::move(handler)));
+  return *listeners_.back();
+}
+
 void GatewayServer::Listen() {
   const InstanceSettings& settings = dispatcher_.state().settings();
-  listeners_.push_back(std::make_unique<Listener>(
-      *this, settings.caller_address,
+  const std::size_t caller_connections =
+      MaxConnections(settings, kCallerDescriptorDivisor);
+  const std::size_t other_connections =
+      MaxConnections(settings, kOtherDescriptorDivisor);
+  caller_listener_ = &AddListener(
+      {settings.caller_address, caller_connections, true},
       [this](IncomingRequest request, std::shared_ptr<CallerReply> reply) {
         ServeCaller(std::move(request), std::move(reply));
-      },
-      kCallerDescriptorDivisor));
-  caller_listener_ = listeners_.back().get();
-  listeners_.push_back(std::make_unique<Listener>(
-      *this, settings.readiness_address,
-      [this](const IncomingRequest& request,
-             const std::shared_ptr<CallerReply>& reply) {
-        ServeReadiness(request, *reply);
-      }));
-  const std::string readiness = listeners_.back()->address();
-  listeners_.push_back(std::make_unique<Listener>(
-      *this, settings.directory_address,
-      [this](const IncomingRequest& request,
-             const std::shared_ptr<CallerReply>& reply) {
-        ServeAddresses(request, *reply);
-      }));
-  const std::string directory = listeners_.back()->address();
+      });
+  const ConnectionListener& readiness =
+      AddListener({settings.readiness_address, other_connections},
+                  [this](const IncomingRequest& request,
+                         const std::shared_ptr<CallerReply>& reply) {
+                    ServeReadiness(request, *reply);
+                  });
+  const ConnectionListener& directory =
+      AddListener({settings.directory_address, other_connections},
+                  [this](const IncomingRequest& request,
+                         const std::shared_ptr<CallerReply>& reply) {
+                    ServeAddresses(request, *reply);
+                  });
   if (!settings.peer_address.empty()) {
-    listeners_.push_back(std::make_unique<Listener>(
-        *this, settings.peer_address,
-        [this](const IncomingRequest& request,
-               const std::shared_ptr<CallerReply>& reply) {
-          ServePeer(request, *reply);
-        }));
-    dispatcher_.state().SetPeerAddress(listeners_.back()->address());
+    const ConnectionListener& peers =
+        AddListener({settings.peer_address, other_connections},
+                    [this](const IncomingRequest& request,
+                           const std::shared_ptr<CallerReply>& reply) {
+                      ServePeer(request, *reply);
+                    });
+    dispatcher_.state().SetPeerAddress(peers.address());
   }
   if (!settings.metrics_address.empty()) {
-    listeners_.push_back(std::make_unique<Listener>(
-        *this, settings.metrics_address,
-        [this](const IncomingRequest&,
-               const std::shared_ptr<CallerReply>& reply) {
-          ServeMetrics(*reply);
-        }));
+    AddListener({settings.metrics_address, other_connections},
+                [this](const IncomingRequest&,
+                       const std::shared_ptr<CallerReply>& reply) {
+                  ServeMetrics(*reply);
+                });
   }
   dispatcher_.state().SetCallerAddress(caller_listener_->address());
   Log(gateway_events::kStarted, {{"callers", caller_listener_->address()},
-                                 {"readiness", readiness},
-                                 {"directory", directory},
+                                 {"readiness", readiness.address()},
+                                 {"directory", directory.address()},
                                  {"zone", settings.zone.value()}});
   RunMaintenance();
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -2,13 +2,12 @@
 #define GATEWAY_GATEWAY_SERVER_H_
 
 #include <functional>
-#include <list>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "gateway/connection_listener.h"
 #include "gateway/discovery_protocol.h"
-#include "gateway/forwarding/caller_connection.h"
 #include "gateway/forwarding/dispatcher.h"
 #include "gateway/shutdown_schedule.h"
 
@@ -17,7 +16,7 @@
 // Serves callers, address queries, readiness probes, other instances and the
 // readers of metrics, each on an address of its own. Runs on the thread of the
 // io_context and is not thread-safe.
-class GatewayServer {
+class GatewayServer : private ConnectionListenerOwner {
  public:
   // Handles a row request of another instance, given the request target; empty
   // if the target is not a row request.
@@ -28,7 +27,7 @@
   GatewayServer(Dispatcher& dispatcher,
                 const DiscoveryProtocol& discovery,
                 PeerRequestHandler peer_request_handler);
-  ~GatewayServer();
+  ~GatewayServer() override;
   GatewayServer(const GatewayServer&) = delete;
   GatewayServer& operator=(const GatewayServer&) = delete;
 
@@ -41,11 +40,11 @@
   // When the stop deadline is near, those in progress get their final answers,
   // which is a failure or the end of the connection, and `done` is called.
   void BeginShutdown(std::function<void()> done);
-  bool shutting_down() const { return shutdown_started_.has_value(); }
+  bool shutting_down() const override { return shutdown_started_.has_value(); }
 
  private:
-  class Listener;
-
+  ConnectionListener& AddListener(ConnectionListener::Options options,
+                                  ConnectionListener::Handler handler);
   void RunMaintenance();
   void ServeCaller(IncomingRequest request, std::shared_ptr<CallerReply> reply);
   void ServeReadiness(const IncomingRequest& request, CallerReply& reply);
@@ -53,22 +52,23 @@
   void ServePeer(const IncomingRequest& request, CallerReply& reply);
   void ServeMetrics(CallerReply& reply);
   // Soon closes connections if memory is exhausted.
-  void OnMemoryCharged();
+  void OnMemoryCharged() override;
   void RelieveMemory();
   void ReportMemory(Instant now);
-  void CountClosedConnections(const char* cause, std::size_t count);
+  void CountClosedConnections(const char* cause, std::size_t count) override;
   void ContinueShutdown(Instant now);
   // Gives the requests of callers in progress their final answers.
   void EndRequests();
   ShutdownSchedule Schedule() const;
-  CallerLimits limits() const;
+  CallerLimits limits() const override;
+  std::shared_ptr<MemoryBudget> memory() override { return memory_; }
 
   Dispatcher& dispatcher_;
   const DiscoveryProtocol& discovery_;
   const PeerRequestHandler peer_request_handler_;
   const std::shared_ptr<MemoryBudget> memory_;
-  std::vector<std::unique_ptr<Listener>> listeners_;
-  Listener* caller_listener_ = nullptr;
+  std::vector<std::unique_ptr<ConnectionListener>> listeners_;
+  ConnectionListener* caller_listener_ = nullptr;
   asio::steady_timer maintenance_timer_;
   bool relief_scheduled_ = false;
   MemoryState reported_state_ = MemoryState::kNormal;
