--- a/tests/entry/broken_reply_test.cc
+++ b/tests/entry/broken_reply_test.cc
@@ -116,7 +116,7 @@
 
 // Guards against a head in which a field's name holds a blank or a control
 // byte: the line was passed on, or hid the length of the body.
-BOOST_AUTO_TEST_CASE(a_reply_with_an_invalid_field_name_is_no_answer) {
+BOOST_AUTO_TEST_CASE(a_reply_with_an_invalid_field_is_no_answer) {
   CheckNoAnswer(examples().InvalidFields(), Booking());
 }
 
--- a/tests/entry/store_reply_test.cc
+++ b/tests/entry/store_reply_test.cc
@@ -74,7 +74,7 @@
 
 // Guards against a body that is not the store's, behind a field whose name
 // holds a blank or a control byte.
-BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_is_no_answer) {
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_is_no_answer) {
   CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), CommitBody);
 }
 
--- a/tests/provider/http_exchange_test.cc
+++ b/tests/provider/http_exchange_test.cc
@@ -68,7 +68,7 @@
 
 // Guards against a body that is not the platform's, behind a field whose name
 // holds a blank or a control byte.
-BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_fails) {
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_fails) {
   CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), AnswerFrom);
 }
 
--- a/tests/router/backend_call_test.cc
+++ b/tests/router/backend_call_test.cc
@@ -118,7 +118,7 @@
 
 // Guards against a head in which a field's name holds a blank or a control
 // byte: the line hid the length of the body.
-BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_name_fails) {
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_fails) {
   CheckNoAnswer(ReplyExamples(kFields, kBody).InvalidFields(), AnswerFrom);
 }
 
