Add the interface and the memory of stream origins

ORDER: a stream may go on only at the software version that began it. Nothing uses them yet; their tests come with their use.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -11,6 +11,8 @@
 using RegionId = StrongId<struct RegionIdTag>;
 using CustomerId = StrongId<struct CustomerIdTag>;
 using BackendId = StrongId<struct BackendIdTag>;
+// A version of the software that a backend server runs. Versions have no order.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 // A group of backend servers of one model or one plain service.
 using PoolId = StrongId<struct PoolIdTag>;
 // A group of at most cell_size backend servers of one pool and region that
--- /dev/null
+++ b/src/gateway/streams/pool_version_history.h
@@ -0,0 +1,41 @@
+#ifndef GATEWAY_STREAMS_POOL_VERSION_HISTORY_H_
+#define GATEWAY_STREAMS_POOL_VERSION_HISTORY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "gateway/boot_clock.h"
+#include "gateway/membership/backend_server.h"
+
+namespace bamboomount {
+
+// Which software versions the backend servers of each pool have had lately, as
+// far as this instance has seen without a gap. Not thread-safe.
+class PoolVersionHistory {
+ public:
+  // The software versions of the servers that are listed, by pool.
+  using ListedVersions = std::map<PoolId, std::set<SoftwareVersion>>;
+
+  // Records the servers that are listed from now on. Called after each change
+  // of the list.
+  void SetListed(ListedVersions listed, Instant now);
+  // Records that nothing is known of the time before `now`: the list of servers
+  // has been read anew, after a start or a gap in its changes.
+  void RecordGap(Instant now);
+  // The version at which every stream of the pool that may still be resumed has
+  // begun. Empty if there may have been several, or if the history does not
+  // reach back far enough.
+  std::optional<SoftwareVersion> OnlyVersion(const PoolId& pool,
+                                             Instant now) const;
+
+ private:
+  std::optional<Instant> complete_since_;
+  ListedVersions listed_;
+  // When the last server of a version that is no longer listed left the list.
+  std::map<PoolId, std::map<SoftwareVersion, Instant>> left_at_;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_STREAMS_POOL_VERSION_HISTORY_H_
