Pass the store's era on with each response

Cause: the store states in each response the number of its present history, which rises when it comes back from an older copy. Nothing read it, so versions of two histories were compared with each other. Nothing uses the era yet.

--- a/src/base/units.h
+++ b/src/base/units.h
@@ -44,6 +44,10 @@
 using Tier = StrongCount<struct TierTag, std::int32_t>;
 // Incremented by each write of a row; 0 means that the row is missing.
 using RowVersion = StrongCount<struct RowVersionTag, std::uint64_t>;
+// Number of the store's present history. It rises by one each time that the
+// store comes back from an older copy, and versions are given out again; 0 if
+// the store states none.
+using StoreEra = StrongCount<struct StoreEraTag, std::uint64_t>;
 // Position in the change log; 0 means an empty log.
 using ChangeSequence = StrongCount<struct ChangeSequenceTag, std::uint64_t>;
 // Version of the service configuration; 0 means none.
--- a/src/gateway/control/async_table_store.h
+++ b/src/gateway/control/async_table_store.h
@@ -29,6 +29,8 @@
   Millis store_time{0};
   // The response reflects all changes up to this version.
   RowVersion position;
+  // Versions of different eras can't be compared.
+  StoreEra era = StoreEra(0);
 };
 
 struct RowsResponse {
--- a/src/gateway/control/http_channel.cc
+++ b/src/gateway/control/http_channel.cc
@@ -211,6 +211,7 @@
     timer_.cancel();
     keep_alive_ = parser_->get().keep_alive();
     response_.status = parser_->get().result_int();
+    response_.fields = parser_->get();
     response_.body = std::move(parser_->get().body());
     // Keeps the connection alive during the callback, which may drop the other
     // references to it.
--- a/src/gateway/control/http_channel.h
+++ b/src/gateway/control/http_channel.h
@@ -32,6 +32,7 @@
 struct HttpResponse {
   // HTTP status code; 0 if no response was received.
   unsigned status = 0;
+  http::fields fields;
   std::string body;
   // When the request was sent.
   Instant sent;
--- a/tests/entry_fixture/store_standin.cc
+++ b/tests/entry_fixture/store_standin.cc
@@ -1,6 +1,7 @@
 #include "entry_fixture/store_standin.h"
 
 #include <algorithm>
+#include <array>
 
 #include "platform/base64.h"
 
@@ -12,13 +13,8 @@
 using standin::HttpRequest;
 
 constexpr std::int64_t kPollMs = 5;
-
-HttpReply JsonReply(int status, const json& body) {
-  HttpReply reply;
-  reply.status = status;
-  reply.body = body.dump();
-  return reply;
-}
+// Tables that the operator and the backend servers write.
+constexpr std::array kForeignTables = {"op", "servers"};
 
 }  // namespace
 
@@ -72,6 +68,26 @@
   server_.Run([&] { oldest_change_ = ++version_; });
 }
 
+void StoreStandin::TakeCopy() {
+  server_.Run([&] { copy_ = {rows_, version_}; });
+}
+
+void StoreStandin::RestoreCopy() {
+  server_.Run([&] {
+    const std::map<Key, Row> lost = std::move(rows_);
+    rows_ = copy_.rows;
+    version_ = copy_.version;
+    ++era_;
+    for (const auto& [key, row] : lost) {
+      const bool foreign =
+          std::find(kForeignTables.begin(), kForeignTables.end(), key.first) !=
+          kForeignTables.end();
+      if (foreign && row.version > copy_.version)
+        Write(key, row.value, row.deleted);
+    }
+  });
+}
+
 std::map<std::int64_t, json> StoreStandin::LatestUsageCounts() {
   std::map<std::int64_t, json> counts;
   for (const UsageReport& report : UsageReports())
@@ -87,6 +103,18 @@
   return server_.Run([&] { return call_count_; });
 }
 
+HttpReply StoreStandin::JsonReply(int status, const json& body) const {
+  HttpReply reply;
+  reply.status = status;
+  reply.headers = {{"Store-Era", std::to_string(era_)}};
+  reply.body = body.dump();
+  return reply;
+}
+
+bool StoreStandin::LacksHistorySince(std::uint64_t version) const {
+  return version < oldest_change_ || version > version_;
+}
+
 boost::asio::awaitable<void> StoreStandin::Handle(standin::Exchange& exchange) {
   ++call_count_;
   if (mode_ == StoreMode::kRefusing) {
@@ -135,7 +163,7 @@
       exchange.Close(true);
       co_return;
     }
-    if (after < oldest_change_) {
+    if (LacksHistorySince(after)) {
       const HttpReply gone = JsonReply(410, json::object());
       co_await exchange.Reply(gone);
       co_return;
--- a/tests/entry_fixture/store_standin.h
+++ b/tests/entry_fixture/store_standin.h
@@ -62,6 +62,14 @@
   void LoseCommitResponses(int count);
   // Drops the change history: reads of changes from an earlier version get 410.
   void DiscardHistory();
+  // Keeps a copy of all rows and of the version counter.
+  void TakeCopy();
+  // Comes back from the copy, as the platform's store does after a drill: what
+  // instances have written since is gone, versions are given out again, reads
+  // of changes from a version that was not given out yet get 410, and the era
+  // in each response rises by one. The operator and the backend servers write
+  // their present rows again.
+  void RestoreCopy();
   // Number of calls received.
   int calls();
   // Accepted usage reports, in order.
@@ -79,7 +87,16 @@
     bool deleted = false;
   };
 
+  struct Copy {
+    std::map<Key, Row> rows;
+    std::uint64_t version = 0;
+  };
+
   boost::asio::awaitable<void> Handle(standin::Exchange& exchange);
+  // A reply with the era, as all replies have it.
+  standin::HttpReply JsonReply(int status, const nlohmann::json& body) const;
+  // Whether the store cannot tell what has changed after the version.
+  bool LacksHistorySince(std::uint64_t version) const;
   boost::asio::awaitable<void> ReadChanges(standin::Exchange& exchange);
   standin::HttpReply ReadTable(const standin::HttpRequest& request);
   standin::HttpReply Commit(const standin::HttpRequest& request);
@@ -92,6 +109,8 @@
   std::map<Key, Row> rows_;
   std::uint64_t version_ = 1;
   std::uint64_t oldest_change_ = 0;
+  Copy copy_;
+  std::uint64_t era_ = 0;
   StoreMode mode_ = StoreMode::kUp;
   int commit_responses_to_lose_ = 0;
   int call_count_ = 0;
