--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -55,7 +55,7 @@
 }
 
 RawServer::RawServer(std::string reply, ConnectionEnd end)
-    : reply_(std::move(reply)),
+    : replies_({std::move(reply)}),
       end_(end),
       acceptor_(OpenAcceptor(context_)),
       thread_([this] { Run(); }) {}
@@ -77,8 +77,20 @@
 }
 
 void RawServer::SetReply(std::string reply) {
+  SetReplies({std::move(reply)});
+}
+
+void RawServer::SetReplies(std::deque<std::string> replies) {
+  const std::lock_guard lock(mutex_);
+  replies_ = std::move(replies);
+}
+
+std::string RawServer::TakeReply() {
   const std::lock_guard lock(mutex_);
-  reply_ = std::move(reply);
+  std::string reply = replies_.front();
+  if (replies_.size() > 1)
+    replies_.pop_front();
+  return reply;
 }
 
 void RawServer::Run() {
@@ -97,11 +109,7 @@
   asio::read_until(socket, request, "\r\n\r\n", error);
   if (error)
     return;
-  std::string reply;
-  {
-    const std::lock_guard lock(mutex_);
-    reply = WithRequestId(reply_, RequestIdOf(request));
-  }
+  const std::string reply = WithRequestId(TakeReply(), RequestIdOf(request));
   ++request_count_;
   asio::write(socket, asio::buffer(reply), error);
   if (end_ != ConnectionEnd::kReset)
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/streambuf.hpp>
+#include <deque>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -28,10 +29,9 @@
   kOrderlyThenReset,
 };
 
-// A server that answers the first request of each connection with the same
-// bytes as soon as the head of the request has arrived, and ends the
-// connection. In the bytes, "{id}" stands for the id of the request, see
-// RequestIdOf().
+// A server that answers the first request of each connection with fixed bytes
+// as soon as the head of the request has arrived, and ends the connection. In
+// the bytes, "{id}" stands for the id of the request, see RequestIdOf().
 class RawServer {
  public:
   // Listens on a free port of the loopback interface.
@@ -43,6 +43,8 @@
 
   // Answers the requests to come with other bytes.
   void SetReply(std::string reply);
+  // Answers the requests to come with these, and after them with the last one.
+  void SetReplies(std::deque<std::string> replies);
   // "ip:port".
   std::string address() const;
   // Number of requests answered so far.
@@ -51,9 +53,10 @@
  private:
   void Run();
   void Serve(boost::asio::ip::tcp::socket socket);
+  std::string TakeReply();
 
   std::mutex mutex_;
-  std::string reply_;
+  std::deque<std::string> replies_;
   const ConnectionEnd end_;
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
