Take fencing tokens from the store's era and version, not from the row

Cause: the next token was the one in the lease's row plus one, or 1 without a row. A store that comes back from an older copy has lost the newest rows, so a token was given out again. From the copy a former holder also found its own row and went on with its old token, a takeover counted its wait from a read before the restore or left it out, and a claim could meet a version that was given out again. Change: the token is the era and, below it, the store's version at the read before the first claim. A tenure ends with its era, outcomes of another era prove nothing, and a takeover waits for the whole lease in each era. A token that is not above all that are known begins no tenure. duty_lease_taken names the claim, the row's version, the era and whether the row shows the last tenure; store_restored is new.

--- a/src/gateway/control/duty_lease_manager.cc
+++ b/src/gateway/control/duty_lease_manager.cc
@@ -68,8 +68,8 @@
     if (!response)
       return;
     const Instant now = BootClock::now();
-    std::optional<DutyLeaseRow> row;
-    RowVersion version;
+    const StoreResponseInfo& info = response.value().info;
+    LeaseSnapshot snapshot{std::nullopt, RowVersion(), info.position, info.era};
     for (const TableRow& listed : response.value().rows) {
       auto decoded = DecodeLeaseRow(listed.value);
       if (!decoded) {
@@ -77,10 +77,11 @@
             {{"row", listed.key}, {"cause", decoded.error().message}});
         return;
       }
-      row = std::move(decoded.value());
-      version = listed.version;
+      snapshot.row = std::move(decoded.value());
+      snapshot.version = listed.version;
     }
-    lease_.ObserveRow(row, version, now);
+    LogIfRestored(info);
+    lease_.ObserveRow(snapshot, now);
     // A statement of the holder may have arrived during the read.
     if (leaving_ || !MayTakeOver(now))
       return;
@@ -89,6 +90,16 @@
   });
 }
 
+void DutyLeaseManager::LogIfRestored(const StoreResponseInfo& info) {
+  if (lease_.era() != StoreEra() && info.era > lease_.era())
+    Log(gateway_events::kStoreRestored,
+        {{"era", std::to_string(info.era.value())},
+         {"era_before", std::to_string(lease_.era().value())},
+         {"version", std::to_string(info.position.value())},
+         {"version_before", std::to_string(newest_version_.value())}});
+  newest_version_ = info.position;
+}
+
 void DutyLeaseManager::CommitClaim(const DutyLease::Claim& claim) {
   const Instant now = BootClock::now();
   StoreTransaction transaction;
@@ -108,24 +119,42 @@
                                    const Result<CommitResponse>& response) {
   const Instant now = BootClock::now();
   state_.RecordCommitResult(response);
+  if (response)
+    LogIfRestored(response.value().info);
   if (response && response.value().committed)
-    lease_.OnCommitted(claim, response.value().info.position, sent);
+    lease_.OnCommitted(claim, response.value().info.position,
+                       response.value().info.era, sent);
   else if (response)
-    lease_.OnConflict(claim);
+    lease_.OnConflict(claim, response.value().info.era);
   else if (response.error().verdict == RunVerdict::kMayHaveRun)
     lease_.OnOutcomeUnknown(claim, sent);
   const bool holds = lease_.HoldsFor(Millis(0), now);
-  if (holds != held_) {
-    held_ = holds;
-    Log(holds ? gateway_events::kLeaseTaken : gateway_events::kLeaseLost,
-        {{"token", std::to_string(claim.row.token.value())}});
-    if (holds)
-      callbacks_.on_taken();
-  }
+  RecordTenure(holds ? lease_.token() : FencingToken(), claim);
   if (holds)
     callbacks_.on_held(lease_, now);
 }
 
+void DutyLeaseManager::RecordTenure(FencingToken token,
+                                    const DutyLease::Claim& claim) {
+  if (token == tenure_)
+    return;
+  const FencingToken last = std::exchange(tenure_, token);
+  if (last != FencingToken())
+    Log(gateway_events::kLeaseLost,
+        {{"token", std::to_string(last.value())},
+         {"claim", std::to_string(claim.row.claim)},
+         {"era", std::to_string(lease_.era().value())}});
+  if (token == FencingToken())
+    return;
+  Log(gateway_events::kLeaseTaken,
+      {{"token", std::to_string(token.value())},
+       {"claim", std::to_string(claim.row.claim)},
+       {"row_before", std::to_string(claim.expected.value())},
+       {"era", std::to_string(lease_.era().value())},
+       {"history_lost", claim.history_lost ? "yes" : "no"}});
+  callbacks_.on_taken();
+}
+
 std::optional<HolderStatement> DutyLeaseManager::LatestHolderStatement(
     Instant now) const {
   const FencingToken held = HeldToken(now);
@@ -148,6 +177,7 @@
   // Other instances relay this instance's own statements back to it.
   if (statement.holder == state_.settings().instance)
     return;
+  lease_.ObserveToken(statement.token);
   const Instant stated_at = now - statement.age;
   const bool newer = !last_received_ ||
                      statement.token > last_received_->statement.token ||
--- a/src/gateway/control/duty_lease_manager.h
+++ b/src/gateway/control/duty_lease_manager.h
@@ -59,10 +59,15 @@
   bool MayTakeOver(Instant now) const;
   bool IsHolderAlive(Instant now) const;
   void ReadRow();
+  // Logs that the store has come back from an older copy, if it has.
+  void LogIfRestored(const StoreResponseInfo& info);
   void CommitClaim(const DutyLease::Claim& claim);
   void OnCommitted(const DutyLease::Claim& claim,
                    Instant sent,
                    const Result<CommitResponse>& response);
+  // Logs and announces that the lease was acquired or lost, if it was. `claim`
+  // is the one whose outcome shows it.
+  void RecordTenure(FencingToken token, const DutyLease::Claim& claim);
 
   struct ReceivedStatement {
     HolderStatement statement;
@@ -73,7 +78,11 @@
   GatewayState& state_;
   const Callbacks callbacks_;
   DutyLease lease_;
-  bool held_ = false;
+  // The store's newest version in the last response about the row.
+  RowVersion newest_version_;
+  // The token with which this instance last acted; 0 if it has lost the lease
+  // since.
+  FencingToken tenure_;
   bool leaving_ = false;
   bool call_in_flight_ = false;
   Instant next_call_at_;
--- a/src/gateway/duties/duty_lease.cc
+++ b/src/gateway/duties/duty_lease.cc
@@ -5,22 +5,41 @@
 #include <utility>
 
 namespace bamboomount {
+namespace {
+
+// Bits of a fencing token that hold the store's version; the era is above them.
+constexpr unsigned kVersionBits = 40;
+
+// Later tenures of an era follow a read of a later version, because the first
+// claim of each tenure writes the row.
+FencingToken TokenAfter(const LeaseSnapshot& snapshot) {
+  const RowVersion newest = std::max(snapshot.position, snapshot.version);
+  return FencingToken((snapshot.era.value() << kVersionBits) + newest.value() +
+                      1);
+}
+
+}  // namespace
 
 std::string EncodeLeaseRow(const DutyLeaseRow& row) {
   return nlohmann::json{{"holder", row.holder.value()},
                         {"incarnation", row.incarnation.value()},
                         {"token", row.token.value()},
-                        {"claim", row.claim}}
+                        {"claim", row.claim},
+                        {"era", row.era.value()},
+                        {"sealed_through", row.sealed_through.value()}}
       .dump();
 }
 
 Result<DutyLeaseRow> DecodeLeaseRow(const std::string& text) {
   try {
     const auto json = nlohmann::json::parse(text);
-    return DutyLeaseRow{InstanceId(json.at("holder").get<std::string>()),
-                        Incarnation(json.at("incarnation").get<std::string>()),
-                        FencingToken(json.at("token").get<std::uint64_t>()),
-                        json.at("claim").get<std::uint64_t>()};
+    return DutyLeaseRow{
+        InstanceId(json.at("holder").get<std::string>()),
+        Incarnation(json.at("incarnation").get<std::string>()),
+        FencingToken(json.at("token").get<std::uint64_t>()),
+        json.at("claim").get<std::uint64_t>(),
+        StoreEra(json.value("era", std::uint64_t{0})),
+        WindowNumber(json.value("sealed_through", std::int64_t{0}))};
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
                  RunVerdict::kNotRun,
@@ -36,55 +55,96 @@
       incarnation_(std::move(incarnation)),
       duration_(duration) {}
 
-void DutyLease::ObserveRow(const std::optional<DutyLeaseRow>& row,
-                           RowVersion version,
-                           Instant now) {
-  if (!observed_ || version != observed_version_)
+bool DutyLease::EnterEra(StoreEra era) {
+  if (era < era_)
+    return false;
+  if (era > era_) {
+    era_ = era;
+    held_.reset();
+    observed_.reset();
+    unresolved_claims_.clear();
+  }
+  return true;
+}
+
+void DutyLease::ObserveToken(FencingToken token) {
+  newest_token_ = std::max(newest_token_, token);
+  if (held_ && held_->token < newest_token_)
+    held_.reset();
+}
+
+void DutyLease::ObserveRow(const LeaseSnapshot& snapshot, Instant now) {
+  if (!EnterEra(snapshot.era))
+    return;
+  if (!observed_ || snapshot.version != observed_->version)
     observed_since_ = now;
-  observed_ = true;
-  observed_row_ = row;
-  observed_version_ = version;
-  if (!row || row->incarnation != incarnation_) {
+  observed_ = snapshot;
+  if (snapshot.row)
+    ObserveToken(snapshot.row->token);
+  if (!snapshot.row || snapshot.row->incarnation != incarnation_) {
     held_.reset();
     return;
   }
-  if (held_ && held_->version >= version)
+  if (held_ && held_->version >= snapshot.version)
     return;
-  // A claim whose outcome was unknown has been written.
-  std::optional<Instant> sent;
-  for (const UnresolvedClaim& claim : unresolved_claims_) {
-    if (claim.row == *row)
-      sent = claim.sent;
-  }
-  SetHeldRow(*row, version, sent);
+  // A claim whose outcome was unknown may have been written. Any other row of
+  // this incarnation comes from an older copy of the store.
+  const auto written = std::find_if(
+      unresolved_claims_.begin(), unresolved_claims_.end(),
+      [&](const UnresolvedClaim& claim) { return claim.row == *snapshot.row; });
+  if (written == unresolved_claims_.end())
+    held_.reset();
+  else
+    SetHeldRow(DutyLeaseRow(written->row), snapshot.version, written->sent);
 }
 
 std::optional<DutyLease::Claim> DutyLease::NextClaim(Instant now) {
-  if (held_) {
-    return Claim{held_->version,
-                 {instance_, incarnation_, held_->token, ++last_claim_}};
-  }
+  if (!held_)
+    return NextTakeover(now);
+  return Claim{held_->version,
+               {instance_, incarnation_, held_->token, ++last_claim_, era_,
+                held_->sealed_through}};
+}
+
+bool DutyLease::MayHaveLostTenures() const {
+  return era_ != StoreEra() || newest_token_ != FencingToken();
+}
+
+std::optional<DutyLease::Claim> DutyLease::NextTakeover(Instant now) {
   if (!observed_)
     return std::nullopt;
-  if (!observed_row_)
-    return Claim{observed_version_,
-                 {instance_, incarnation_, FencingToken(1), ++last_claim_}};
-  if (now - observed_since_ < duration_ + kTakeoverMargin)
+  const bool may_be_held = observed_->row || MayHaveLostTenures();
+  if (may_be_held && now - observed_since_ < duration_ + kTakeoverMargin)
     return std::nullopt;
-  const FencingToken next = observed_row_->token + FencingToken(1);
-  return Claim{observed_version_,
-               {instance_, incarnation_, next, ++last_claim_}};
+  const FencingToken token = TokenAfter(*observed_);
+  if (token <= newest_token_)
+    return std::nullopt;
+  const bool history_lost =
+      observed_->row ? observed_->row->era != era_ : MayHaveLostTenures();
+  const WindowNumber sealed_through =
+      observed_->row ? observed_->row->sealed_through : WindowNumber();
+  return Claim{
+      observed_->version,
+      {instance_, incarnation_, token, ++last_claim_, era_, sealed_through},
+      history_lost};
 }
 
 void DutyLease::OnCommitted(const Claim& claim,
                             RowVersion version,
+                            StoreEra era,
                             Instant sent) {
+  // A claim that was made for one era and written in another proves nothing:
+  // its condition named a version that was given out again.
+  if (!EnterEra(era) || claim.row.era != era_)
+    return;
   if (held_ && held_->version >= version)
     return;
   SetHeldRow(claim.row, version, sent);
 }
 
-void DutyLease::OnConflict(const Claim& claim) {
+void DutyLease::OnConflict(const Claim& claim, StoreEra era) {
+  if (!EnterEra(era))
+    return;
   // Either another instance holds the lease, or an earlier claim of this
   // instance was written after all. The next read of the row shows which.
   if (held_ && held_->version == claim.expected)
@@ -92,7 +152,8 @@
 }
 
 void DutyLease::OnOutcomeUnknown(const Claim& claim, Instant sent) {
-  unresolved_claims_.push_back({claim.row, sent});
+  if (claim.row.era == era_)
+    unresolved_claims_.push_back({claim.row, sent});
 }
 
 bool DutyLease::HoldsFor(Millis remaining, Instant now) const {
@@ -103,9 +164,9 @@
 void DutyLease::SetHeldRow(const DutyLeaseRow& row,
                            RowVersion version,
                            std::optional<Instant> sent) {
-  held_ = Held{row.token, version, sent};
-  observed_row_ = row;
-  observed_version_ = version;
+  held_ = Held{row.token, version, row.sealed_through, sent};
+  observed_ = LeaseSnapshot{row, version, version, era_};
+  ObserveToken(row.token);
   // Claims older than this row can no longer be written, since their condition
   // no longer holds.
   std::erase_if(unresolved_claims_, [&row](const UnresolvedClaim& claim) {
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -140,21 +140,26 @@
 inline constexpr LogEvent kOrderFailed{
     7045, Severity::kWarning, "order_failed",
     "An order for backend servers failed; other zones are tried."};
+inline constexpr LogEvent kStoreRestored{
+    7046, Severity::kWarning, "store_restored",
+    "The store came back from an older copy; what instances wrote since the "
+    "copy is gone. The duty lease is acquired anew, with a higher token."};
 inline constexpr LogEvent kMemoryStateChanged{
     7060, Severity::kWarning, "caller_memory_state_changed",
     "The memory that callers make the process hold became scarce (new requests "
     "are refused), exhausted (connections are closed) or normal again."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,         kStopRequested,  kStopped,          kSettingsReloaded,
-    kSettingsRefused, kConfigApplied,  kConfigUnreadable, kStoreLost,
-    kStoreRegained,   kHistoryLost,    kStorePollFailed,  kEvacuationBegan,
-    kEvacuationEnded, kBackendListed,  kBackendGone,      kBackendUnreadable,
-    kBackendLeaving,  kBackendPaused,  kMemberUnreadable, kMemberListed,
-    kMemberGone,      kPeerRowsFailed, kRequestPlaced,    kRequestRefused,
-    kAttemptFailed,   kRequestEnded,   kPoisonPartFound,  kLeaseTaken,
-    kLeaseLost,       kUsageReported,  kUsageNotReported, kBackendsOrdered,
-    kOrderFailed,     kPoolOverloaded, kPoolRecovered,    kMemoryStateChanged};
+    kStarted,           kStopRequested,  kStopped,          kSettingsReloaded,
+    kSettingsRefused,   kConfigApplied,  kConfigUnreadable, kStoreLost,
+    kStoreRegained,     kHistoryLost,    kStorePollFailed,  kEvacuationBegan,
+    kEvacuationEnded,   kBackendListed,  kBackendGone,      kBackendUnreadable,
+    kBackendLeaving,    kBackendPaused,  kMemberUnreadable, kMemberListed,
+    kMemberGone,        kPeerRowsFailed, kRequestPlaced,    kRequestRefused,
+    kAttemptFailed,     kRequestEnded,   kPoisonPartFound,  kLeaseTaken,
+    kLeaseLost,         kUsageReported,  kUsageNotReported, kBackendsOrdered,
+    kOrderFailed,       kStoreRestored,  kPoolOverloaded,   kPoolRecovered,
+    kMemoryStateChanged};
 
 }  // namespace bamboomount::gateway_events
 
