Model check: the store of the lease comes back from copies

Cause: the world of the duty lease had a store that never loses what it has answered, so it could not show two holders with one token. Ruled out: restores within the one world; each multiplies the states, and the depth that the guards of the steady store need could not be kept. Change: the world is now lease-steady, at the depth that "lease" had, and a second one, lease-restore, has steps for a copy and for two restores, and steps that hold a whole call, so that a few steps span several tenures. State() gives tokens as ranks and versions and eras relative to the store's, and no longer the outcome of an earlier claim while a claim is on its way, which kept equal situations apart. The four guards of the lease in guards.py match the new source; six are new.

--- a/check/guards.py
+++ b/check/guards.py
@@ -14,20 +14,36 @@
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 SRC = "src/gateway/"
 MODEL = ["build/bin/model_check"]
+STEADY_LEASE = MODEL + ["--world", "lease-steady", "--depth", "14"]
+RESTORED_LEASE = MODEL + ["--world", "lease-restore"]
 FUZZ = ["build/bin/fuzz_messages", "--seed", "1", "--seconds", "20"]
 
 # Name, file, what stands there, what replaces it, program that must fail.
 GUARDS = [
     ("takeover only after expiry", SRC + "duties/duty_lease.cc",
-     "now - observed_since_ < duration_ + kTakeoverMargin", "now < observed_since_",
-     MODEL + ["--world", "lease", "--depth", "14"]),
+     "now - observed_since_ < duration_ + kTakeoverMargin", "now < observed_since_", STEADY_LEASE),
     ("lease counted from the send", SRC + "duties/duty_lease.cc",
-     "if (claim.row == *row)\n      sent = claim.sent;", "if (claim.row == *row)\n      sent = now;",
-     MODEL + ["--world", "lease", "--depth", "14"]),
+     "snapshot.version, written->sent)", "snapshot.version, now)", STEADY_LEASE),
     ("row of another holder ends the lease", SRC + "duties/duty_lease.cc",
-     "if (!row || row->incarnation != incarnation_)", "if (!row)", MODEL + ["--world", "lease", "--depth", "14"]),
+     "if (snapshot.row)\n    ObserveToken(snapshot.row->token);\n"
+     "  if (!snapshot.row || snapshot.row->incarnation != incarnation_) {\n    held_.reset();",
+     "if (held_ && snapshot.row) {\n    held_->version = snapshot.version;", STEADY_LEASE),
     ("token rises with each takeover", SRC + "duties/duty_lease.cc",
-     "observed_row_->token + FencingToken(1)", "FencingToken(1)", MODEL + ["--world", "lease", "--depth", "14"]),
+     "token = TokenAfter(*observed_);\n  if (token <= newest_token_)\n    return std::nullopt;", "token(1);",
+     STEADY_LEASE),
+    ("token is not of the row alone", SRC + "duties/duty_lease.cc",
+     "TokenAfter(*observed_)", "(observed_->row ? observed_->row->token : FencingToken()) + FencingToken(1)",
+     RESTORED_LEASE),
+    ("tenure ends with its era", SRC + "duties/duty_lease.cc",
+     "era_ = era;\n    held_.reset();", "era_ = era;", RESTORED_LEASE),
+    ("takeover waits after a restore", SRC + "duties/duty_lease.cc",
+     "held_.reset();\n    observed_.reset();", "held_.reset();", RESTORED_LEASE),
+    ("takeover waits though the row is lost", SRC + "duties/duty_lease.cc",
+     "observed_->row || MayHaveLostTenures();", "observed_->row.has_value();", RESTORED_LEASE),
+    ("claim made for another era does not count", SRC + "duties/duty_lease.cc",
+     "!EnterEra(era) || claim.row.era != era_", "!EnterEra(era)", RESTORED_LEASE),
+    ("claims of an earlier era are forgotten", SRC + "duties/duty_lease.cc",
+     "unresolved_claims_.clear();", "", RESTORED_LEASE),
     ("position of a peer proves nothing alone", SRC + "replication/table_replica.cc",
      "if (!has_newest_change && status.digest != digest_)", "if (false)", MODEL + ["--world", "replication-2"]),
     ("history starts anew after an advance by digest", SRC + "replication/table_replica.cc",
--- a/check/main.cc
+++ b/check/main.cc
@@ -73,15 +73,21 @@
 
 std::vector<World> AllWorlds() {
   constexpr std::size_t kLeaseDepth = 13;
+  constexpr std::size_t kLeaseRestoreDepth = 8;
   constexpr std::size_t kReplicationDepth = 7;
   constexpr std::size_t kAttemptsDepth = 4;
   std::vector<World> worlds;
-  worlds.push_back({"lease", [](const Limits& limits) {
-                      return Check(
-                          "lease",
-                          [] { return std::make_unique<LeaseWorld>(); },
-                          kLeaseDepth, limits);
-                    }});
+  const auto add_lease = [&worlds](const std::string& world, std::size_t depth,
+                                   LeaseWorld::Options options) {
+    worlds.push_back(
+        {world, [=](const Limits& limits) {
+           return Check(
+               world, [=] { return std::make_unique<LeaseWorld>(options); },
+               depth, limits);
+         }});
+  };
+  add_lease("lease-steady", kLeaseDepth, {});
+  add_lease("lease-restore", kLeaseRestoreDepth, {1, 2, true});
   const auto add_replication = [&worlds](const std::string& world,
                                          ReplicationWorld::Options options) {
     worlds.push_back(
