Test answers of an earlier era at the duty lease

Cause: no test failed without the check that drops answers of an earlier era, and the model can't show it: an instance has one call at a time, so only an answer without the era comes after a later one. Ruled out: answers without an era as steps of the model; they multiply its states, and one rule decides about all of them. Change: a test with reads, conflicts and commits of the eras before. Evidence: without the check, answers_of_an_earlier_era_change_nothing fails at "lease.HoldsFor(Millis(2899), At(4100))"; it passes on this commit.

--- a/tests/gateway/duty_lease_test.cc
+++ b/tests/gateway/duty_lease_test.cc
@@ -195,6 +195,26 @@
   BOOST_TEST(!first.HoldsFor(Millis(0), At(9000)));
 }
 
+// Guards against a tenure that ends, or a claim on an old row, because an
+// answer came late or without the era of the store.
+BOOST_AUTO_TEST_CASE(answers_of_an_earlier_era_change_nothing) {
+  FakeLeaseStore store(StoreEra(2));
+  DutyLease lease = MakeLease("a");
+  lease.ObserveRow(store.Read(), At(0));
+  const DutyLease::Claim claim = TakeLease(lease, store, 4000);
+  for (const StoreEra earlier : {StoreEra(0), StoreEra(1)}) {
+    LeaseSnapshot empty;
+    empty.era = earlier;
+    lease.ObserveRow(empty, At(4100));
+    BOOST_TEST(lease.HoldsFor(Millis(2899), At(4100)));
+    lease.OnConflict(claim, earlier);
+    BOOST_TEST(lease.HoldsFor(Millis(2899), At(4100)));
+    lease.OnCommitted(claim, RowVersion(99), earlier, At(4100));
+    BOOST_TEST((lease.version() == store.Read().version));
+    BOOST_TEST((lease.era() == StoreEra(2)));
+  }
+}
+
 // Guards against a tenure with a token that another instance has used, if the
 // store fell back without saying so.
 BOOST_AUTO_TEST_CASE(no_tenure_begins_with_a_token_that_is_not_the_highest) {
