Do not seal windows again that were sealed before a restore

Cause: the seal of a window is a row of the store. After the store came back from an older copy the seal was gone, and with it the counts that instances had written; the next holder counted again. Change: a holder that takes over without the row of the last tenure writes into the lease's row which windows had ended, and neither it nor its successors seal these. Windows that gossip says are sealed are left out as well. Responses of another era than the lease's say nothing about it. The reports of the windows in between are missing, not wrong.

--- a/src/gateway/control/duty_lease_manager.cc
+++ b/src/gateway/control/duty_lease_manager.cc
@@ -85,8 +85,11 @@
     // A statement of the holder may have arrived during the read.
     if (leaving_ || !MayTakeOver(now))
       return;
-    if (const auto claim = lease_.NextClaim(now))
+    if (auto claim = lease_.NextClaim(now)) {
+      if (claim->history_lost)
+        claim->row.sealed_through = state_.LastEndedWindow(now);
       CommitClaim(*claim);
+    }
   });
 }
 
--- a/src/gateway/control/duty_runner.cc
+++ b/src/gateway/control/duty_runner.cc
@@ -88,7 +88,7 @@
   usage_call_in_flight_ = true;
   store_.ReadTable(tables::kUsage, [this](Result<RowsResponse> response) {
     usage_call_in_flight_ = false;
-    if (!response)
+    if (!response || !IsOfTenure(response.value().info))
       return;
     std::vector<UsageSeal> seals;
     for (const TableRow& row : response.value().rows) {
@@ -100,6 +100,8 @@
             {{"row", row.key}, {"cause", seal.error().message}});
     }
     schedule_.Load(seals);
+    schedule_.SkipThrough(lease_->sealed_through());
+    schedule_.SkipThrough(state_.usage_delivery().sealed_through());
     state_.usage_delivery().ObserveSealed(schedule_.sealed_through());
     seals_loaded_ = true;
     AdvanceUsage();
@@ -115,7 +117,7 @@
       tables::kIncarnationUsage,
       [this, window = *window](const Result<RowsResponse>& response) {
         usage_call_in_flight_ = false;
-        if (response)
+        if (response && IsOfTenure(response.value().info))
           OnUsageRead(window, response.value().rows);
       });
 }
@@ -193,7 +195,8 @@
   store_.Commit(transaction,
                 [this, seal](const Result<CommitResponse>& response) {
                   usage_call_in_flight_ = false;
-                  if (response && response.value().committed) {
+                  if (response && response.value().committed &&
+                      IsOfTenure(response.value().info)) {
                     MarkSealed(seal);
                     AdvanceUsage();
                     return;
@@ -253,6 +256,10 @@
       });
 }
 
+bool DutyRunner::IsOfTenure(const StoreResponseInfo& info) const {
+  return info.era == lease_->era();
+}
+
 DutyHolder DutyRunner::Holder(const DutyLease& lease) const {
   return {state_.settings().instance, lease.token()};
 }
--- a/src/gateway/control/duty_runner.h
+++ b/src/gateway/control/duty_runner.h
@@ -47,6 +47,9 @@
   void OnUsageRead(WindowNumber window, const std::vector<TableRow>& rows);
   void CommitSeal(const UsageSeal& seal, const UsageByIncarnation& stored);
   void ReportNext();
+  // Whether the response is of the era in which the lease is held. Others say
+  // nothing about this tenure.
+  bool IsOfTenure(const StoreResponseInfo& info) const;
   void PlanOrders(Instant now);
   void SendOrders();
   DutyHolder Holder(const DutyLease& lease) const;
--- a/src/gateway/duties/usage_seal.cc
+++ b/src/gateway/duties/usage_seal.cc
@@ -58,12 +58,16 @@
       WindowAt(wall_time - kWriteGracePeriod, window_length_) - WindowNumber(1);
   for (int back = kReportableWindows - 1; back >= 0; --back) {
     const WindowNumber window = last - WindowNumber(back);
-    if (!seals_.contains(window))
+    if (window > skipped_through_ && !seals_.contains(window))
       return window;
   }
   return std::nullopt;
 }
 
+void UsageSchedule::SkipThrough(WindowNumber window) {
+  skipped_through_ = std::max(skipped_through_, window);
+}
+
 bool UsageSchedule::IsLate(WindowNumber window, Millis wall_time) const {
   return wall_time >= window_length_ * (window.value() + 1) + kSealDeadline;
 }
@@ -88,7 +92,8 @@
 }
 
 WindowNumber UsageSchedule::sealed_through() const {
-  return seals_.empty() ? WindowNumber() : seals_.rbegin()->first;
+  return seals_.empty() ? skipped_through_
+                        : std::max(skipped_through_, seals_.rbegin()->first);
 }
 
 std::vector<WindowNumber> UsageSchedule::OutdatedSeals() const {
--- a/src/gateway/duties/usage_seal.h
+++ b/src/gateway/duties/usage_seal.h
@@ -41,6 +41,9 @@
   // Replaces the known seals by those read from the store, at the start of a
   // lease.
   void Load(const std::vector<UsageSeal>& seals);
+  // Excludes the windows up to this one: they may have been sealed and reported
+  // by holders whose seals the store has lost.
+  void SkipThrough(WindowNumber window);
   // The oldest unsealed window among the last kReportableWindows ones whose
   // write grace period has passed by `wall_time`; empty if all of them are
   // sealed.
@@ -55,7 +58,7 @@
   const UsageSeal* NextToReport() const;
   void MarkReported(WindowNumber window);
   WindowNumber reported_through() const { return reported_through_; }
-  // The newest sealed window; 0 if none is known.
+  // The newest window that is sealed or excluded; 0 if none is known.
   WindowNumber sealed_through() const;
   // Windows whose seals can be removed from the store.
   std::vector<WindowNumber> OutdatedSeals() const;
@@ -64,6 +67,7 @@
   const Millis window_length_;
   std::map<WindowNumber, UsageSeal> seals_;
   WindowNumber reported_through_;
+  WindowNumber skipped_through_;
 };
 
 }  // namespace bamboomount
--- a/tests/entry/store_restore_test.cc
+++ b/tests/entry/store_restore_test.cc
@@ -78,6 +78,32 @@
                "token " << token << " has " << names.size() << " holders");
 }
 
+// Guards against a second report of one window with other counts: the store
+// lost the seal and the usage that went into it, and the next holder counted
+// again.
+BOOST_AUTO_TEST_CASE(a_window_is_not_reported_again_after_a_restore) {
+  store().TakeCopy();
+  EntryInstance& first = AddHolderCandidate("i-1");
+  EntryInstance& second = AddHolderCandidate("i-2");
+  const auto reported = [&] {
+    Call(first, MakeRequest("GET", "/lookup/x"));
+    Call(second, MakeRequest("GET", "/lookup/x"));
+    return !store().UsageReports().empty();
+  };
+  BOOST_TEST(WaitUntil(reported));
+  const std::string holder = store().UsageReports().back().holder;
+  const std::string next = holder == "i-1" ? "i-2" : "i-1";
+  (holder == "i-1" ? first : second).process().Signal(SIGKILL);
+  store().RestoreCopy();
+  BOOST_TEST(WaitForReports(holder == "i-1" ? second : first, next, 1));
+  std::map<std::int64_t, json> counts;
+  for (const UsageReport& report : store().UsageReports()) {
+    const auto [known, is_new] =
+        counts.try_emplace(report.window, report.counts);
+    BOOST_TEST((is_new || known->second == report.counts));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
