--- a/tests/gateway/usage_seal_test.cc
+++ b/tests/gateway/usage_seal_test.cc
@@ -43,6 +43,43 @@
   BOOST_TEST(!schedule.NextToReport());
 }
 
+// Guards against a second report of one window with other counts: the store
+// came back from a copy without the window's seal, and the next holder sealed
+// it again.
+BOOST_AUTO_TEST_CASE(skipped_windows_are_not_sealed) {
+  UsageSchedule schedule(kLength);
+  const Millis last_is_10 = kLength * 11 + UsageSchedule::kWriteGracePeriod;
+  BOOST_TEST((schedule.NextToSeal(last_is_10) == WindowNumber(7)));
+  schedule.SkipThrough(WindowNumber(9));
+  BOOST_TEST((schedule.NextToSeal(last_is_10) == WindowNumber(10)));
+  schedule.SkipThrough(WindowNumber(10));
+  BOOST_TEST(!schedule.NextToSeal(last_is_10));
+  BOOST_TEST((schedule.NextToSeal(last_is_10 + kLength) == WindowNumber(11)));
+}
+
+// Guards against windows that are sealed again because the seals were read once
+// more, or because an older limit came after a newer one.
+BOOST_AUTO_TEST_CASE(skipped_windows_remain_skipped) {
+  UsageSchedule schedule(kLength);
+  schedule.SkipThrough(WindowNumber(9));
+  schedule.Load({MakeSeal(6)});
+  schedule.SkipThrough(WindowNumber(8));
+  const Millis last_is_10 = kLength * 11 + UsageSchedule::kWriteGracePeriod;
+  BOOST_TEST((schedule.NextToSeal(last_is_10) == WindowNumber(10)));
+}
+
+// Guards against instances that go on delivering the counts of windows that are
+// never sealed.
+BOOST_AUTO_TEST_CASE(sealed_through_includes_the_skipped_windows) {
+  UsageSchedule schedule(kLength);
+  schedule.Load({MakeSeal(6)});
+  BOOST_TEST((schedule.sealed_through() == WindowNumber(6)));
+  schedule.SkipThrough(WindowNumber(9));
+  BOOST_TEST((schedule.sealed_through() == WindowNumber(9)));
+  schedule.MarkSealed(MakeSeal(10));
+  BOOST_TEST((schedule.sealed_through() == WindowNumber(10)));
+}
+
 // Guards against seals of old windows that accumulate in the store.
 BOOST_AUTO_TEST_CASE(old_seals_are_outdated) {
   UsageSchedule schedule(kLength);
