Continue a stream only at the software version that began it

What callers saw: streams with events of servers of two software versions (ORDER). Cause: the version in a server's row was checked to be a text and dropped, so each way in which a stream goes on could cross versions: the instance's own continuation at another server, and a caller's resume. An instance that had just started took whatever server it saw. Change: a stream is bound to the version of the server whose event was forwarded first; another server continues it only with the same version, also if it has started again under its id since it was chosen. A resume names its stream by Resumes, and goes on at the recorded pool and version. For a stream that was not recorded the pool must have had one version for longer than any stream lasts, seen without a gap; otherwise the resume is refused with 503. stream_resumed logs what was known. Ruled out: Expected-Version of the protocol is that of the weights, and servers don't check the software's.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -19,6 +19,7 @@
     servers.push_back(server.value());
   }
   backends().Replace(servers, now);
+  dispatcher_.state().pool_versions().RecordGap(now);
   dispatcher_.state().MarkBackendsLoaded();
   ExpireAndWakeWaiting(now);
 }
@@ -34,6 +35,9 @@
   const BackendId id(row.key);
   if (row.deleted) {
     Log(gateway_events::kBackendGone, {{"backend", row.key}});
+    // A server that came and left unseen may have had any version.
+    if (!backends().Find(id))
+      dispatcher_.state().pool_versions().RecordGap(now);
     backends().Remove(id, now);
     dispatcher_.connections().CloseIdleConnections(id);
     dispatcher_.state().health().Reset(id);
@@ -69,6 +73,7 @@
       {{"backend", server.id.value()},
        {"pool", server.pool.value()},
        {"zone", server.zone.value()},
+       {"version", server.version.value()},
        {"address", server.address},
        {"draining", server.draining ? "yes" : "no"},
        {"reclaimable", server.reclaimable ? "yes" : "no"}});
@@ -79,6 +84,8 @@
   backends().Expire(now);
   if (before != backends().revision() || revision_ != before) {
     revision_ = backends().revision();
+    dispatcher_.state().pool_versions().SetListed(backends().ListedVersions(),
+                                                  now);
     dispatcher_.WakeAll();
   }
 }
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -111,6 +111,10 @@
     7034, Severity::kWarning, "poison_part_found",
     "Engines crashed one after the other while they answered requests with a "
     "part of the prompt; requests with the part are refused."};
+inline constexpr LogEvent kStreamResumed{
+    7035, Severity::kInfo, "stream_resumed",
+    "A caller resumes a stream. It goes on only at servers of the software "
+    "version that began it, and is refused if that is unknown."};
 inline constexpr LogEvent kPoolOverloaded{
     7050, Severity::kWarning, "pool_overloaded",
     "The demand on a pool exceeds its capacity, both in servers; this instance "
@@ -150,16 +154,16 @@
     "are refused), exhausted (connections are closed) or normal again."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,           kStopRequested,  kStopped,          kSettingsReloaded,
-    kSettingsRefused,   kConfigApplied,  kConfigUnreadable, kStoreLost,
-    kStoreRegained,     kHistoryLost,    kStorePollFailed,  kEvacuationBegan,
-    kEvacuationEnded,   kBackendListed,  kBackendGone,      kBackendUnreadable,
-    kBackendLeaving,    kBackendPaused,  kMemberUnreadable, kMemberListed,
-    kMemberGone,        kPeerRowsFailed, kRequestPlaced,    kRequestRefused,
-    kAttemptFailed,     kRequestEnded,   kPoisonPartFound,  kLeaseTaken,
-    kLeaseLost,         kUsageReported,  kUsageNotReported, kBackendsOrdered,
-    kOrderFailed,       kStoreRestored,  kPoolOverloaded,   kPoolRecovered,
-    kMemoryStateChanged};
+    kStarted,         kStopRequested,     kStopped,          kSettingsReloaded,
+    kSettingsRefused, kConfigApplied,     kConfigUnreadable, kStoreLost,
+    kStoreRegained,   kHistoryLost,       kStorePollFailed,  kEvacuationBegan,
+    kEvacuationEnded, kBackendListed,     kBackendGone,      kBackendUnreadable,
+    kBackendLeaving,  kBackendPaused,     kMemberUnreadable, kMemberListed,
+    kMemberGone,      kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,
+    kAttemptFailed,   kRequestEnded,      kPoisonPartFound,  kStreamResumed,
+    kLeaseTaken,      kLeaseLost,         kUsageReported,    kUsageNotReported,
+    kBackendsOrdered, kOrderFailed,       kStoreRestored,    kPoolOverloaded,
+    kPoolRecovered,   kMemoryStateChanged};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -30,12 +30,11 @@
 std::vector<const BackendServer*> Dispatcher::UntriedBackends(
     const PoolId& pool,
     const std::vector<BackendId>& tried,
-    const RegionLimit& regions) const {
+    const AdmittedRequest& request) const {
   const Instant now = BootClock::now();
   std::vector<const BackendServer*> untried;
   for (const BackendServer* server : state_.backends().Usable(pool)) {
-    if (regions.restricted() &&
-        !regions.Allows(state_.settings().RegionOf(server->zone)))
+    if (!request.Permits(*server, state_.settings()))
       continue;
     if (state_.health().IsBackingOff(server->id, now) ||
         std::find(tried.begin(), tried.end(), server->id) != tried.end())
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -9,10 +9,11 @@
 #include <vector>
 
 #include "gateway/forwarding/backend_attempt.h"
+#include "gateway/forwarding/request_admission.h"
 #include "gateway/gateway_state.h"
 #include "gateway/placement/concurrency_limit.h"
 #include "gateway/placement/retry_budget_share.h"
-#include "gateway/traffic/region_limit.h"
+#include "gateway/streams/local_stream_origins.h"
 #include "telemetry/metrics.h"
 
 namespace bamboomount {
@@ -40,12 +41,12 @@
   }
   BackendConnectionPool& connections() { return connections_; }
 
-  // Usable backend servers of the pool in the allowed regions that are not in
+  // Usable backend servers of the pool that may run the request, are not in
   // `tried` and have not asked for a pause.
   std::vector<const BackendServer*> UntriedBackends(
       const PoolId& pool,
       const std::vector<BackendId>& tried,
-      const RegionLimit& regions) const;
+      const AdmittedRequest& request) const;
   // Filters `servers` to those that this instance may send a request to now:
   // they have fewer requests of this instance than its connection limit, and
   // are not too cold for another one.
@@ -60,6 +61,13 @@
   // Whether the server may get a new request now: it is neither leaving nor has
   // asked for a pause.
   bool AcceptsRequests(const BackendId& server) const;
+  // Knows where the streams that callers resume have begun; by default only
+  // what this instance itself has seen.
+  StreamOriginDirectory& stream_origins() { return *stream_origins_; }
+  // `directory` must outlive this object.
+  void SetStreamOrigins(StreamOriginDirectory& directory) {
+    stream_origins_ = &directory;
+  }
   // Sends the server no requests for `duration`, as it asked when it refused
   // one.
   void PauseBackend(const BackendId& server, Millis duration);
@@ -103,6 +111,8 @@
   GatewayState& state_;
   Metrics& metrics_;
   BackendConnectionPool connections_;
+  LocalStreamOrigins local_stream_origins_{state_};
+  StreamOriginDirectory* stream_origins_ = &local_stream_origins_;
   std::map<PoolId, RetryBudgetShare> retry_budgets_;
   std::map<PoolId, ConcurrencyLimit> concurrency_limits_;
   std::map<PoolId, std::map<WaitTicket, WakeCallback>> waiters_;
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -60,16 +60,10 @@
 void Exchange::Start() {
   if (!Admit())
     return;
-  pool_ = admitted_.route->ChoosePool(dispatcher_.Random());
-  const Pool* pool = admitted_.policy->FindPool(pool_);
-  engine_ = pool && pool->engine ? &*pool->engine : nullptr;
   Millis limit = admitted_.route->timeout;
   if (head_.time_limit)
     limit = std::min(limit, *head_.time_limit - kCallerTransitTime);
   deadline_ = request_.received + limit;
-  dispatcher_.CountRequest(pool_);
-  if (pool && RefuseIfExcess(*pool))
-    return;
   reply_->SetCallerGoneHandler(
       [self = shared_from_this()] { self->OnCallerGone(); });
   reply_->SetEndHandler([self = shared_from_this()] {
@@ -83,6 +77,55 @@
         if (!error && !self->ended_)
           self->GiveUp("the request deadline has passed");
       });
+  pool_ = admitted_.route->ChoosePool(dispatcher_.Random());
+  if (ResumesStream())
+    LocateStream();
+  else
+    BeginInPool(pool_);
+}
+
+bool Exchange::ResumesStream() const {
+  return IsStream(admitted_.route->kind) &&
+         !(head_.last_event_id.empty() && head_.resumed_request.empty());
+}
+
+void Exchange::LocateStream() {
+  // The share that the stream began in is not known if there are several.
+  const std::vector<PoolShare>& shares = admitted_.route->shares;
+  const PoolId only_pool = shares.size() == 1 ? shares.front().pool : PoolId();
+  dispatcher_.stream_origins().Find(
+      head_.resumed_request, only_pool,
+      [self = shared_from_this()](const std::optional<StreamOrigin>& origin) {
+        if (!self->ended_)
+          self->OnStreamLocated(origin);
+      });
+}
+
+void Exchange::OnStreamLocated(const std::optional<StreamOrigin>& origin) {
+  LogResumed(head_, origin);
+  if (!origin) {
+    RefuseTemporarily("the software version that began the stream is unknown");
+    return;
+  }
+  const std::vector<PoolShare>& shares = admitted_.route->shares;
+  const bool allowed = std::any_of(
+      shares.begin(), shares.end(),
+      [&](const PoolShare& share) { return share.pool == origin->pool; });
+  if (!allowed) {
+    RefuseTemporarily("the route no longer leads to the pool of the stream");
+    return;
+  }
+  admitted_.stream_version = origin->version;
+  BeginInPool(origin->pool);
+}
+
+void Exchange::BeginInPool(const PoolId& pool) {
+  pool_ = pool;
+  const Pool* rule = admitted_.policy->FindPool(pool_);
+  engine_ = rule && rule->engine ? &*rule->engine : nullptr;
+  dispatcher_.CountRequest(pool_);
+  if (rule && RefuseIfExcess(*rule))
+    return;
   FindServer();
 }
 
@@ -207,7 +250,7 @@
   const BackendServer& server = attempt_->server();
   // The server may have started to leave, or asked for a pause, while the
   // connection was being set up.
-  if (!dispatcher_.AcceptsRequests(server.id))
+  if (!dispatcher_.AcceptsRequests(server.id) || !HasSameVersion(server))
     return std::nullopt;
   if (!admitted_.customer.empty() && !dispatcher_.state().KeysAreCurrent(now)) {
     keys_stale_ = true;
@@ -221,6 +264,11 @@
   return EncodeForwardedHead(request_.message, head, dispatcher_.protocol());
 }
 
+bool Exchange::HasSameVersion(const BackendServer& server) const {
+  const BackendServer* listed = dispatcher_.state().backends().Find(server.id);
+  return listed && listed->version == server.version;
+}
+
 void Exchange::OnReplyHead(const http::response_header<>& header,
                            const ReplyHead& head,
                            std::optional<std::uint64_t> content_length) {
@@ -235,8 +283,10 @@
   if (relay_.forwards())
     RecordFirstBytes();
   const ResponseRelay::Step step = relay_.OnBody(piece, BootClock::now());
-  if (relay_.started())
+  if (relay_.started()) {
     retries_.RecordReplyStarted();
+    RecordStreamOrigin();
+  }
   if (ended_)
     return false;
   switch (step) {
@@ -252,6 +302,20 @@
   return true;
 }
 
+const RequestId& Exchange::StreamId() const {
+  return ResumesStream() ? head_.resumed_request : head_.id;
+}
+
+void Exchange::RecordStreamOrigin() {
+  if (origin_recorded_ || !IsStream(admitted_.route->kind))
+    return;
+  origin_recorded_ = true;
+  admitted_.stream_version = attempt_->server().version;
+  if (!StreamId().empty())
+    dispatcher_.stream_origins().Record(StreamId(),
+                                        {pool_, *admitted_.stream_version});
+}
+
 void Exchange::ResumeWhenDrained() {
   reply_->WhenDrained([self = shared_from_this(), attempt = attempt_] {
     if (!self->ended_ && self->attempt_ == attempt)
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -51,6 +51,18 @@
  private:
   // Returns false if the request was refused and the response sent.
   bool Admit();
+  // Whether the caller resumes a stream.
+  bool ResumesStream() const;
+  // Finds out where the resumed stream began, and refuses the request if that
+  // is not known.
+  void LocateStream();
+  void OnStreamLocated(const std::optional<StreamOrigin>& origin);
+  // Records where the stream of the response has begun.
+  void RecordStreamOrigin();
+  // The caller's request that brought the first event of the stream.
+  const RequestId& StreamId() const;
+  // Sends the request to a server of the pool.
+  void BeginInPool(const PoolId& pool);
   // Refuses the request if the demand on the pool exceeds its capacity. Returns
   // whether it did.
   bool RefuseIfExcess(const Pool& pool);
@@ -70,6 +82,9 @@
   bool TryAnotherServer();
   void FailWithoutResponse(std::string_view reason);
 
+  // Whether the list still has the server with the version that it had when it
+  // was chosen: a server may start again under its id with another.
+  bool HasSameVersion(const BackendServer& server) const;
   void CountUsageOnce();
   void RecordFirstBytes();
   void ReleaseAttempt();
@@ -99,6 +114,7 @@
   CostQuery cost_;
   bool ended_ = false;
   bool usage_counted_ = false;
+  bool origin_recorded_ = false;
 
   ServerSearch search_;
   RetryState retries_;
--- a/src/gateway/forwarding/message_protocol.h
+++ b/src/gateway/forwarding/message_protocol.h
@@ -21,6 +21,9 @@
   // Set if the caller resumes a stream: the id of the last event that it
   // received.
   std::string last_event_id;
+  // Set if the caller resumes a stream: the id of the request that brought the
+  // first event of it.
+  RequestId resumed_request;
 };
 
 // Rank of a request among `levels` ranks; 0 is the most urgent.
--- a/src/gateway/forwarding/request_admission.cc
+++ b/src/gateway/forwarding/request_admission.cc
@@ -68,4 +68,12 @@
   return request;
 }
 
+bool AdmittedRequest::Permits(const BackendServer& server,
+                              const InstanceSettings& settings) const {
+  if (stream_version && server.version != *stream_version)
+    return false;
+  return !regions.restricted() ||
+         regions.Allows(settings.RegionOf(server.zone));
+}
+
 }  // namespace bamboomount
--- a/src/gateway/forwarding/request_admission.h
+++ b/src/gateway/forwarding/request_admission.h
@@ -2,6 +2,7 @@
 #define GATEWAY_FORWARDING_REQUEST_ADMISSION_H_
 
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -22,6 +23,13 @@
   Tier urgency;
   // Regions whose servers may run the request.
   RegionLimit regions;
+  // Set once the stream has begun: the software version of the server that
+  // began it. No other may continue it.
+  std::optional<SoftwareVersion> stream_version;
+
+  // Whether the server may run the request, given its region and version.
+  bool Permits(const BackendServer& server,
+               const InstanceSettings& settings) const;
 };
 
 // Status and reason of a request that must not be served.
--- a/src/gateway/forwarding/request_log.cc
+++ b/src/gateway/forwarding/request_log.cc
@@ -29,6 +29,16 @@
        {"config_age_ms", Text(placement.config_age.value_or(Millis(-1)))}});
 }
 
+void LogResumed(const CallerHead& head,
+                const std::optional<StreamOrigin>& origin) {
+  Log(gateway_events::kStreamResumed,
+      {{"request", head.id.value()},
+       {"stream", head.resumed_request.value()},
+       {"after", head.last_event_id},
+       {"pool", origin ? origin->pool.value() : ""},
+       {"version", origin ? origin->version.value() : "unknown"}});
+}
+
 void LogAttemptFailed(const RequestId& request,
                       const BackendId& server,
                       const AttemptFailure& failure) {
--- a/src/gateway/forwarding/request_log.h
+++ b/src/gateway/forwarding/request_log.h
@@ -9,6 +9,7 @@
 #include "gateway/forwarding/message_protocol.h"
 #include "gateway/forwarding/request_admission.h"
 #include "gateway/forwarding/retry_rules.h"
+#include "gateway/streams/stream_origin_directory.h"
 
 namespace bamboomount {
 
@@ -58,6 +59,9 @@
 void LogPlaced(const CallerHead& head,
                const AdmittedRequest& request,
                const PlacementRecord& placement);
+// `origin` is empty if the stream's is not known.
+void LogResumed(const CallerHead& head,
+                const std::optional<StreamOrigin>& origin);
 void LogAttemptFailed(const RequestId& request,
                       const BackendId& server,
                       const AttemptFailure& failure);
--- a/src/gateway/forwarding/retry_state.cc
+++ b/src/gateway/forwarding/retry_state.cc
@@ -19,7 +19,7 @@
 
 bool RetryState::TryRetry(const AdmittedRequest& request, const PoolId& pool) {
   if (!MayRetry(*request.route, history_) ||
-      dispatcher_.UntriedBackends(pool, tried_, request.regions).empty())
+      dispatcher_.UntriedBackends(pool, tried_, request).empty())
     return false;
   const bool reached_a_server = history_.possible_runs + history_.refusals > 0;
   return !reached_a_server || dispatcher_.TryConsumeRetry(pool);
--- a/src/gateway/forwarding/server_search.cc
+++ b/src/gateway/forwarding/server_search.cc
@@ -34,7 +34,7 @@
     }
   }
   const auto untried =
-      dispatcher_.UntriedBackends(pool, *tried_, request_->admitted.regions);
+      dispatcher_.UntriedBackends(pool, *tried_, request_->admitted);
   if (untried.empty() && !tried_->empty()) {
     observer_.OnNoServer("no other backend server left to try");
     return;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -19,6 +19,8 @@
 #include "gateway/placement/backend_selector.h"
 #include "gateway/placement/cold_server_pacer.h"
 #include "gateway/placement/poison_part_detector.h"
+#include "gateway/streams/pool_version_history.h"
+#include "gateway/streams/stream_origin_table.h"
 #include "gateway/traffic/traffic_policy.h"
 
 namespace bamboomount {
@@ -62,6 +64,7 @@
   StateFreshness& freshness() { return freshness_; }
   const StateFreshness& freshness() const { return freshness_; }
   StateFreshness& backend_freshness() { return backend_freshness_; }
+  const StateFreshness& backend_freshness() const { return backend_freshness_; }
   // Records the outcome of a write to the store, and the store's clock if the
   // write was answered.
   void RecordCommitResult(const Result<CommitResponse>& response);
@@ -92,6 +95,9 @@
   BackendSelector& selector() { return selector_; }
   ColdServerPacer& cold_pacer() { return cold_pacer_; }
   PoisonPartDetector& poison_parts() { return poison_parts_; }
+  StreamOriginTable& stream_origins() { return stream_origins_; }
+  PoolVersionHistory& pool_versions() { return pool_versions_; }
+  const PoolVersionHistory& pool_versions() const { return pool_versions_; }
   DemandMeter& demand_meter() { return demand_meter_; }
   FleetDemand& fleet_demand() { return fleet_demand_; }
   RequestCostModel& cost_model() { return cost_model_; }
@@ -146,6 +152,8 @@
   BackendSelector selector_{loads_, health_, prefill_throughput_};
   ColdServerPacer cold_pacer_{settings_.instance, members_};
   PoisonPartDetector poison_parts_;
+  StreamOriginTable stream_origins_;
+  PoolVersionHistory pool_versions_;
   DemandMeter demand_meter_;
   FleetDemand fleet_demand_;
   RequestCostModel cost_model_{prefill_throughput_};
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -136,6 +136,14 @@
   return listed;
 }
 
+std::map<PoolId, std::set<SoftwareVersion>> BackendRegistry::ListedVersions()
+    const {
+  std::map<PoolId, std::set<SoftwareVersion>> listed;
+  for (const auto& [id, entry] : servers_)
+    listed[entry.server.pool].insert(entry.server.version);
+  return listed;
+}
+
 bool BackendRegistry::InRestoreWindow(Instant now) const {
   return restore_until_ && now < *restore_until_;
 }
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -64,6 +64,8 @@
   const BackendServer* Find(const BackendId& id) const;
   // All known servers of the pool, including draining ones.
   std::vector<const BackendServer*> Listed(const PoolId& pool) const;
+  // The software versions of all known servers, including draining ones.
+  std::map<PoolId, std::set<SoftwareVersion>> ListedVersions() const;
   bool empty() const { return servers_.empty(); }
   // Increases with each change of the servers that may be used.
   std::uint64_t revision() const { return revision_; }
--- a/src/gateway/membership/backend_server.h
+++ b/src/gateway/membership/backend_server.h
@@ -16,6 +16,8 @@
   // "ip:port".
   std::string address;
   ZoneId zone;
+  // Of its software. What servers of two versions write does not fit together.
+  SoftwareVersion version;
   // Requests that the server processes concurrently.
   int slots = 1;
   // The server accepts no new requests and will stop.
--- /dev/null
+++ b/src/gateway/streams/local_stream_origins.cc
@@ -0,0 +1,34 @@
+#include "gateway/streams/local_stream_origins.h"
+
+namespace bamboomount {
+
+void LocalStreamOrigins::Record(const RequestId& stream,
+                                const StreamOrigin& origin) {
+  state_.stream_origins().Record(stream, origin, BootClock::now());
+}
+
+void LocalStreamOrigins::Find(const RequestId& stream,
+                              const PoolId& pool,
+                              Callback done) {
+  const Instant now = BootClock::now();
+  const auto recorded = FindRecorded(stream, now);
+  done(recorded ? recorded : OnlyOrigin(pool, now));
+}
+
+std::optional<StreamOrigin> LocalStreamOrigins::FindRecorded(
+    const RequestId& stream,
+    Instant now) const {
+  return state_.stream_origins().Find(stream, now);
+}
+
+std::optional<StreamOrigin> LocalStreamOrigins::OnlyOrigin(const PoolId& pool,
+                                                           Instant now) const {
+  if (!state_.backend_freshness().IsConfirmedWithin(kMaxListAge, now))
+    return std::nullopt;
+  const auto version = state_.pool_versions().OnlyVersion(pool, now);
+  if (!version)
+    return std::nullopt;
+  return StreamOrigin{pool, *version};
+}
+
+}  // namespace bamboomount
--- a/src/gateway/streams/pool_version_history.cc
+++ b/src/gateway/streams/pool_version_history.cc
@@ -5,6 +5,12 @@
 #include "gateway/streams/stream_origin_table.h"
 
 namespace bamboomount {
+namespace {
+
+// How far back a stream that may still be resumed can have begun.
+constexpr Millis kReach = StreamOriginTable::kStreamLifetime;
+
+}  // namespace
 
 void PoolVersionHistory::SetListed(ListedVersions listed, Instant now) {
   for (const auto& [pool, versions] : listed_) {
@@ -21,12 +27,9 @@
   complete_since_ = now;
 }
 
-std::optional<SoftwareVersion> PoolVersionHistory::OnlyVersion(
+std::set<SoftwareVersion> PoolVersionHistory::RecentVersions(
     const PoolId& pool,
     Instant now) const {
-  constexpr Millis kReach = StreamOriginTable::kStreamLifetime;
-  if (!complete_since_ || now - *complete_since_ < kReach)
-    return std::nullopt;
   std::set<SoftwareVersion> recent;
   if (const auto listed = listed_.find(pool); listed != listed_.end())
     recent = listed->second;
@@ -36,6 +39,19 @@
         recent.insert(version);
     }
   }
+  return recent;
+}
+
+bool PoolVersionHistory::HasSeveral(const PoolId& pool, Instant now) const {
+  return RecentVersions(pool, now).size() > 1;
+}
+
+std::optional<SoftwareVersion> PoolVersionHistory::OnlyVersion(
+    const PoolId& pool,
+    Instant now) const {
+  if (!complete_since_ || now - *complete_since_ < kReach)
+    return std::nullopt;
+  const std::set<SoftwareVersion> recent = RecentVersions(pool, now);
   if (recent.size() != 1)
     return std::nullopt;
   return *recent.begin();
--- a/src/gateway/streams/pool_version_history.h
+++ b/src/gateway/streams/pool_version_history.h
@@ -28,8 +28,14 @@
   // reach back far enough.
   std::optional<SoftwareVersion> OnlyVersion(const PoolId& pool,
                                              Instant now) const;
+  // Whether servers of several versions have been seen within the lifetime of a
+  // stream.
+  bool HasSeveral(const PoolId& pool, Instant now) const;
 
  private:
+  std::set<SoftwareVersion> RecentVersions(const PoolId& pool,
+                                           Instant now) const;
+
   std::optional<Instant> complete_since_;
   ListedVersions listed_;
   // When the last server of a version that is no longer listed left the list.
--- a/src/gateway/streams/stream_origin_directory.h
+++ b/src/gateway/streams/stream_origin_directory.h
@@ -28,8 +28,8 @@
   // Records the origin of a stream before its first event is forwarded.
   virtual void Record(const RequestId& stream, const StreamOrigin& origin) = 0;
   // Calls `done` once, possibly before it returns. The origin is empty if it is
-  // not known; the stream must not be continued then. `pool` is the one to
-  // which the request would be sent.
+  // not known; the stream must not be continued then. `pool` is the only one to
+  // which the route leads, empty if there are several.
   virtual void Find(const RequestId& stream,
                     const PoolId& pool,
                     Callback done) = 0;
--- a/tests/entry_fixture/backend_standin.cc
+++ b/tests/entry_fixture/backend_standin.cc
@@ -41,19 +41,28 @@
          std::string::npos;
 }
 
-BackendStandin::BackendStandin(std::string id)
-    : id_(std::move(id)), server_([this](standin::Exchange& exchange) {
-        return Handle(exchange);
-      }) {}
+BackendStandin::BackendStandin(std::string id, std::string version)
+    : id_(std::move(id)),
+      version_(std::move(version)),
+      server_(
+          [this](standin::Exchange& exchange) { return Handle(exchange); }) {}
 
 std::string BackendStandin::RowValue(const std::string& pool,
                                      bool draining) const {
   nlohmann::json row = BackendRow(address(), pool);
+  row["version"] = version_;
   if (draining)
     row["state"] = "draining";
   return row.dump();
 }
 
+int BackendStandin::ResumeCount() {
+  int count = 0;
+  for (const Arrival& arrival : Arrivals())
+    count += arrival.request.header("Last-Event-Id").empty() ? 0 : 1;
+  return count;
+}
+
 void BackendStandin::SetMode(BackendMode mode) {
   server_.Run([&] { mode_ = mode; });
 }
--- a/tests/entry_fixture/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -82,7 +82,8 @@
 // Thread-safe.
 class BackendStandin {
  public:
-  explicit BackendStandin(std::string id);
+  // `version` is that of its software.
+  explicit BackendStandin(std::string id, std::string version = "v1");
 
   const std::string& id() const { return id_; }
   std::string address() const { return server_.address(); }
@@ -99,6 +100,8 @@
   std::vector<Arrival> Arrivals();
   // Number of requests whose connection was closed while they were held.
   int AbandonedCount();
+  // Requests that asked it to continue a stream after some event.
+  int ResumeCount();
 
  private:
   boost::asio::awaitable<void> Handle(standin::Exchange& exchange);
@@ -114,6 +117,7 @@
   standin::HttpReply MakeReply(const std::string& request_id) const;
 
   const std::string id_;
+  const std::string version_;
   BackendMode mode_ = BackendMode::kAnswer;
   BackendScript script_;
   std::vector<Arrival> arrivals_;
--- a/tests/entry_fixture/entry_fleet.cc
+++ b/tests/entry_fixture/entry_fleet.cc
@@ -136,8 +136,9 @@
 }
 
 BackendStandin& EntryFleet::AddBackend(const std::string& id,
-                                       const std::string& pool) {
-  backends_.push_back(std::make_unique<BackendStandin>(id));
+                                       const std::string& pool,
+                                       const std::string& version) {
+  backends_.push_back(std::make_unique<BackendStandin>(id, version));
   BackendStandin& backend = *backends_.back();
   store_.Put("servers", id, backend.RowValue(pool));
   return backend;
--- a/tests/entry_fixture/entry_fleet.h
+++ b/tests/entry_fixture/entry_fleet.h
@@ -69,7 +69,8 @@
   StoreStandin& store() { return store_; }
   // Starts a backend server and registers it in the store.
   BackendStandin& AddBackend(const std::string& id,
-                             const std::string& pool = "pool");
+                             const std::string& pool = "pool",
+                             const std::string& version = "v1");
   EntryInstance& AddInstance(
       const std::string& name = "i-1",
       const nlohmann::json& settings = nlohmann::json::object());
