Share the origins of streams between instances

Cause: the instance that began a stream was the only one to know its version. Change: a stream that begins while its pool may have several versions is copied to three instances by rendezvous hashing of its id, and a resume asks five, by datagrams on the gossip socket. A query is repeated once and ends after 100 ms. An instance that knows of two versions overrules one that knows of one; what nobody knows is not located. Ruled out: the store, with a write for each stream; gossip rounds alone, which reach ten instances of up to 295.

--- a/apps/bamboomount_entry/entry_process.cc
+++ b/apps/bamboomount_entry/entry_process.cc
@@ -90,6 +90,12 @@
                         lease_,
                         incarnation_),
         gossip_exchange_(context_, state_, incarnation_, gossip_handler_),
+        stream_origins_(
+            context_,
+            state_,
+            [this](const Member& target, const StreamOriginMessage& message) {
+              gossip_exchange_.SendStreamOrigins(target, message);
+            }),
         stop_signals_(context_, SIGTERM, SIGINT),
         reload_signal_(context_, SIGHUP),
         settings_timer_(context_),
@@ -106,7 +112,10 @@
     membership_.Start();
     usage_writer_.Start();
     lease_.Start();
+    dispatcher_.SetStreamOrigins(stream_origins_);
+    gossip_exchange_.SetStreamOriginHandler(stream_origins_);
     gossip_exchange_.Start();
+    stream_origins_.Start();
     WaitForStopSignal();
     WaitForReloadSignal();
     ScheduleSettingsCheck();
@@ -203,6 +212,7 @@
   DutyLeaseManager lease_;
   FleetGossipHandler gossip_handler_;
   GossipExchange gossip_exchange_;
+  PeerStreamOrigins stream_origins_;
   asio::signal_set stop_signals_;
   asio::signal_set reload_signal_;
   asio::steady_timer settings_timer_;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,5 +28,6 @@
 #include "gateway/replication/gossip_exchange.h"
 #include "gateway/replication/store_watch_coordinator.h"
 #include "gateway/replication/table_follower.h"
+#include "gateway/streams/peer_stream_origins.h"
 
 #endif  // GATEWAY_GATEWAY_H_
--- a/src/gateway/replication/gossip_exchange.cc
+++ b/src/gateway/replication/gossip_exchange.cc
@@ -61,7 +61,34 @@
                              });
 }
 
+bool GossipExchange::IsFrom(const Member& member) const {
+  return !member.peer_address.empty() &&
+         UdpEndpoint(member.peer_address) == sender_;
+}
+
+void GossipExchange::OnStreamOriginDatagram(std::size_t size) {
+  const auto message = DecodeStreamOriginMessage(receive_buffer_.data(), size);
+  if (!message || !stream_origin_handler_)
+    return;
+  const Member* member = state_.members().Find(message.value().sender);
+  if (member && IsFrom(*member))
+    stream_origin_handler_->OnMessage(message.value(), *member);
+}
+
+void GossipExchange::SendStreamOrigins(const Member& target,
+                                       const StreamOriginMessage& message) {
+  if (!socket_.is_open())
+    return;
+  error_code ignored;
+  socket_.send_to(asio::buffer(EncodeStreamOriginMessage(message)),
+                  UdpEndpoint(target.peer_address), 0, ignored);
+}
+
 void GossipExchange::OnDatagram(std::size_t size) {
+  if (IsStreamOriginMessage(receive_buffer_.data(), size)) {
+    OnStreamOriginDatagram(size);
+    return;
+  }
   auto message = DecodeGossipMessage(receive_buffer_.data(), size);
   if (!message)
     return;
@@ -71,8 +98,7 @@
     handler_.OnUnknownSender(instance);
     return;
   }
-  if (member->peer_address.empty() ||
-      UdpEndpoint(member->peer_address) != sender_)
+  if (!IsFrom(*member))
     return;
   const Instant now = BootClock::now();
   PeerState& peer = peers_[instance];
--- a/src/gateway/replication/gossip_exchange.h
+++ b/src/gateway/replication/gossip_exchange.h
@@ -11,9 +11,19 @@
 #include "gateway/gateway_state.h"
 #include "gateway/internal/asio.h"
 #include "gateway/replication/gossip_message.h"
+#include "gateway/streams/stream_origin_message.h"
 
 namespace bamboomount {
 
+// Handles messages about the origins of streams, which share the socket with
+// the gossip messages.
+class StreamOriginHandler {
+ public:
+  virtual ~StreamOriginHandler() = default;
+  virtual void OnMessage(const StreamOriginMessage& message,
+                         const Member& sender) = 0;
+};
+
 // Builds outgoing gossip messages and handles received ones.
 class GossipHandler {
  public:
@@ -67,6 +77,14 @@
   // if the last early round is more recent than that. Does nothing before
   // Start() or without a peer address.
   void SendEarlyRound();
+  // `handler` must outlive this object. Without one, messages about streams are
+  // dropped.
+  void SetStreamOriginHandler(StreamOriginHandler& handler) {
+    stream_origin_handler_ = &handler;
+  }
+  // Sends one datagram, which may be lost. Does nothing before Start().
+  void SendStreamOrigins(const Member& target,
+                         const StreamOriginMessage& message);
 
  private:
   using udp = asio::ip::udp;
@@ -78,6 +96,9 @@
 
   void Receive();
   void OnDatagram(std::size_t size);
+  void OnStreamOriginDatagram(std::size_t size);
+  // Whether the datagram that was just received comes from the instance.
+  bool IsFrom(const Member& member) const;
   void SendRounds();
   // A message with sender and sequence number.
   GossipMessage NewMessage();
@@ -99,6 +120,7 @@
   GatewayState& state_;
   const Incarnation incarnation_;
   GossipHandler& handler_;
+  StreamOriginHandler* stream_origin_handler_ = nullptr;
   udp::socket socket_;
   asio::steady_timer round_timer_;
   asio::steady_timer early_round_timer_;
--- /dev/null
+++ b/src/gateway/streams/peer_stream_origins.cc
@@ -0,0 +1,227 @@
+#include "gateway/streams/peer_stream_origins.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/rendezvous_hash.h"
+
+namespace bamboomount {
+
+PeerStreamOrigins::PeerStreamOrigins(asio::io_context& context,
+                                     GatewayState& state,
+                                     Sender sender)
+    : context_(context),
+      state_(state),
+      send_(std::move(sender)),
+      local_(state),
+      check_timer_(context) {}
+
+void PeerStreamOrigins::Start() {
+  CheckPools();
+  check_timer_.expires_after(kCheckInterval);
+  check_timer_.async_wait([this](const error_code& error) {
+    if (!error)
+      Start();
+  });
+}
+
+void PeerStreamOrigins::CheckPools() {
+  if (!state_.policy())
+    return;
+  const Instant now = BootClock::now();
+  for (const auto& [pool, rule] : state_.policy()->pools()) {
+    if (local_.OnlyOrigin(pool, now))
+      certain_pools_.insert(pool);
+    else if (certain_pools_.erase(pool) > 0)
+      CopyAll(pool, now);
+  }
+}
+
+void PeerStreamOrigins::CopyAll(const PoolId& pool, Instant now) {
+  std::map<const Member*, StreamOriginMessage> messages;
+  for (const auto& entry : state_.stream_origins().EntriesOf(pool, now)) {
+    for (const Member* holder : Holders(entry.stream, kCopies)) {
+      auto& message =
+          messages
+              .try_emplace(holder,
+                           NewMessage(StreamOriginMessage::Kind::kRecords))
+              .first->second;
+      message.entries.push_back(entry);
+      if (message.entries.size() < kMaxEntries)
+        continue;
+      send_(*holder, message);
+      message.entries.clear();
+    }
+  }
+  for (const auto& [holder, message] : messages) {
+    if (!message.entries.empty())
+      send_(*holder, message);
+  }
+}
+
+void PeerStreamOrigins::Record(const RequestId& stream,
+                               const StreamOrigin& origin) {
+  local_.Record(stream, origin);
+  if (local_.OnlyOrigin(origin.pool, BootClock::now()))
+    return;
+  StreamOriginMessage message = NewMessage(StreamOriginMessage::Kind::kRecords);
+  message.entries.push_back({stream, origin});
+  for (const Member* holder : Holders(stream, kCopies))
+    send_(*holder, message);
+}
+
+void PeerStreamOrigins::Find(const RequestId& stream,
+                             const PoolId& pool,
+                             Callback done) {
+  const auto recorded = local_.FindRecorded(stream, BootClock::now());
+  const auto holders = Holders(stream, kAsked);
+  if (recorded || holders.empty()) {
+    local_.Find(stream, pool, std::move(done));
+    return;
+  }
+  const std::uint64_t number = ++last_query_;
+  auto query = std::make_unique<Query>(
+      context_, StreamOriginTable::Entry{stream, {pool, SoftwareVersion()}});
+  query->done = std::move(done);
+  for (const Member* holder : holders)
+    query->open.insert(holder->instance);
+  SendQuery(number, *query);
+  queries_.emplace(number, std::move(query));
+  ArmTimer(number, kRepeatAfter, true);
+}
+
+void PeerStreamOrigins::SendQuery(std::uint64_t number, const Query& query) {
+  StreamOriginMessage message = NewMessage(StreamOriginMessage::Kind::kQuery);
+  message.query = number;
+  message.entries.push_back(query.subject);
+  for (const InstanceId& instance : query.open) {
+    if (const Member* member = state_.members().Find(instance))
+      send_(*member, message);
+  }
+}
+
+void PeerStreamOrigins::ArmTimer(std::uint64_t number,
+                                 Millis delay,
+                                 bool repeat) {
+  asio::steady_timer& timer = queries_.at(number)->timer;
+  timer.expires_after(delay);
+  timer.async_wait([this, number, repeat](const error_code& error) {
+    const auto query = queries_.find(number);
+    if (error || query == queries_.end())
+      return;
+    if (!repeat) {
+      End(number, std::nullopt);
+      return;
+    }
+    SendQuery(number, *query->second);
+    ArmTimer(number, kGiveUpAfter - kRepeatAfter, false);
+  });
+}
+
+void PeerStreamOrigins::OnMessage(const StreamOriginMessage& message,
+                                  const Member& sender) {
+  const Instant now = BootClock::now();
+  switch (message.kind) {
+    case StreamOriginMessage::Kind::kRecords:
+      for (const auto& entry : message.entries)
+        state_.stream_origins().Record(entry.stream, entry.origin, now);
+      return;
+    case StreamOriginMessage::Kind::kQuery:
+      Answer(message, sender);
+      return;
+    case StreamOriginMessage::Kind::kReply:
+      OnReply(message);
+      return;
+  }
+}
+
+void PeerStreamOrigins::Answer(const StreamOriginMessage& query,
+                               const Member& sender) {
+  if (query.entries.empty())
+    return;
+  const Instant now = BootClock::now();
+  const StreamOriginTable::Entry& subject = query.entries.front();
+  StreamOriginMessage reply = NewMessage(StreamOriginMessage::Kind::kReply);
+  reply.query = query.query;
+  if (const auto recorded = local_.FindRecorded(subject.stream, now)) {
+    reply.answer = StreamOriginAnswer::kRecorded;
+    reply.entries.push_back({subject.stream, *recorded});
+  } else if (const auto only = local_.OnlyOrigin(subject.origin.pool, now)) {
+    reply.answer = StreamOriginAnswer::kOnlyVersion;
+    reply.entries.push_back({subject.stream, *only});
+  } else if (state_.pool_versions().HasSeveral(subject.origin.pool, now)) {
+    reply.answer = StreamOriginAnswer::kSeveralVersions;
+  }
+  send_(sender, reply);
+}
+
+void PeerStreamOrigins::OnReply(const StreamOriginMessage& reply) {
+  const auto found = queries_.find(reply.query);
+  if (found == queries_.end() || found->second->open.erase(reply.sender) == 0)
+    return;
+  Query& query = *found->second;
+  const bool names_version = !reply.entries.empty();
+  if (reply.answer == StreamOriginAnswer::kRecorded && names_version) {
+    End(reply.query, reply.entries.front().origin);
+    return;
+  }
+  if (reply.answer == StreamOriginAnswer::kOnlyVersion && names_version)
+    query.only.insert(reply.entries.front().origin.version);
+  query.several |= reply.answer == StreamOriginAnswer::kSeveralVersions;
+  if (query.open.empty())
+    End(reply.query, std::nullopt);
+}
+
+void PeerStreamOrigins::End(std::uint64_t number,
+                            std::optional<StreamOrigin> recorded) {
+  const auto query = std::move(queries_.extract(number).mapped());
+  query->timer.cancel();
+  if (recorded)
+    local_.Record(query->subject.stream, *recorded);
+  else
+    recorded = Conclude(*query);
+  query->done(recorded);
+}
+
+std::optional<StreamOrigin> PeerStreamOrigins::Conclude(
+    const Query& query) const {
+  const Instant now = BootClock::now();
+  const PoolId& pool = query.subject.origin.pool;
+  std::set<SoftwareVersion> only = query.only;
+  if (const auto own = local_.OnlyOrigin(pool, now))
+    only.insert(own->version);
+  if (query.several || only.size() != 1 ||
+      state_.pool_versions().HasSeveral(pool, now))
+    return std::nullopt;
+  return StreamOrigin{pool, *only.begin()};
+}
+
+std::vector<const Member*> PeerStreamOrigins::Holders(const RequestId& stream,
+                                                      std::size_t count) const {
+  std::vector<std::pair<std::uint64_t, const Member*>> weighted;
+  for (const Member* member : state_.members().All()) {
+    if (member->instance == state_.settings().instance ||
+        member->peer_address.empty())
+      continue;
+    weighted.emplace_back(
+        RendezvousWeight(stream.value(), member->instance.value()), member);
+  }
+  const std::size_t kept = std::min(count, weighted.size());
+  std::partial_sort(weighted.begin(),
+                    weighted.begin() + static_cast<std::ptrdiff_t>(kept),
+                    weighted.end(), std::greater<>());
+  std::vector<const Member*> holders;
+  for (std::size_t i = 0; i < kept; ++i)
+    holders.push_back(weighted[i].second);
+  return holders;
+}
+
+StreamOriginMessage PeerStreamOrigins::NewMessage(
+    StreamOriginMessage::Kind kind) const {
+  StreamOriginMessage message;
+  message.kind = kind;
+  message.sender = state_.settings().instance;
+  return message;
+}
+
+}  // namespace bamboomount
--- /dev/null
+++ b/src/gateway/streams/peer_stream_origins.h
@@ -0,0 +1,100 @@
+#ifndef GATEWAY_STREAMS_PEER_STREAM_ORIGINS_H_
+#define GATEWAY_STREAMS_PEER_STREAM_ORIGINS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "gateway/gateway_state.h"
+#include "gateway/internal/asio.h"
+#include "gateway/replication/gossip_exchange.h"
+#include "gateway/streams/local_stream_origins.h"
+#include "gateway/streams/stream_origin_message.h"
+
+namespace bamboomount {
+
+// Origins of streams as far as the fleet can tell. While a pool may have had
+// several software versions, each stream that begins is recorded at kCopies
+// other instances, which rendezvous hashing of its id chooses, so that it can
+// be resumed after its instance has failed. A resume asks the first kAsked
+// instances in that order, more than have copies, because instances start and
+// leave. Messages may be lost: a query is repeated once, and a stream of which
+// nobody knows is not continued. Runs on the thread of the io_context.
+class PeerStreamOrigins : public StreamOriginDirectory,
+                          public StreamOriginHandler {
+ public:
+  static constexpr std::size_t kCopies = 3;
+  static constexpr std::size_t kAsked = 5;
+  // Time without all replies after which a query is sent again, and after which
+  // it ends with what is known.
+  static constexpr Millis kRepeatAfter{40};
+  static constexpr Millis kGiveUpAfter{100};
+  // Interval at which a pool that gets a second version is noticed.
+  static constexpr Millis kCheckInterval{100};
+  // Keeps datagrams below the usual size of a packet.
+  static constexpr std::size_t kMaxEntries = 16;
+
+  using Sender = std::function<void(const Member& target,
+                                    const StreamOriginMessage& message)>;
+
+  // `state` must outlive this object.
+  PeerStreamOrigins(asio::io_context& context,
+                    GatewayState& state,
+                    Sender sender);
+
+  // Starts to watch for pools that get a second version.
+  void Start();
+  void Record(const RequestId& stream, const StreamOrigin& origin) override;
+  void Find(const RequestId& stream,
+            const PoolId& pool,
+            Callback done) override;
+  void OnMessage(const StreamOriginMessage& message,
+                 const Member& sender) override;
+
+ private:
+  struct Query {
+    Query(asio::io_context& context, StreamOriginTable::Entry entry)
+        : subject(std::move(entry)), timer(context) {}
+
+    StreamOriginTable::Entry subject;
+    Callback done;
+    // Instances that have not replied.
+    std::set<InstanceId> open;
+    bool several = false;
+    std::set<SoftwareVersion> only;
+    asio::steady_timer timer;
+  };
+
+  // The first `count` other instances for the stream.
+  std::vector<const Member*> Holders(const RequestId& stream,
+                                     std::size_t count) const;
+  void CheckPools();
+  // Sends copies of all streams of the pool that this instance knows of.
+  void CopyAll(const PoolId& pool, Instant now);
+  void SendQuery(std::uint64_t number, const Query& query);
+  void ArmTimer(std::uint64_t number, Millis delay, bool repeat);
+  void Answer(const StreamOriginMessage& query, const Member& sender);
+  void OnReply(const StreamOriginMessage& reply);
+  // Ends the query with a recorded origin, or with what the replies allow.
+  void End(std::uint64_t number, std::optional<StreamOrigin> recorded);
+  std::optional<StreamOrigin> Conclude(const Query& query) const;
+  StreamOriginMessage NewMessage(StreamOriginMessage::Kind kind) const;
+
+  asio::io_context& context_;
+  GatewayState& state_;
+  const Sender send_;
+  LocalStreamOrigins local_;
+  std::map<std::uint64_t, std::unique_ptr<Query>> queries_;
+  std::uint64_t last_query_ = 0;
+  // Pools all of whose streams were known to have begun at one version.
+  std::set<PoolId> certain_pools_;
+  asio::steady_timer check_timer_;
+};
+
+}  // namespace bamboomount
+
+#endif  // GATEWAY_STREAMS_PEER_STREAM_ORIGINS_H_
--- /dev/null
+++ b/tests/gateway/peer_stream_origins_test.cc
@@ -0,0 +1,232 @@
+#include "gateway/streams/peer_stream_origins.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <set>
+#include <string>
+
+namespace bamboomount {
+namespace {
+
+const PoolId kPool("engines");
+const SoftwareVersion kOld("v1");
+const SoftwareVersion kNew("v2");
+const RequestId kStream("stream-1");
+constexpr Millis kUp = StreamOriginTable::kStreamLifetime + Millis(1000);
+
+InstanceSettings Settings(const std::string& name) {
+  InstanceSettings settings;
+  settings.instance = InstanceId(name);
+  return settings;
+}
+
+Member MemberOf(const InstanceId& instance) {
+  Member member;
+  member.instance = instance;
+  member.incarnation = Incarnation(instance.value() + "-1");
+  member.peer_address = "127.0.0.1:1";
+  return member;
+}
+
+// Instances that exchange messages in memory, where each may be lost.
+class Fleet {
+ public:
+  struct Instance {
+    Instance(Fleet& fleet, const std::string& name)
+        : state(Settings(name)),
+          origins(fleet.context_,
+                  state,
+                  [this, &fleet](const Member& target,
+                                 const StreamOriginMessage& message) {
+                    fleet.Deliver(*this, target.instance, message);
+                  }) {}
+
+    const InstanceId& id() const { return state.settings().instance; }
+    // Lists servers of the versions, after the given time of which nothing is
+    // missing.
+    void List(std::set<SoftwareVersion> versions, Millis up) {
+      const Instant now = BootClock::now();
+      state.pool_versions().RecordGap(now - up);
+      state.pool_versions().SetListed({{kPool, std::move(versions)}}, now);
+      state.backend_freshness().RecordStoreTime(now, Millis(1000));
+      state.backend_freshness().Confirm(now, Millis(1000));
+    }
+
+    GatewayState state;
+    PeerStreamOrigins origins;
+  };
+
+  explicit Fleet(int size) {
+    for (int i = 0; i < size; ++i)
+      instances_.emplace_back(*this, "i-" + std::to_string(i));
+    for (Instance& instance : instances_) {
+      for (const Instance& other : instances_)
+        instance.state.members().Update(MemberOf(other.id()), RowVersion(1),
+                                        BootClock::now());
+    }
+  }
+
+  Instance& operator[](std::size_t index) { return instances_[index]; }
+  std::deque<Instance>& all() { return instances_; }
+  void Kill(const Instance& instance) { dead_.insert(instance.id()); }
+  // The answer to a query, of which there must be exactly one.
+  std::optional<StreamOrigin> Find(Instance& instance,
+                                   const RequestId& stream = kStream) {
+    int answers = 0;
+    std::optional<StreamOrigin> found;
+    instance.origins.Find(stream, kPool, [&](const auto& origin) {
+      ++answers;
+      found = origin;
+    });
+    Run();
+    BOOST_TEST(answers == 1);
+    return found;
+  }
+  void Run() {
+    context_.restart();
+    context_.run();
+  }
+  // Runs for at least `time`, also if timers go on.
+  void RunFor(Millis time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+ private:
+  void Deliver(const Instance& sender,
+               const InstanceId& target,
+               const StreamOriginMessage& message) {
+    const auto bytes = EncodeStreamOriginMessage(message);
+    BOOST_TEST(IsStreamOriginMessage(bytes.data(), bytes.size()));
+    asio::post(context_, [this, bytes, from = sender.id(), target] {
+      if (dead_.contains(from) || dead_.contains(target))
+        return;
+      for (Instance& instance : instances_) {
+        if (instance.id() == target)
+          instance.origins.OnMessage(
+              DecodeStreamOriginMessage(bytes.data(), bytes.size()).value(),
+              MemberOf(from));
+      }
+    });
+  }
+
+  asio::io_context context_;
+  std::deque<Instance> instances_;
+  std::set<InstanceId> dead_;
+};
+
+std::shared_ptr<const TrafficPolicy> PolicyWithPool() {
+  Pool pool;
+  pool.id = kPool;
+  return TrafficPolicy::Builder(ConfigVersion(1)).AddPool(pool).Build();
+}
+
+BOOST_AUTO_TEST_SUITE(peer_stream_origins)
+
+// Guards against refused resumes of streams whose instance has failed while two
+// versions serve.
+BOOST_AUTO_TEST_CASE(a_stream_is_known_after_its_instance_has_failed) {
+  Fleet fleet(20);
+  for (Fleet::Instance& instance : fleet.all())
+    instance.List({kOld, kNew}, kUp);
+  fleet[0].origins.Record(kStream, {kPool, kOld});
+  fleet.Run();
+  fleet.Kill(fleet[0]);
+  for (std::size_t i = 1; i < fleet.all().size(); ++i)
+    BOOST_TEST((fleet.Find(fleet[i]) == StreamOrigin{kPool, kOld}));
+}
+
+// Guards against a resume that is joined because nobody knows of its stream.
+BOOST_AUTO_TEST_CASE(a_stream_that_nobody_knows_is_not_located) {
+  Fleet fleet(4);
+  for (Fleet::Instance& instance : fleet.all())
+    instance.List({kOld, kNew}, kUp);
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+  BOOST_TEST(!fleet.Find(fleet[1], RequestId()).has_value());
+}
+
+// Guards against an instance that takes the only version it sees for the one of
+// the stream, when all have just started and nobody knows better.
+BOOST_AUTO_TEST_CASE(instances_that_have_just_started_assume_nothing) {
+  Fleet fleet(4);
+  for (Fleet::Instance& instance : fleet.all())
+    instance.List({kNew}, Millis(1000));
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+}
+
+// Guards against refused resumes at an instance that has just started, though
+// the others know that the pool has had one version only.
+BOOST_AUTO_TEST_CASE(an_instance_that_has_just_started_asks_the_others) {
+  Fleet fleet(4);
+  fleet[0].List({kOld}, Millis(1000));
+  for (std::size_t i = 1; i < 4; ++i)
+    fleet[i].List({kOld}, kUp);
+  BOOST_TEST((fleet.Find(fleet[0]) == StreamOrigin{kPool, kOld}));
+}
+
+// Guards against an instance that has not heard of a new version yet: one that
+// has, and may have begun the stream there, overrules it.
+BOOST_AUTO_TEST_CASE(an_instance_that_knows_of_two_versions_overrules_others) {
+  Fleet fleet(3);
+  fleet[0].List({kOld}, kUp);
+  fleet[1].List({kOld}, kUp);
+  fleet[2].List({kOld, kNew}, kUp);
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+}
+
+// Guards against a query without an end when all instances are silent.
+BOOST_AUTO_TEST_CASE(silent_instances_end_no_query_twice_or_never) {
+  Fleet fleet(3);
+  for (Fleet::Instance& instance : fleet.all())
+    instance.List({kOld, kNew}, kUp);
+  fleet.Kill(fleet[1]);
+  fleet.Kill(fleet[2]);
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+  fleet[0].origins.Record(kStream, {kPool, kOld});
+  BOOST_TEST((fleet.Find(fleet[0]) == StreamOrigin{kPool, kOld}));
+}
+
+// Guards against streams that began while the pool had one version, and that
+// nobody knows once it has two and their instance has failed.
+BOOST_AUTO_TEST_CASE(streams_are_copied_when_a_second_version_comes) {
+  Fleet fleet(6);
+  for (Fleet::Instance& instance : fleet.all()) {
+    instance.state.ApplyPolicy(PolicyWithPool());
+    instance.List({kOld}, kUp);
+  }
+  fleet[0].origins.Start();
+  constexpr int kStreams = 40;
+  for (int i = 0; i < kStreams; ++i)
+    fleet[0].origins.Record(RequestId("s-" + std::to_string(i)), {kPool, kOld});
+  for (Fleet::Instance& instance : fleet.all())
+    instance.List({kOld, kNew}, kUp);
+  fleet.RunFor(3 * PeerStreamOrigins::kCheckInterval);
+  fleet.Kill(fleet[0]);
+  for (int i = 0; i < kStreams; ++i) {
+    std::optional<StreamOrigin> found;
+    fleet[1].origins.Find(RequestId("s-" + std::to_string(i)), kPool,
+                          [&](const auto& origin) { found = origin; });
+    fleet.RunFor(2 * PeerStreamOrigins::kGiveUpAfter);
+    BOOST_TEST((found == StreamOrigin{kPool, kOld}));
+  }
+}
+
+// Guards against a process that ends by a malformed datagram.
+BOOST_AUTO_TEST_CASE(malformed_messages_are_refused) {
+  StreamOriginMessage message;
+  message.kind = StreamOriginMessage::Kind::kReply;
+  message.sender = InstanceId("i-1");
+  message.answer = StreamOriginAnswer::kRecorded;
+  message.entries.push_back({kStream, {kPool, kOld}});
+  auto bytes = EncodeStreamOriginMessage(message);
+  for (std::size_t size = 0; size < bytes.size(); ++size)
+    BOOST_TEST(!DecodeStreamOriginMessage(bytes.data(), size));
+  message.kind = static_cast<StreamOriginMessage::Kind>(9);
+  bytes = EncodeStreamOriginMessage(message);
+  BOOST_TEST(!DecodeStreamOriginMessage(bytes.data(), bytes.size()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace bamboomount
