model check: an answer holds events of one software version

Cause: the servers of the world for attempts had no software version, so no order of steps could show a stream that goes on at a server of another one.

Ruled out: giving the existing resumable worlds two versions. A stream of theirs could then go on at one other server only; they stay as they are.

Change: worlds attempts-mixed-N (servers of versions v1, v2, v1), attempts-resumed-N (a caller resumes a stream of v1) and attempts-unknown-N (a stream of which nothing is known). The pieces of a stream name their version. New properties: an answer holds events of one version, that of the stream that is resumed; a stream of unknown version does not go on.

--- a/check/attempts_world.cc
+++ b/check/attempts_world.cc
@@ -16,6 +16,9 @@
 constexpr char kPlain[] = "\r\nX-Bamboomount-Request-Id: r1\r\n";
 constexpr char kNotRun[] = "X-Bamboomount-Not-Executed: 1\r\n";
 constexpr char kNoBody[] = "Content-Length: 0\r\n\r\n";
+// The stream that a request of the caller resumes, after its first event.
+constexpr char kResumed[] = "r0";
+constexpr int kResumedPlace = 1;
 
 std::string Chunk(const std::string& data) {
   std::ostringstream text;
@@ -23,9 +26,9 @@
   return text.str();
 }
 
-std::string Event(int number) {
+std::string Event(int number, const std::string& version) {
   const std::string text = std::to_string(number);
-  return "id: " + text + "\ndata: piece " + text + "\n\n";
+  return "id: " + text + "\ndata: piece " + text + " of " + version + "\n\n";
 }
 
 std::string StreamHead() {
@@ -34,33 +37,6 @@
                        "Transfer-Encoding: chunked\r\n\r\n");
 }
 
-std::string Success(bool is_stream, int place) {
-  if (!is_stream)
-    return kSealed + std::string("Content-Length: ") +
-           std::to_string(std::string(kAnswer).size()) + "\r\n\r\n" + kAnswer;
-  std::string text = StreamHead();
-  for (int number = place + 1; number <= kEvents; ++number)
-    text += Chunk(Event(number));
-  return text + "0\r\n\r\n";
-}
-
-// The beginning of a success.
-std::string BrokenSuccess(bool is_stream, int place) {
-  if (!is_stream)
-    return Success(false, 0).substr(0, Success(false, 0).size() - 1);
-  const std::string next = Event(place + 2);
-  return StreamHead() + Chunk(Event(place + 1)) +
-         Chunk(next.substr(0, next.size() / 2));
-}
-
-// A stream with an event whose id is spoilt.
-std::string SpoiltSuccess(bool is_stream, int place) {
-  if (!is_stream)
-    return "HTTP/1.1 200 OK\r\n" + std::string(kNoBody);
-  return StreamHead() + Chunk(Event(place + 1)) +
-         Chunk("id: 0\ndata: spoilt\n\n") + Chunk("id: ");
-}
-
 std::string Refusal(const char* status, const std::string& fields) {
   return std::string("HTTP/1.1 ") + status + kPlain + fields + kNoBody;
 }
@@ -85,10 +61,14 @@
   return builder.Build();
 }
 
-http::request<http::string_body> MakeRequest() {
+http::request<http::string_body> MakeRequest(bool resumes) {
   http::request<http::string_body> request(http::verb::post, "/a/x", 11);
   request.set(http::field::host, "h");
   request.set("X-Bamboomount-Request-Id", "r1");
+  if (resumes) {
+    request.set("Last-Event-Id", std::to_string(kResumedPlace));
+    request.set("Resumes", kResumed);
+  }
   request.body() = kBody;
   request.prepare_payload();
   return request;
@@ -131,11 +111,36 @@
   std::function<void()> gone;
 };
 
+std::string AttemptsWorld::Success(const Work& work) {
+  if (!work.is_stream)
+    return kSealed + std::string("Content-Length: ") +
+           std::to_string(std::string(kAnswer).size()) + "\r\n\r\n" + kAnswer;
+  std::string text = StreamHead();
+  for (int number = work.place + 1; number <= kEvents; ++number)
+    text += Chunk(Event(number, work.version));
+  return text + "0\r\n\r\n";
+}
+
+// The beginning of a success.
+std::string AttemptsWorld::BrokenSuccess(const Work& work) {
+  if (!work.is_stream)
+    return Success(work).substr(0, Success(work).size() - 1);
+  const std::string next = Event(work.place + 2, work.version);
+  return StreamHead() + Chunk(Event(work.place + 1, work.version)) +
+         Chunk(next.substr(0, next.size() / 2));
+}
+
+// A stream with an event whose id is spoilt.
+std::string AttemptsWorld::SpoiltSuccess(const Work& work) {
+  if (!work.is_stream)
+    return "HTTP/1.1 200 OK\r\n" + std::string(kNoBody);
+  return StreamHead() + Chunk(Event(work.place + 1, work.version)) +
+         Chunk("id: 0\ndata: spoilt\n\n") + Chunk("id: ");
+}
+
 const std::vector<AttemptsWorld::Behaviour>& AttemptsWorld::Behaviours() {
   const auto refuse = [](const char* status, const std::string& fields) {
-    return [=](bool /*is_stream*/, int /*place*/) {
-      return Refusal(status, fields);
-    };
+    return [=](const Work& /*work*/) { return Refusal(status, fields); };
   };
   const std::string not_run = kNotRun;
   static const std::vector<Behaviour> behaviours{
@@ -150,15 +155,15 @@
       {"answers 429 without the mark", true, false, refuse("429 Many", "")},
       {"fails", true, false, refuse("500 Failed", "")},
       {"closes without an answer", true, true,
-       [](bool, int) { return std::string(); }},
+       [](const Work&) { return std::string(); }},
       {"closes within the head", true, true,
-       [](bool, int) { return std::string(kSealed); }},
+       [](const Work&) { return std::string(kSealed); }},
       {"closes within the body", true, true, BrokenSuccess},
       {"spoils an event and closes", true, true, SpoiltSuccess},
       {"answers without a seal", true, false,
        refuse("200 OK", "Content-Type: text/event-stream\r\n")},
       {"answers another request and closes", true, true,
-       [](bool, int) {
+       [](const Work&) {
          return "HTTP/1.1 200 OK\r\nX-Bamboomount-Request-Id: r2\r\n"
                 "X-Bamboomount-Response-Seal: s\r\n" +
                 std::string(kNoBody);
@@ -167,19 +172,21 @@
   return behaviours;
 }
 
-AttemptsWorld::AttemptsWorld(RequestKind kind, int attempts)
-    : kind_(kind), attempts_(attempts), reply_(std::make_shared<Reply>()) {
+AttemptsWorld::AttemptsWorld(const Options& options)
+    : options_(options), reply_(std::make_shared<Reply>()) {
   state_ = std::make_unique<GatewayState>(InstanceSettings());
   dispatcher_ =
       std::make_unique<Dispatcher>(context_, protocol_, *state_, metrics_);
   const Instant now = BootClock::now();
-  state_->ApplyPolicy(MakePolicy(kind, attempts));
+  state_->ApplyPolicy(MakePolicy(options_.kind, options_.attempts));
   state_->freshness().Confirm(now, Millis(1));
   for (std::size_t i = 0; i < kServers; ++i) {
     Server& server = servers_[i];
     server.id = BackendId("s" + std::to_string(i));
+    server.version = options_.versions[i];
     BackendServer row;
     row.id = server.id;
+    row.version = SoftwareVersion(server.version);
     row.pool = PoolId("pool");
     row.slots = 1;
     state_->backends().Update(row, now);
@@ -190,8 +197,13 @@
     dispatcher_->connections().Release(server.id, std::move(connection), now);
   }
   state_->MarkBackendsLoaded();
+  if (options_.resumption == Resumption::kOfKnownOrigin)
+    state_->stream_origins().Record(
+        RequestId(kResumed),
+        {PoolId("pool"), SoftwareVersion(options_.versions.front())}, now);
+  const bool resumes = options_.resumption != Resumption::kNone;
   const auto exchange = std::make_shared<Exchange>(
-      *dispatcher_, IncomingRequest{MakeRequest(), now}, reply_);
+      *dispatcher_, IncomingRequest{MakeRequest(resumes), now}, reply_);
   exchange_ = exchange;
   exchange->Start();
   for (const Server& server : servers_)
@@ -241,7 +253,8 @@
   if (behaviour.runs)
     ++runs_;
   server.wire->Deliver(
-      behaviour.answer(IsStream(kind_), place.empty() ? 0 : std::stoi(place)));
+      behaviour.answer({IsStream(options_.kind),
+                        place.empty() ? 0 : std::stoi(place), server.version}));
   if (behaviour.closes)
     server.wire->End(fuzz::Ending::kShutdown);
   for (const Server& other : servers_)
@@ -263,7 +276,7 @@
   constexpr unsigned kRequestTimeout = 408;
   constexpr unsigned kTooManyRequests = 429;
   constexpr unsigned kServiceUnavailable = 503;
-  const int may_run = MayRepeat(kind_) ? attempts_ : 1;
+  const int may_run = MayRepeat(options_.kind) ? options_.attempts : 1;
   if (runs_ > may_run)
     Fail("a request ran more often than it may");
   if (!reply_->finished && !reply_->aborted) {
@@ -276,28 +289,48 @@
   const bool promises_not_run = reply_->status == kRequestTimeout ||
                                 reply_->status == kTooManyRequests ||
                                 reply_->status == kServiceUnavailable;
-  if (promises_not_run && runs_ > 0 && !MayRepeat(kind_))
+  if (promises_not_run && runs_ > 0 && !MayRepeat(options_.kind))
     Fail("the caller was told that its request did not run, and it did");
   if (reply_->status / 100 != 2)
     return;
   if (!reply_->sealed)
     Fail("the caller got an answer without the proof of a server");
-  if (IsStream(kind_))
+  if (IsStream(options_.kind))
     CheckStream();
   else if (reply_->finished && reply_->body != kAnswer)
     Fail("the caller got another answer than a server gave");
 }
 
-// Each piece comes once and in order; what a server spoilt does not count.
+std::set<std::string> AttemptsWorld::VersionsIn(
+    const std::string& pieces) const {
+  std::set<std::string> versions;
+  for (const std::string version : options_.versions) {
+    if (pieces.find(" of " + version + "\n") != std::string::npos)
+      versions.insert(version);
+  }
+  return versions;
+}
+
+// Each piece comes once and in order, and all from servers of one version; what
+// a server spoilt does not count.
 void AttemptsWorld::CheckStream() {
-  std::string expected;
-  for (int number = 1; number <= kEvents; ++number)
-    expected += Event(number);
   std::string pieces = reply_->body;
   const std::string spoilt = "id: 0\ndata: spoilt\n\n";
   for (std::size_t at = pieces.find(spoilt); at != std::string::npos;
        at = pieces.find(spoilt))
     pieces.erase(at, spoilt.size());
+  std::set<std::string> versions = VersionsIn(pieces);
+  const bool resumes = options_.resumption != Resumption::kNone;
+  if (resumes)
+    versions.insert(options_.versions.front());
+  if (versions.size() > 1)
+    Fail("a stream holds events of two software versions");
+  if (options_.resumption == Resumption::kOfUnknownOrigin)
+    Fail("a stream goes on although its version is unknown");
+  std::string expected;
+  for (int number = resumes ? kResumedPlace + 1 : 1; number <= kEvents;
+       ++number)
+    expected += Event(number, versions.empty() ? "" : *versions.begin());
   if (!expected.starts_with(pieces))
     Fail("a stream has a piece twice, or another one than a server gave");
   if (reply_->finished && pieces != expected)
--- a/check/main.cc
+++ b/check/main.cc
@@ -107,21 +107,30 @@
       {"once", RequestKind::kAtMostOnce},
       {"stream", RequestKind::kStream},
       {"resumable", RequestKind::kResumableStream}};
-  for (const auto& [name, kind] : kinds) {
+  const auto add_attempts = [&worlds](const std::string& name,
+                                      AttemptsWorld::Options options) {
     for (const int attempts : {1, 2, 3}) {
+      options.attempts = attempts;
       const std::string world =
           "attempts-" + name + "-" + std::to_string(attempts);
-      worlds.push_back({world, [=, kind = kind](const Limits& limits) {
-                          return Check(
-                              world,
-                              [=] {
-                                return std::make_unique<AttemptsWorld>(
-                                    kind, attempts);
-                              },
-                              kAttemptsDepth, limits);
-                        }});
+      worlds.push_back(
+          {world, [=](const Limits& limits) {
+             return Check(
+                 world,
+                 [=] { return std::make_unique<AttemptsWorld>(options); },
+                 kAttemptsDepth, limits);
+           }});
     }
-  }
+  };
+  for (const auto& [name, kind] : kinds)
+    add_attempts(name, {kind});
+  AttemptsWorld::Options mixed{RequestKind::kResumableStream};
+  mixed.versions = {"v1", "v2", "v1"};
+  add_attempts("mixed", mixed);
+  mixed.resumption = AttemptsWorld::Resumption::kOfKnownOrigin;
+  add_attempts("resumed", mixed);
+  mixed.resumption = AttemptsWorld::Resumption::kOfUnknownOrigin;
+  add_attempts("unknown", mixed);
   return worlds;
 }
 
