tests: streams of two versions in a fleet whose instances are killed

Cause: the tests of the pinned version used one instance at a time, without gossip, so nothing showed what a fleet knows of a stream after its instance has failed, or after all have.

Change: three instances with gossip and a server of each version: a stream of a killed instance is resumed at another one, at its version; an instance that has started after all others were killed refuses; a server that came back under its id with another version gets nothing of the stream.

Ruled out: waiting for the log of a row without the start time of the server. An instance takes it for the same process, logs nothing, and the test waits until the stream is forgotten (30 s) and the pool has one version. Rows of the tests name the start time, as those of servers do.

--- a/tests/entry/stream_version_test.cc
+++ b/tests/entry/stream_version_test.cc
@@ -1,5 +1,9 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "entry_fixture/entry_fleet.h"
 #include "support/wait_until.h"
@@ -36,18 +40,23 @@
   // server is there.
   StreamPart BeginAtOldServer(EntryInstance& instance) {
     old_->SetMode(BackendMode::kCutInEvent);
-    const StreamPart part = Read(instance, MakeStreamRequest());
+    StreamPart part = Read(instance, MakeStreamRequest());
     old_->SetMode(BackendMode::kAnswer);
     return part;
   }
-  static bool WaitUntilListed(EntryInstance& instance, const std::string& id) {
-    return support::WaitUntil([&] {
-      for (const nlohmann::json& line : instance.LogLines()) {
-        if (line.value("name", "") == "backend_listed" &&
-            line.value("backend", "") == id)
-          return true;
-      }
-      return false;
+  static bool WaitUntilListed(EntryInstance& instance,
+                              const std::string& id,
+                              const std::string& version) {
+    return WaitUntilLogged(instance, [&](const nlohmann::json& line) {
+      return line.value("name", "") == "backend_listed" &&
+             line.value("backend", "") == id &&
+             line.value("version", "") == version;
+    });
+  }
+  static bool WaitUntilGone(EntryInstance& instance, const std::string& id) {
+    return WaitUntilLogged(instance, [&](const nlohmann::json& line) {
+      return line.value("name", "") == "backend_gone" &&
+             line.value("backend", "") == id;
     });
   }
   static support::ClientRequest MakeStreamRequest() {
@@ -79,6 +88,14 @@
   }
 
  private:
+  template <typename Matches>
+  static bool WaitUntilLogged(EntryInstance& instance, Matches matches) {
+    return support::WaitUntil([&] {
+      const auto lines = instance.LogLines();
+      return std::any_of(lines.begin(), lines.end(), matches);
+    });
+  }
+
   BackendStandin* old_ = nullptr;
 };
 
@@ -123,7 +140,7 @@
   const StreamPart refused = BeginAtOldServer(instance);
   const StreamPart served = BeginAtOldServer(instance);
   BackendStandin& next = AddBackend("e-new", "pool", "v2");
-  BOOST_TEST(WaitUntilListed(instance, "e-new"));
+  BOOST_TEST(WaitUntilListed(instance, "e-new", "v2"));
   old_server().SetMode(BackendMode::kRefuse);
   BOOST_TEST(Read(instance, MakeResume(refused)).status == 503);
   old_server().SetMode(BackendMode::kAnswer);
@@ -154,5 +171,113 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Unix time in ms at which the old server started first.
+constexpr std::int64_t kFirstStartMs = 1'700'000'000'000;
+
+// Three instances that exchange gossip, and a server of each version.
+class TwoVersionGossipFleet : public TwoVersionFleet {
+ public:
+  TwoVersionGossipFleet() {
+    new_ = &AddBackend("e-new", "pool", "v2");
+    ListOldServer("v1", kFirstStartMs);
+    for (const char* name : {"i-1", "i-2", "i-3"})
+      instances_.push_back(&AddGossipInstance(name));
+    for (EntryInstance* instance : instances_)
+      BOOST_TEST(WaitUntilMembersListed(*instance, instances_.size()));
+  }
+
+  BackendStandin& new_server() { return *new_; }
+  EntryInstance& instance(std::size_t index) { return *instances_[index]; }
+  EntryInstance& AddGossipInstance(const std::string& name) {
+    EntryInstance& instance = AddInstance(
+        name, {{"retry_slack", 1000}, {"peer_address", "127.0.0.1:0"}});
+    instance.WaitUntilReady();
+    return instance;
+  }
+  // Begins a stream at the old server, which breaks off after two events.
+  StreamPart BeginAtFirstInstance() {
+    new_->SetMode(BackendMode::kRefuse);
+    StreamPart begun = BeginAtOldServer(instance(0));
+    new_->SetMode(BackendMode::kAnswer);
+    BOOST_TEST(begun.events == 2U);
+    return begun;
+  }
+  // Writes the row of the old server as one of its processes writes it.
+  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
+    nlohmann::json row = nlohmann::json::parse(old_server().RowValue("pool"));
+    row["version"] = version;
+    row["born"] = started_at_ms;
+    store().Put("servers", "e-old", row.dump());
+  }
+  static void Kill(EntryInstance& instance) {
+    instance.process().Signal(SIGKILL);
+    BOOST_TEST(
+        support::WaitUntil([&] { return !instance.process().running(); }));
+  }
+
+ private:
+  static bool WaitUntilMembersListed(const EntryInstance& instance,
+                                     std::size_t count) {
+    return support::WaitUntil([&] {
+      const auto response = support::CallOnce(
+          instance.directory_address(),
+          {"GET", "/bamboomount/resolve?name=h&region=r&zone=z", {}, ""});
+      return response.status == 200 &&
+             nlohmann::json::parse(response.body).at("addresses").size() ==
+                 count;
+    });
+  }
+
+  BackendStandin* new_ = nullptr;
+  std::vector<EntryInstance*> instances_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(stream_version_in_fleet, TwoVersionGossipFleet)
+
+// Guards against refused resumes, and against streams of two versions, after
+// the instance that began the stream has been killed.
+BOOST_AUTO_TEST_CASE(a_stream_of_a_killed_instance_is_resumed_at_its_version) {
+  const StreamPart begun = BeginAtFirstInstance();
+  Kill(instance(0));
+  for (const std::size_t other : {1U, 2U}) {
+    const StreamPart rest = Read(instance(other), MakeResume(begun));
+    BOOST_TEST(rest.status == 200);
+    BOOST_TEST(begun.events + rest.events ==
+               static_cast<std::size_t>(kStreamEvents));
+    BOOST_TEST(rest.clean);
+  }
+  BOOST_TEST(old_server().ResumeCount() == 2);
+  BOOST_TEST(new_server().ResumeCount() == 0);
+}
+
+// Guards against a stream of two versions after all instances were killed at
+// once: the one that has started since knows nothing of the stream.
+BOOST_AUTO_TEST_CASE(nothing_is_resumed_after_all_instances_were_killed) {
+  const StreamPart begun = BeginAtFirstInstance();
+  for (const std::size_t index : {0U, 1U, 2U})
+    Kill(instance(index));
+  EntryInstance& started = AddGossipInstance("i-4");
+  BOOST_TEST(Read(started, MakeStreamRequest()).clean);
+  BOOST_TEST(Read(started, MakeResume(begun)).status == 503);
+  store().Remove("servers", "e-old");
+  BOOST_TEST(WaitUntilGone(started, "e-old"));
+  BOOST_TEST(Read(started, MakeResume(begun)).status == 503);
+  BOOST_TEST(old_server().ResumeCount() + new_server().ResumeCount() == 0);
+}
+
+// Guards against a stream of two versions when the server that began it has
+// been started again under its id with other software.
+BOOST_AUTO_TEST_CASE(a_server_that_came_back_with_another_version_is_avoided) {
+  const StreamPart begun = BeginAtFirstInstance();
+  ListOldServer("v2", kFirstStartMs + 1);
+  for (const std::size_t index : {0U, 1U, 2U}) {
+    BOOST_TEST(WaitUntilListed(instance(index), "e-old", "v2"));
+    BOOST_TEST(Read(instance(index), MakeResume(begun)).status == 503);
+  }
+  BOOST_TEST(old_server().ResumeCount() + new_server().ResumeCount() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace bamboomount::entry_test
