fuzz: datagrams on the origins of streams

Cause: a new message from other instances came in without a check of what a damaged or hostile one does.

Change: a quarter of the inputs of the check "peers" are messages on streams, sound or damaged as gossip messages are: sound ones survive, none is a gossip message too, and what is accepted can be sent on unchanged. Half of the datagrams of fuzz_instance are such messages.

--- a/fuzz/document_checks.cc
+++ b/fuzz/document_checks.cc
@@ -16,6 +16,7 @@
 #include "gateway/forwarding/sse_framer.h"
 #include "gateway/replication/gossip_message.h"
 #include "gateway/replication/peer_rows.h"
+#include "gateway/streams/stream_origin_message.h"
 #include "platform/http_message_protocol.h"
 #include "platform/row_decoder.h"
 
@@ -229,6 +230,21 @@
   return message;
 }
 
+StreamOriginMessage SoundStreamOrigins(Choices& choices) {
+  StreamOriginMessage message;
+  constexpr std::size_t kKinds = 3;
+  constexpr std::size_t kAnswers = 4;
+  message.kind = static_cast<StreamOriginMessage::Kind>(choices.Below(kKinds));
+  message.sender = InstanceId("i-1");
+  message.query = 1 + choices.Below(3);
+  message.answer = static_cast<StreamOriginAnswer>(choices.Below(kAnswers));
+  const std::size_t entries = choices.Below(4);
+  for (std::size_t i = 0; i < entries; ++i)
+    message.entries.push_back({RequestId("r" + std::to_string(i)),
+                               {PoolId("p"), SoftwareVersion("v1")}});
+  return message;
+}
+
 // Changes bytes of a message and encloses it in arrays.
 std::string SpoilBytes(std::string bytes, Choices& choices, bool& is_sound) {
   constexpr std::size_t kMaxDepth = 65'000;
@@ -334,14 +350,48 @@
   // Longer ones are truncated by the receiver.
   constexpr std::size_t kMaxBytes = 32'768;
   bool is_sound = true;
-  const auto encoded = EncodeGossipMessage(SoundGossip());
+  const auto encoded =
+      choices.OneIn(2) ? EncodeStreamOriginMessage(SoundStreamOrigins(choices))
+                       : EncodeGossipMessage(SoundGossip());
   return SpoilBytes({encoded.begin(), encoded.end()}, choices, is_sound)
       .substr(0, kMaxBytes);
 }
 
+// A datagram that is taken for a message on streams names the same message when
+// it is encoded again.
+void CheckStreamOriginMessage(Choices& choices) {
+  bool is_sound = true;
+  const auto encoded = EncodeStreamOriginMessage(SoundStreamOrigins(choices));
+  const std::string bytes =
+      SpoilBytes({encoded.begin(), encoded.end()}, choices, is_sound);
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  if (!IsStreamOriginMessage(data, bytes.size())) {
+    Require(!is_sound, "a sound message on streams is not recognized");
+    return;
+  }
+  Require(!DecodeGossipMessage(data, bytes.size()),
+          "a message is both one on streams and a gossip message");
+  const auto decoded = DecodeStreamOriginMessage(data, bytes.size());
+  Require(!is_sound || (decoded &&
+                        EncodeStreamOriginMessage(decoded.value()) == encoded),
+          "a sound message on streams is refused or changed");
+  if (!decoded)
+    return;
+  // Encoding throws if a text of a peer cannot be sent on.
+  const auto again = EncodeStreamOriginMessage(decoded.value());
+  const auto same = DecodeStreamOriginMessage(again.data(), again.size());
+  Require(same && EncodeStreamOriginMessage(same.value()) == again,
+          "a message on streams changes when it is sent on");
+}
+
 void CheckPeerMessages(Choices& choices) {
   bool is_sound = true;
-  if (choices.OneIn(2)) {
+  const std::size_t kind = choices.Below(4);
+  if (kind == 2) {
+    CheckStreamOriginMessage(choices);
+    return;
+  }
+  if (kind != 0) {
     PeerRows rows;
     rows.rows = {{"t", "k1", "v1", RowVersion(3), false},
                  {"t", "k2", "", RowVersion(4), true}};
