streams: a late reply does not name the version of another stream

Cause: a reply was matched by the number of its query alone, and the numbers start anew with each process. An instance asks, is killed and starts again; an instance that was suspended answers the query of the first process, and the reply is taken for one to the second query with that number, on another stream. That stream then went on at the version of the first.

Ruled out: numbers that start at the clock, as the sequence numbers of gossip do: a check of what is answered also covers any other mix-up of numbers.

Change: a reply that names another stream than the query is ignored.

Evidence, a_reply_on_another_stream_is_ignored, before: peer_stream_origins_test.cc(232): check !found.has_value() has failed After: 12 test cases of both suites without errors.

--- a/src/gateway/streams/peer_stream_origins.cc
+++ b/src/gateway/streams/peer_stream_origins.cc
@@ -157,10 +157,16 @@
 
 void PeerStreamOrigins::OnReply(const StreamOriginMessage& reply) {
   const auto found = queries_.find(reply.query);
-  if (found == queries_.end() || found->second->open.erase(reply.sender) == 0)
+  if (found == queries_.end())
     return;
   Query& query = *found->second;
   const bool names_version = !reply.entries.empty();
+  // A late reply to an earlier process of this instance may have the number of
+  // a query of this one.
+  if (names_version && reply.entries.front().stream != query.subject.stream)
+    return;
+  if (query.open.erase(reply.sender) == 0)
+    return;
   if (reply.answer == StreamOriginAnswer::kRecorded && names_version) {
     End(reply.query, reply.entries.front().origin);
     return;
--- a/tests/gateway/peer_stream_origins_test.cc
+++ b/tests/gateway/peer_stream_origins_test.cc
@@ -211,6 +211,27 @@
   }
 }
 
+// Guards against a reply to an earlier process of the instance, whose queries
+// had the same numbers: the origin of its stream was taken for that of another
+// one.
+BOOST_AUTO_TEST_CASE(a_reply_on_another_stream_is_ignored) {
+  Fleet fleet(3);
+  for (Fleet::Instance& instance : fleet.all())
+    instance.List({kOld, kNew}, kUp);
+  StreamOriginMessage late;
+  late.kind = StreamOriginMessage::Kind::kReply;
+  late.sender = fleet[1].id();
+  late.query = 1;
+  late.answer = StreamOriginAnswer::kRecorded;
+  late.entries.push_back({RequestId("another"), {kPool, kNew}});
+  std::optional<StreamOrigin> found;
+  fleet[0].origins.Find(kStream, kPool,
+                        [&](const auto& origin) { found = origin; });
+  fleet[0].origins.OnMessage(late, MemberOf(fleet[1].id()));
+  fleet.Run();
+  BOOST_TEST(!found.has_value());
+}
+
 // Guards against a process that ends by a malformed datagram.
 BOOST_AUTO_TEST_CASE(malformed_messages_are_refused) {
   StreamOriginMessage message;
