streams: copies of streams with long ids fit into datagrams

Cause: a message holds up to 16 streams, whatever the length of their ids, and callers choose those, up to the limit of a head. The message was then longer than a datagram can be, the send failed without a trace, and the copies of all 16 streams were lost, also those of other callers.

Ruled out: a bound on the length of ids that are recorded; the streams of such callers could not be resumed.

Change: a message with several entries ends at 1,000 bytes of ids and versions.

Evidence, long_ids_fit_into_datagrams, before: peer_stream_origins_test.cc(269): check copied >= kStreams has failed [0 < 16] After: 13 test cases of the suites on streams without errors.

--- a/src/gateway/streams/peer_stream_origins.cc
+++ b/src/gateway/streams/peer_stream_origins.cc
@@ -38,25 +38,36 @@
 }
 
 void PeerStreamOrigins::CopyAll(const PoolId& pool, Instant now) {
-  std::map<const Member*, StreamOriginMessage> messages;
+  std::map<const Member*, Batch> batches;
   for (const auto& entry : state_.stream_origins().EntriesOf(pool, now)) {
     for (const Member* holder : Holders(entry.stream, kCopies)) {
-      auto& message =
-          messages
-              .try_emplace(holder,
-                           NewMessage(StreamOriginMessage::Kind::kRecords))
+      Batch& batch =
+          batches
+              .try_emplace(
+                  holder,
+                  Batch{NewMessage(StreamOriginMessage::Kind::kRecords), 0})
               .first->second;
-      message.entries.push_back(entry);
-      if (message.entries.size() < kMaxEntries)
-        continue;
-      send_(*holder, message);
-      message.entries.clear();
+      AddToBatch(entry, *holder, batch);
     }
   }
-  for (const auto& [holder, message] : messages) {
-    if (!message.entries.empty())
-      send_(*holder, message);
+  for (const auto& [holder, batch] : batches)
+    send_(*holder, batch.message);
+}
+
+void PeerStreamOrigins::AddToBatch(const StreamOriginTable::Entry& entry,
+                                   const Member& holder,
+                                   Batch& batch) {
+  const std::size_t bytes = entry.stream.value().size() +
+                            entry.origin.pool.value().size() +
+                            entry.origin.version.value().size();
+  if (!batch.message.entries.empty() &&
+      batch.text_bytes + bytes > kMaxTextBytes) {
+    send_(holder, batch.message);
+    batch.message.entries.clear();
+    batch.text_bytes = 0;
   }
+  batch.message.entries.push_back(entry);
+  batch.text_bytes += bytes;
 }
 
 void PeerStreamOrigins::Record(const RequestId& stream,
--- a/src/gateway/streams/peer_stream_origins.h
+++ b/src/gateway/streams/peer_stream_origins.h
@@ -35,8 +35,9 @@
   static constexpr Millis kGiveUpAfter{100};
   // Interval at which a pool that gets a second version is noticed.
   static constexpr Millis kCheckInterval{100};
-  // Keeps datagrams below the usual size of a packet.
-  static constexpr std::size_t kMaxEntries = 16;
+  // Length of the ids and versions of a message with several entries. Keeps
+  // datagrams below the usual size of a packet; callers choose the ids.
+  static constexpr std::size_t kMaxTextBytes = 1000;
 
   using Sender = std::function<void(const Member& target,
                                     const StreamOriginMessage& message)>;
@@ -69,12 +70,22 @@
     asio::steady_timer timer;
   };
 
+  // Entries for one instance that are not sent yet.
+  struct Batch {
+    StreamOriginMessage message;
+    std::size_t text_bytes = 0;
+  };
+
   // The first `count` other instances for the stream.
   std::vector<const Member*> Holders(const RequestId& stream,
                                      std::size_t count) const;
   void CheckPools();
   // Sends copies of all streams of the pool that this instance knows of.
   void CopyAll(const PoolId& pool, Instant now);
+  // Adds the entry, and sends the batch first if it is full.
+  void AddToBatch(const StreamOriginTable::Entry& entry,
+                  const Member& holder,
+                  Batch& batch);
   void SendQuery(std::uint64_t number, const Query& query);
   void ArmTimer(std::uint64_t number, Millis delay, bool repeat);
   void Answer(const StreamOriginMessage& query, const Member& sender);
--- a/tests/gateway/peer_stream_origins_test.cc
+++ b/tests/gateway/peer_stream_origins_test.cc
@@ -232,6 +232,43 @@
   BOOST_TEST(!found.has_value());
 }
 
+// Guards against copies that are lost because a datagram has no room for them:
+// callers choose how long the ids of their requests are.
+BOOST_AUTO_TEST_CASE(long_ids_fit_into_datagrams) {
+  constexpr std::size_t kLongId = 8000;
+  constexpr std::size_t kMaxDatagramBytes = 65'507;
+  GatewayState state(Settings("i-0"));
+  state.members().Update(MemberOf(InstanceId("i-0")), RowVersion(1),
+                         BootClock::now());
+  state.members().Update(MemberOf(InstanceId("i-1")), RowVersion(1),
+                         BootClock::now());
+  state.ApplyPolicy(PolicyWithPool());
+  asio::io_context context;
+  std::size_t copied = 0;
+  PeerStreamOrigins origins(
+      context, state,
+      [&](const Member& /*target*/, const StreamOriginMessage& message) {
+        if (EncodeStreamOriginMessage(message).size() <= kMaxDatagramBytes)
+          copied += message.entries.size();
+      });
+  const Instant now = BootClock::now();
+  const auto list = [&](std::set<SoftwareVersion> versions) {
+    state.pool_versions().SetListed({{kPool, std::move(versions)}}, now);
+  };
+  state.pool_versions().RecordGap(now - kUp);
+  state.backend_freshness().RecordStoreTime(now, Millis(1000));
+  state.backend_freshness().Confirm(now, Millis(1000));
+  list({kOld});
+  origins.Start();
+  constexpr std::size_t kStreams = 16;
+  for (std::size_t i = 0; i < kStreams; ++i)
+    origins.Record(RequestId(std::string(kLongId, static_cast<char>('a' + i))),
+                   {kPool, kOld});
+  list({kOld, kNew});
+  context.run_for(2 * PeerStreamOrigins::kCheckInterval);
+  BOOST_TEST(copied >= kStreams);
+}
+
 // Guards against a process that ends by a malformed datagram.
 BOOST_AUTO_TEST_CASE(malformed_messages_are_refused) {
   StreamOriginMessage message;
