Copy each stream when it begins, also while a pool has one version

What callers would see: refused resumes (LOST) on routes to several services and while instances are restarted one after the other; a stream that goes on in another service after its route has moved. Cause: a stream was copied to other instances only while its pool might have several versions, and all streams at once when that changed. Which service a stream began in, and what the last of the restarted instances knew, was then at one instance only; and copies of copies lived on. Change: each stream is copied when it begins, and never again. The cases no longer start the timer that is gone; their checks are the same. long_ids_fit_into_datagrams now shows single copies; the batches that it was written for are gone.

--- a/apps/bamboomount_entry/entry_process.cc
+++ b/apps/bamboomount_entry/entry_process.cc
@@ -115,7 +115,6 @@
     dispatcher_.SetStreamOrigins(stream_origins_);
     gossip_exchange_.SetStreamOriginHandler(stream_origins_);
     gossip_exchange_.Start();
-    stream_origins_.Start();
     WaitForStopSignal();
     WaitForReloadSignal();
     ScheduleSettingsCheck();
--- a/src/gateway/streams/peer_stream_origins.cc
+++ b/src/gateway/streams/peer_stream_origins.cc
@@ -13,68 +13,11 @@
     : context_(context),
       state_(state),
       send_(std::move(sender)),
-      local_(state),
-      check_timer_(context) {}
-
-void PeerStreamOrigins::Start() {
-  CheckPools();
-  check_timer_.expires_after(kCheckInterval);
-  check_timer_.async_wait([this](const error_code& error) {
-    if (!error)
-      Start();
-  });
-}
-
-void PeerStreamOrigins::CheckPools() {
-  if (!state_.policy())
-    return;
-  const Instant now = BootClock::now();
-  for (const auto& [pool, rule] : state_.policy()->pools()) {
-    if (local_.OnlyOrigin(pool, now))
-      certain_pools_.insert(pool);
-    else if (certain_pools_.erase(pool) > 0)
-      CopyAll(pool, now);
-  }
-}
-
-void PeerStreamOrigins::CopyAll(const PoolId& pool, Instant now) {
-  std::map<const Member*, Batch> batches;
-  for (const auto& entry : state_.stream_origins().EntriesOf(pool, now)) {
-    for (const Member* holder : Holders(entry.stream, kCopies)) {
-      Batch& batch =
-          batches
-              .try_emplace(
-                  holder,
-                  Batch{NewMessage(StreamOriginMessage::Kind::kRecords), 0})
-              .first->second;
-      AddToBatch(entry, *holder, batch);
-    }
-  }
-  for (const auto& [holder, batch] : batches)
-    send_(*holder, batch.message);
-}
-
-void PeerStreamOrigins::AddToBatch(const StreamOriginTable::Entry& entry,
-                                   const Member& holder,
-                                   Batch& batch) {
-  const std::size_t bytes = entry.stream.value().size() +
-                            entry.origin.pool.value().size() +
-                            entry.origin.version.value().size();
-  if (!batch.message.entries.empty() &&
-      batch.text_bytes + bytes > kMaxTextBytes) {
-    send_(holder, batch.message);
-    batch.message.entries.clear();
-    batch.text_bytes = 0;
-  }
-  batch.message.entries.push_back(entry);
-  batch.text_bytes += bytes;
-}
+      local_(state) {}
 
 void PeerStreamOrigins::Record(const RequestId& stream,
                                const StreamOrigin& origin) {
   local_.Record(stream, origin);
-  if (local_.OnlyOrigin(origin.pool, BootClock::now()))
-    return;
   StreamOriginMessage message = NewMessage(StreamOriginMessage::Kind::kRecords);
   message.entries.push_back({stream, origin});
   for (const Member* holder : Holders(stream, kCopies))
--- a/src/gateway/streams/peer_stream_origins.h
+++ b/src/gateway/streams/peer_stream_origins.h
@@ -17,13 +17,13 @@
 
 namespace bamboomount {
 
-// Origins of streams as far as the fleet can tell. While a pool may have had
-// several software versions, each stream that begins is recorded at kCopies
-// other instances, which rendezvous hashing of its id chooses, so that it can
-// be resumed after its instance has failed. A resume asks the first kAsked
-// instances in that order, more than have copies, because instances start and
-// leave. Messages may be lost: a query is repeated once, and a stream of which
-// nobody knows is not continued. Runs on the thread of the io_context.
+// Origins of streams as far as the fleet can tell. Each stream is copied, when
+// it begins, to kCopies other instances, which rendezvous hashing of its id
+// chooses, so that it can be resumed after its instance has failed. A resume
+// asks the first kAsked instances in that order, more than have copies, because
+// instances start and leave. Messages may be lost: a query is repeated once,
+// and a stream of which nobody knows is not continued. Runs on the thread of
+// the io_context.
 class PeerStreamOrigins : public StreamOriginDirectory,
                           public StreamOriginHandler {
  public:
@@ -33,11 +33,6 @@
   // it ends with what is known.
   static constexpr Millis kRepeatAfter{40};
   static constexpr Millis kGiveUpAfter{100};
-  // Interval at which a pool that gets a second version is noticed.
-  static constexpr Millis kCheckInterval{100};
-  // Length of the ids and versions of a message with several entries. Keeps
-  // datagrams below the usual size of a packet; callers choose the ids.
-  static constexpr std::size_t kMaxTextBytes = 1000;
 
   using Sender = std::function<void(const Member& target,
                                     const StreamOriginMessage& message)>;
@@ -47,8 +42,6 @@
                     GatewayState& state,
                     Sender sender);
 
-  // Starts to watch for pools that get a second version.
-  void Start();
   void Record(const RequestId& stream, const StreamOrigin& origin) override;
   void Find(const RequestId& stream,
             const PoolId& pool,
@@ -70,22 +63,9 @@
     asio::steady_timer timer;
   };
 
-  // Entries for one instance that are not sent yet.
-  struct Batch {
-    StreamOriginMessage message;
-    std::size_t text_bytes = 0;
-  };
-
   // The first `count` other instances for the stream.
   std::vector<const Member*> Holders(const RequestId& stream,
                                      std::size_t count) const;
-  void CheckPools();
-  // Sends copies of all streams of the pool that this instance knows of.
-  void CopyAll(const PoolId& pool, Instant now);
-  // Adds the entry, and sends the batch first if it is full.
-  void AddToBatch(const StreamOriginTable::Entry& entry,
-                  const Member& holder,
-                  Batch& batch);
   void SendQuery(std::uint64_t number, const Query& query);
   void ArmTimer(std::uint64_t number, Millis delay, bool repeat);
   void Answer(const StreamOriginMessage& query, const Member& sender);
@@ -101,9 +81,6 @@
   LocalStreamOrigins local_;
   std::map<std::uint64_t, std::unique_ptr<Query>> queries_;
   std::uint64_t last_query_ = 0;
-  // Pools all of whose streams were known to have begun at one version.
-  std::set<PoolId> certain_pools_;
-  asio::steady_timer check_timer_;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/streams/stream_origin_table.cc
+++ b/src/gateway/streams/stream_origin_table.cc
@@ -20,17 +20,6 @@
   return entry->second.origin;
 }
 
-std::vector<StreamOriginTable::Entry> StreamOriginTable::EntriesOf(
-    const PoolId& pool,
-    Instant now) const {
-  std::vector<Entry> entries;
-  for (const auto& [stream, recorded] : recorded_) {
-    if (recorded.origin.pool == pool && now - recorded.at < kStreamLifetime)
-      entries.push_back({stream, recorded.origin});
-  }
-  return entries;
-}
-
 void StreamOriginTable::Forget(Instant now) {
   while (!by_time_.empty() && now - by_time_.front().first >= kStreamLifetime) {
     const auto entry = recorded_.find(by_time_.front().second);
--- a/src/gateway/streams/stream_origin_table.h
+++ b/src/gateway/streams/stream_origin_table.h
@@ -1,11 +1,11 @@
 #ifndef GATEWAY_STREAMS_STREAM_ORIGIN_TABLE_H_
 #define GATEWAY_STREAMS_STREAM_ORIGIN_TABLE_H_
 
+#include <cstddef>
 #include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include "gateway/boot_clock.h"
 #include "gateway/streams/stream_origin_directory.h"
@@ -28,8 +28,8 @@
   // The first origin of a stream stands; later ones only extend its lifetime.
   void Record(const RequestId& stream, const StreamOrigin& origin, Instant now);
   std::optional<StreamOrigin> Find(const RequestId& stream, Instant now) const;
-  // All streams of the pool that are not forgotten.
-  std::vector<Entry> EntriesOf(const PoolId& pool, Instant now) const;
+  // Number of streams that are kept.
+  std::size_t size() const { return recorded_.size(); }
 
  private:
   struct Recorded {
--- a/tests/gateway/peer_stream_origins_test.cc
+++ b/tests/gateway/peer_stream_origins_test.cc
@@ -195,13 +195,12 @@
     instance.state.ApplyPolicy(PolicyWithPool());
     instance.List({kOld}, kUp);
   }
-  fleet[0].origins.Start();
   constexpr int kStreams = 40;
   for (int i = 0; i < kStreams; ++i)
     fleet[0].origins.Record(RequestId("s-" + std::to_string(i)), {kPool, kOld});
   for (Fleet::Instance& instance : fleet.all())
     instance.List({kOld, kNew}, kUp);
-  fleet.RunFor(3 * PeerStreamOrigins::kCheckInterval);
+  fleet.RunFor(PeerStreamOrigins::kGiveUpAfter);
   fleet.Kill(fleet[0]);
   for (int i = 0; i < kStreams; ++i) {
     std::optional<StreamOrigin> found;
@@ -291,9 +290,8 @@
   const Instant now = BootClock::now();
   fleet[0].state.stream_origins().Record(
       kStream, {kPool, kOld}, now + kLeft - StreamOriginTable::kStreamLifetime);
-  fleet[0].origins.Start();
   fleet[0].List({kOld, kNew}, kUp);
-  fleet.RunFor(PeerStreamOrigins::kCheckInterval + 2 * kLeft);
+  fleet.RunFor(2 * kLeft);
   for (Fleet::Instance& instance : fleet.all())
     BOOST_TEST(
         !instance.state.stream_origins().Find(kStream, BootClock::now()));
@@ -326,13 +324,12 @@
   state.backend_freshness().RecordStoreTime(now, Millis(1000));
   state.backend_freshness().Confirm(now, Millis(1000));
   list({kOld});
-  origins.Start();
   constexpr std::size_t kStreams = 16;
   for (std::size_t i = 0; i < kStreams; ++i)
     origins.Record(RequestId(std::string(kLongId, static_cast<char>('a' + i))),
                    {kPool, kOld});
   list({kOld, kNew});
-  context.run_for(2 * PeerStreamOrigins::kCheckInterval);
+  context.run_for(PeerStreamOrigins::kGiveUpAfter);
   BOOST_TEST(copied >= kStreams);
 }
 
--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -26,7 +26,7 @@
   BOOST_TEST(table.Find(stream, At(kLifetimeMs + 999)).has_value());
   BOOST_TEST(!table.Find(stream, At(kLifetimeMs + 1000)).has_value());
   table.Record(RequestId("t"), {kPool, kNew}, At(kLifetimeMs + 1000));
-  BOOST_TEST(table.EntriesOf(kPool, At(kLifetimeMs + 1000)).size() == 1U);
+  BOOST_TEST(table.size() == 1U);
 }
 
 // Guards against an instance that answers for the time before it started, or
