Count a time without confirmation as a gap in what is known of versions

What callers would see: a stream joined from two versions at an instance that was suspended or cut off (ORDER). Cause: an instance that hears of a list with the digest of its own takes over its position. Its rows are right, but it has not seen a server that came and left in between, and still answered that the pool had had one version only. Found by review. Change: after 1.5 s without a confirmation of the list, nothing is known of the time before. Evidence: gateway, stream_origin/nothing_is_known_of_a_time_without_confirmation is new with RecordConfirmed; not run on the code before, which lacks it.

--- a/src/gateway/streams/local_stream_origins.h
+++ b/src/gateway/streams/local_stream_origins.h
@@ -13,10 +13,6 @@
 // longer than a stream lasts. Not thread-safe.
 class LocalStreamOrigins : public StreamOriginDirectory {
  public:
-  // If the list of backend servers was confirmed longer ago than this, another
-  // instance may know of a version that this one does not.
-  static constexpr Millis kMaxListAge{1500};
-
   // `state` must outlive this object.
   explicit LocalStreamOrigins(GatewayState& state) : state_(state) {}
 
--- a/src/gateway/streams/pool_version_history.cc
+++ b/src/gateway/streams/pool_version_history.cc
@@ -20,9 +20,19 @@
         left_at_[pool][version] = now;
     }
   }
+  for (auto& [pool, versions] : left_at_)
+    std::erase_if(versions, [now](const auto& left) {
+      return now - left.second >= kReach;
+    });
   listed_ = std::move(listed);
 }
 
+void PoolVersionHistory::RecordConfirmed(Instant now) {
+  if (confirmed_at_ && now - *confirmed_at_ > kMaxUnconfirmed)
+    RecordGap(now);
+  confirmed_at_ = now;
+}
+
 void PoolVersionHistory::RecordGap(Instant now) {
   complete_since_ = now;
 }
--- a/src/gateway/streams/pool_version_history.h
+++ b/src/gateway/streams/pool_version_history.h
@@ -14,6 +14,8 @@
 // far as this instance has seen without a gap. Not thread-safe.
 class PoolVersionHistory {
  public:
+  static constexpr Millis kMaxUnconfirmed{1500};
+
   // The software versions of the servers that are listed, by pool.
   using ListedVersions = std::map<PoolId, std::set<SoftwareVersion>>;
 
@@ -23,6 +25,9 @@
   // Records that nothing is known of the time before `now`: the list of servers
   // has been read anew, after a start or a gap in its changes.
   void RecordGap(Instant now);
+  // Records that the list of servers is confirmed as current. After more than
+  // kMaxUnconfirmed without, a server may have come and left unseen.
+  void RecordConfirmed(Instant now);
   // The version at which every stream of the pool that may still be resumed has
   // begun. Empty if there may have been several, or if the history does not
   // reach back far enough.
@@ -37,6 +42,7 @@
                                            Instant now) const;
 
   std::optional<Instant> complete_since_;
+  std::optional<Instant> confirmed_at_;
   ListedVersions listed_;
   // When the last server of a version that is no longer listed left the list.
   std::map<PoolId, std::map<SoftwareVersion, Instant>> left_at_;
--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -42,6 +42,23 @@
   BOOST_TEST(!history.OnlyVersion(kPool, At(kLifetimeMs)).has_value());
 }
 
+// Guards against an instance that was suspended or cut off, and did not see a
+// version that came and left meanwhile.
+BOOST_AUTO_TEST_CASE(nothing_is_known_of_a_time_without_confirmation) {
+  constexpr int kGapMs =
+      static_cast<int>(PoolVersionHistory::kMaxUnconfirmed.count());
+  PoolVersionHistory history;
+  history.RecordGap(At(0));
+  history.SetListed({{kPool, {kOld}}}, At(0));
+  int now = 0;
+  for (; now < kLifetimeMs; now += kGapMs)
+    history.RecordConfirmed(At(now));
+  BOOST_TEST((history.OnlyVersion(kPool, At(now)) == kOld));
+  now += kGapMs;
+  history.RecordConfirmed(At(now));
+  BOOST_TEST(!history.OnlyVersion(kPool, At(now)).has_value());
+}
+
 // Guards against a stream that is joined from two versions because the servers
 // of one of them have left the list.
 BOOST_AUTO_TEST_CASE(a_version_that_left_counts_as_long_as_its_streams) {
