Refuse a resume whose version has no server, without a search

What callers would see: a resume waited for a server that could not come, and held back less urgent requests meanwhile. Cause: the search knew the version only as a filter. Found by review, as were the rest: a server that started again under its id with another version counted as unreachable; streams that may not be resumed were recorded; the record was made before the check that the request had not ended. Change: a resume is refused at once if no server of its version is listed. The three others are put right.

--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -115,6 +115,10 @@
     RefuseTemporarily("the route no longer leads to the pool of the stream");
     return;
   }
+  if (!dispatcher_.state().backends().Lists(origin->pool, origin->version)) {
+    RefuseTemporarily("no server has the software version of the stream");
+    return;
+  }
   admitted_.stream_version = origin->version;
   BeginInPool(origin->pool);
 }
@@ -283,12 +287,12 @@
   if (relay_.forwards())
     RecordFirstBytes();
   const ResponseRelay::Step step = relay_.OnBody(piece, BootClock::now());
-  if (relay_.started()) {
+  if (relay_.started())
     retries_.RecordReplyStarted();
-    RecordStreamOrigin();
-  }
   if (ended_)
     return false;
+  if (relay_.started())
+    RecordStreamOrigin();
   switch (step) {
     case ResponseRelay::Step::kContinue:
       return true;
@@ -307,7 +311,8 @@
 }
 
 void Exchange::RecordStreamOrigin() {
-  if (origin_recorded_ || !IsStream(admitted_.route->kind))
+  if (origin_recorded_ ||
+      admitted_.route->kind != RequestKind::kResumableStream)
     return;
   origin_recorded_ = true;
   admitted_.stream_version = attempt_->server().version;
@@ -372,7 +377,8 @@
 
 void Exchange::OnNotSent(ServerFailure failure) {
   const BackendId server = attempt_->server().id;
-  const bool accepts_requests = dispatcher_.AcceptsRequests(server);
+  const bool accepts_requests =
+      dispatcher_.AcceptsRequests(server) && HasSameVersion(attempt_->server());
   ReleaseAttempt();
   if (keys_stale_) {
     FailWithoutResponse("configuration too old to exclude withdrawn keys");
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -1,5 +1,6 @@
 #include "gateway/membership/backend_registry.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -136,6 +137,14 @@
   return listed;
 }
 
+bool BackendRegistry::Lists(const PoolId& pool,
+                            const SoftwareVersion& version) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+    const BackendServer& server = item.second.server;
+    return server.pool == pool && server.version == version;
+  });
+}
+
 std::map<PoolId, std::set<SoftwareVersion>> BackendRegistry::ListedVersions()
     const {
   std::map<PoolId, std::set<SoftwareVersion>> listed;
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -64,6 +64,9 @@
   const BackendServer* Find(const BackendId& id) const;
   // All known servers of the pool, including draining ones.
   std::vector<const BackendServer*> Listed(const PoolId& pool) const;
+  // Whether a server of the pool with this software version is known, also a
+  // draining one.
+  bool Lists(const PoolId& pool, const SoftwareVersion& version) const;
   // The software versions of all known servers, including draining ones.
   std::map<PoolId, std::set<SoftwareVersion>> ListedVersions() const;
   bool empty() const { return servers_.empty(); }
