Wait for the whole lease after a higher token is heard of

What callers would see: two holders at once, if the store fell back without saying so and a former holder found its own row unchanged. Cause: a tenure that ended by a higher token of gossip left the time since which the row was unchanged as it was, so the takeover did not wait. Change: the wait counts from the next read.

--- a/src/gateway/duties/duty_lease.cc
+++ b/src/gateway/duties/duty_lease.cc
@@ -69,18 +69,21 @@
 
 void DutyLease::ObserveToken(FencingToken token) {
   newest_token_ = std::max(newest_token_, token);
-  if (held_ && held_->token < newest_token_)
-    held_.reset();
+  if (!held_ || held_->token >= newest_token_)
+    return;
+  held_.reset();
+  // The wait for a takeover counts from the next read.
+  observed_.reset();
 }
 
 void DutyLease::ObserveRow(const LeaseSnapshot& snapshot, Instant now) {
   if (!EnterEra(snapshot.era))
     return;
+  if (snapshot.row)
+    ObserveToken(snapshot.row->token);
   if (!observed_ || snapshot.version != observed_->version)
     observed_since_ = now;
   observed_ = snapshot;
-  if (snapshot.row)
-    ObserveToken(snapshot.row->token);
   if (!snapshot.row || snapshot.row->incarnation != incarnation_) {
     held_.reset();
     return;
--- a/tests/gateway/duty_lease_test.cc
+++ b/tests/gateway/duty_lease_test.cc
@@ -230,6 +230,11 @@
   BOOST_TEST((claim.row.token == FencingToken(4)));
   lease.ObserveToken(FencingToken(5));
   BOOST_TEST(!lease.HoldsFor(Millis(0), At(4000)));
+  // The other holder's time is not known to have passed.
+  lease.ObserveRow(store.Read(), At(9000));
+  for (int i = 0; i < 2; ++i)
+    store.WriteElsewhere();
+  BOOST_TEST(!lease.NextClaim(At(9000)).has_value());
 }
 
 enum class StoreFault { kNone, kCopyTaken, kRestored };
