--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -57,8 +57,8 @@
   // is not known.
   void LocateStream();
   void OnStreamLocated(const std::optional<StreamOrigin>& origin);
-  // Whether a server may be chosen now. Servers for the rest of a stream must be
-  // known to have its version.
+  // Whether a server may be chosen now. Servers for the rest of a stream must
+  // be known to have its version.
   bool KnowsServers() const;
   // Records where the stream of the response has begun.
   void RecordStreamOrigin();
