Pass the era of the table on with each of its responses

The table service may come back from an older copy. Until now, nothing in the daemon could tell: the client dropped the field that states it, and neither stand-in could play it. This is the interface only; no decision depends on it yet.

Change: the calls of TableStore return the era with the value, and keep a short form for callers that don't depend on it. The HTTP client reads `Store-Era` (absent is 0; anything but a whole number is an error with verdict kMayHaveRun, since it says nothing of the era).

Ruled out: one newest era for a whole client, beside the calls. A response of an earlier era that arrives late would count as one of the newest.

Evidence: new tests responses_of_the_table_state_the_era, an_era_is_a_whole_number_or_absent and a_restore_brings_back_the_copy_in_the_next_era; the suites http_clients and in_memory_table_store, state_test, and controller_test without its process suites pass. The overrides in the stores of tests/state and tests/controller were renamed with the interface.

--- a/src/provider/http_exchange.cc
+++ b/src/provider/http_exchange.cc
@@ -26,6 +26,8 @@
 // complete.
 constexpr std::size_t kMaxHeadBytes = 65'536;
 
+constexpr char kStoreEraField[] = "Store-Era";
+
 std::optional<asio::ip::tcp::endpoint> ParseAddress(
     const std::string& address) {
   const auto colon = address.rfind(':');
@@ -73,16 +75,24 @@
     stream_.async_connect(
         endpoint, [this](beast::error_code error) { OnConnected(error); });
     context_.run();
-    if (!error_) {
-      return ExchangeResponse{static_cast<int>(parser_->get().result_int()),
-                              std::move(parser_->get().body())};
-    }
+    if (!error_)
+      return TakeResponse();
     return TransportError(
         connected_ ? RunVerdict::kMayHaveRun : RunVerdict::kNotRun,
         error_.message());
   }
 
  private:
+  ExchangeResponse TakeResponse() {
+    auto& message = parser_->get();
+    ExchangeResponse response{static_cast<int>(message.result_int()),
+                              std::move(message.body())};
+    const auto era = message.find(kStoreEraField);
+    if (era != message.end())
+      response.store_era = std::string(era->value());
+    return response;
+  }
+
   void OnConnected(beast::error_code error) {
     error_ = error;
     if (error)
--- a/src/provider/http_exchange.h
+++ b/src/provider/http_exchange.h
@@ -1,6 +1,7 @@
 #ifndef PROVIDER_HTTP_EXCHANGE_H_
 #define PROVIDER_HTTP_EXCHANGE_H_
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,8 @@
 struct ExchangeResponse {
   int status = 0;
   std::string body;
+  // Value of the field Store-Era; empty if the response has none.
+  std::optional<std::string> store_era = {};
 };
 
 // Sends one request over a new connection to `address`, "ip:port" with an IPv6
--- a/src/provider/http_table_store.h
+++ b/src/provider/http_table_store.h
@@ -10,18 +10,21 @@
 
 // Client of the platform's table service over HTTP and JSON. Every call opens
 // its own connection. A call fails with verdict kNotRun if the connection could
-// not be established or the platform refused the call. Thread-safe.
+// not be established or the platform refused the call. Responses state the era
+// in the field Store-Era; era 0 if the field is absent. Thread-safe.
 class HttpTableStore : public TableStore {
  public:
   // `address` is "ip:port".
   explicit HttpTableStore(std::string address) : address_(std::move(address)) {}
 
-  Result<CommitOutcome> Commit(const Transaction& transaction,
-                               Millis timeout) override;
-  Result<std::optional<Row>> Read(const std::string& key,
-                                  Millis timeout) override;
-  Result<std::vector<Row>> Scan(const std::string& prefix,
-                                Millis timeout) override;
+  Result<StoreResponse<CommitOutcome>> CommitWithEra(
+      const Transaction& transaction,
+      Millis timeout) override;
+  Result<StoreResponse<std::optional<Row>>> ReadWithEra(
+      const std::string& key,
+      Millis timeout) override;
+  Result<StoreResponse<std::vector<Row>>> ScanWithEra(const std::string& prefix,
+                                                      Millis timeout) override;
 
  private:
   const std::string address_;
--- a/src/provider/in_memory_table_store.cc
+++ b/src/provider/in_memory_table_store.cc
@@ -17,8 +17,9 @@
 
 }  // namespace
 
-Result<CommitOutcome> InMemoryTableStore::Commit(const Transaction& transaction,
-                                                 Millis timeout) {
+Result<StoreResponse<CommitOutcome>> InMemoryTableStore::CommitWithEra(
+    const Transaction& transaction,
+    Millis timeout) {
   bool response_lost = false;
   BOOST_OUTCOME_TRY(BeginCall(timeout, response_lost));
   const std::lock_guard lock(mutex_);
@@ -38,25 +39,27 @@
   }
   if (response_lost)
     return LostResponse();
-  return outcome;
+  return StoreResponse<CommitOutcome>{outcome, era_};
 }
 
-Result<std::optional<Row>> InMemoryTableStore::Read(const std::string& key,
-                                                    Millis timeout) {
+Result<StoreResponse<std::optional<Row>>> InMemoryTableStore::ReadWithEra(
+    const std::string& key,
+    Millis timeout) {
   bool response_lost = false;
   BOOST_OUTCOME_TRY(BeginCall(timeout, response_lost));
   if (response_lost)
     return LostResponse();
   const std::lock_guard lock(mutex_);
   const auto found = rows_.find(key);
-  if (found == rows_.end())
-    return std::optional<Row>();
-  return std::optional<Row>(
-      Row{key, found->second.value, found->second.version});
+  StoreResponse<std::optional<Row>> response{std::nullopt, era_};
+  if (found != rows_.end())
+    response.value = Row{key, found->second.value, found->second.version};
+  return response;
 }
 
-Result<std::vector<Row>> InMemoryTableStore::Scan(const std::string& prefix,
-                                                  Millis timeout) {
+Result<StoreResponse<std::vector<Row>>> InMemoryTableStore::ScanWithEra(
+    const std::string& prefix,
+    Millis timeout) {
   bool response_lost = false;
   BOOST_OUTCOME_TRY(BeginCall(timeout, response_lost));
   if (response_lost)
@@ -67,7 +70,7 @@
        it != rows_.end() && it->first.starts_with(prefix); ++it) {
     rows.push_back({it->first, it->second.value, it->second.version});
   }
-  return rows;
+  return StoreResponse<std::vector<Row>>{std::move(rows), era_};
 }
 
 void InMemoryTableStore::SetFaults(const Faults& faults) {
@@ -75,6 +78,17 @@
   faults_ = faults;
 }
 
+void InMemoryTableStore::SaveCopy() {
+  const std::lock_guard lock(mutex_);
+  saved_copy_ = rows_;
+}
+
+void InMemoryTableStore::RestoreCopy() {
+  const std::lock_guard lock(mutex_);
+  rows_ = saved_copy_;
+  era_ += StoreEra(1);
+}
+
 void InMemoryTableStore::DeliverDelayedCommits() {
   const std::lock_guard lock(mutex_);
   for (const Transaction& transaction : std::exchange(delayed_commits_, {}))
--- a/src/provider/in_memory_table_store.h
+++ b/src/provider/in_memory_table_store.h
@@ -30,14 +30,21 @@
     int delayed_commits = 0;
   };
 
-  Result<CommitOutcome> Commit(const Transaction& transaction,
-                               Millis timeout) override;
-  Result<std::optional<Row>> Read(const std::string& key,
-                                  Millis timeout) override;
-  Result<std::vector<Row>> Scan(const std::string& prefix,
-                                Millis timeout) override;
+  Result<StoreResponse<CommitOutcome>> CommitWithEra(
+      const Transaction& transaction,
+      Millis timeout) override;
+  Result<StoreResponse<std::optional<Row>>> ReadWithEra(
+      const std::string& key,
+      Millis timeout) override;
+  Result<StoreResponse<std::vector<Row>>> ScanWithEra(const std::string& prefix,
+                                                      Millis timeout) override;
 
   void SetFaults(const Faults& faults);
+  // Keeps a copy of all rows, in place of an earlier copy.
+  void SaveCopy();
+  // Replaces all rows by those of the copy, or by none if there is no copy, and
+  // begins the next era. Delayed commits stay delayed.
+  void RestoreCopy();
   // Applies the delayed commits in the order of their calls. Their conditions
   // are checked now.
   void DeliverDelayedCommits();
@@ -59,6 +66,8 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, StoredValue> rows_;
+  std::map<std::string, StoredValue> saved_copy_;
+  StoreEra era_;
   std::vector<Transaction> delayed_commits_;
   Faults faults_;
   std::size_t call_count_ = 0;
--- a/src/provider/internal/platform_response.cc
+++ b/src/provider/internal/platform_response.cc
@@ -2,6 +2,8 @@
 
 #include <cxxtools/query_params.h>
 
+#include <charconv>
+#include <cstdint>
 #include <optional>
 
 namespace bamboomount::internal {
@@ -32,4 +34,16 @@
                "malformed response: " + detail, std::nullopt};
 }
 
+Result<StoreEra> EraOf(const ExchangeResponse& response) {
+  if (!response.store_era)
+    return StoreEra();
+  const std::string& text = *response.store_era;
+  const char* end = text.data() + text.size();
+  std::uint64_t era = 0;
+  const auto parsed = std::from_chars(text.data(), end, era);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return MalformedResponse("the store's era is not a number: " + text);
+  return StoreEra(era);
+}
+
 }  // namespace bamboomount::internal
--- a/src/provider/internal/platform_response.h
+++ b/src/provider/internal/platform_response.h
@@ -22,6 +22,10 @@
 // platform has received the call, so it may have run.
 Error MalformedResponse(const std::string& detail);
 
+// Returns the era that the response states; 0 if it states none. Fails with
+// kMayHaveRun if the field is not a whole number.
+Result<StoreEra> EraOf(const ExchangeResponse& response);
+
 }  // namespace bamboomount::internal
 
 #endif  // PROVIDER_INTERNAL_PLATFORM_RESPONSE_H_
--- a/standins/platform/endpoints.cc
+++ b/standins/platform/endpoints.cc
@@ -32,21 +32,34 @@
   return list;
 }
 
+Response TableResponse(Response response, StoreEra era) {
+  response.era = era;
+  return response;
+}
+
 Response CommitTable(PlatformState& state, const Call& call) {
-  const auto outcome = state.table.Commit(
-      wire::TransactionFrom(Json::parse(call.body)), kTableTimeout);
-  return JsonResponse(
-      {{"committed", outcome.value() == CommitOutcome::kCommitted}});
+  const auto outcome =
+      state.table
+          .CommitWithEra(wire::TransactionFrom(Json::parse(call.body)),
+                         kTableTimeout)
+          .value();
+  return TableResponse(
+      JsonResponse({{"committed", outcome.value == CommitOutcome::kCommitted}}),
+      outcome.era);
 }
 
 Response ReadRow(PlatformState& state, const Call& call) {
-  const auto row = state.table.Read(call.parameter, kTableTimeout).value();
-  return row ? JsonResponse(wire::ToJson(*row)) : NotFound();
+  const auto row =
+      state.table.ReadWithEra(call.parameter, kTableTimeout).value();
+  return TableResponse(
+      row.value ? JsonResponse(wire::ToJson(*row.value)) : NotFound(), row.era);
 }
 
 Response ScanTable(PlatformState& state, const Call& call) {
-  const auto rows = state.table.Scan(call.parameter, kTableTimeout).value();
-  return JsonResponse({{"rows", ToJsonArray(rows)}});
+  const auto rows =
+      state.table.ScanWithEra(call.parameter, kTableTimeout).value();
+  return TableResponse(JsonResponse({{"rows", ToJsonArray(rows.value)}}),
+                       rows.era);
 }
 
 Response PutObject(PlatformState& state, const Call& call) {
@@ -106,8 +119,10 @@
 
 // Sets the switches of FaultSwitches and these further ones: "check_fencing"
 // (for orders and usage), "directory_lag_ms", "weights_per_second", "backends"
-// (backend servers to add to the directory or replace there) and
-// "remove_instances" (ids of instances to remove from it).
+// (backend servers to add to the directory or replace there),
+// "remove_instances" (ids of instances to remove from it), "save_table_copy"
+// and "restore_table_copy" (if true, the table is copied now, or comes back
+// from the copy).
 Response SetFaults(PlatformState& state, const Call& call) {
   const Json json = Json::parse(call.body);
   state.faults.Apply(json);
@@ -122,6 +137,10 @@
   }
   if (json.contains("weights_per_second"))
     state.weights.set_per_second(json.at("weights_per_second").get<int>());
+  if (json.value("save_table_copy", false))
+    state.table.SaveCopy();
+  if (json.value("restore_table_copy", false))
+    state.table.RestoreCopy();
   const DirectoryListing listed = wire::DirectoryListingFrom(
       {{"instances", Json::array()},
        {"backends", json.value("backends", Json::array())}});
--- a/standins/platform/endpoints.h
+++ b/standins/platform/endpoints.h
@@ -1,6 +1,7 @@
 #ifndef STANDINS_PLATFORM_ENDPOINTS_H_
 #define STANDINS_PLATFORM_ENDPOINTS_H_
 
+#include <optional>
 #include <string>
 
 #include "platform_state.h"
@@ -21,6 +22,9 @@
   // HTTP status code.
   int status = 200;
   std::string body;
+  // Era of the table at the time of the call; only responses about the table
+  // have one.
+  std::optional<StoreEra> era = {};
 };
 
 // One method and path of the platform's HTTP interface.
--- a/standins/platform/platform_service.cc
+++ b/standins/platform/platform_service.cc
@@ -7,6 +7,7 @@
 
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "endpoints.h"
 #include "shut_down.h"
@@ -32,6 +33,10 @@
     const Response response = Serve(request);
     reply.httpReturn(response.status, response.status < 300 ? "OK" : "Error");
     reply.setHeader("Content-Type", "application/json");
+    if (response.era) {
+      reply.setHeader("Store-Era",
+                      std::to_string(response.era->value()).c_str());
+    }
     reply.bodyStream() << response.body;
   }
 
--- a/tests/controller/lease_test.cc
+++ b/tests/controller/lease_test.cc
@@ -26,19 +26,21 @@
  public:
   ClockAdvancingStore(TableStore& inner, nanoseconds& now)
       : inner_(inner), now_(now) {}
-  Result<CommitOutcome> Commit(const Transaction& transaction,
-                               Millis timeout) override {
-    auto outcome = inner_.Commit(transaction, timeout);
+  Result<StoreResponse<CommitOutcome>> CommitWithEra(
+      const Transaction& transaction,
+      Millis timeout) override {
+    auto outcome = inner_.CommitWithEra(transaction, timeout);
     now_ += seconds(1);
     return outcome;
   }
-  Result<std::optional<Row>> Read(const std::string& key,
-                                  Millis timeout) override {
-    return inner_.Read(key, timeout);
+  Result<StoreResponse<std::optional<Row>>> ReadWithEra(
+      const std::string& key,
+      Millis timeout) override {
+    return inner_.ReadWithEra(key, timeout);
   }
-  Result<std::vector<Row>> Scan(const std::string& prefix,
-                                Millis timeout) override {
-    return inner_.Scan(prefix, timeout);
+  Result<StoreResponse<std::vector<Row>>> ScanWithEra(const std::string& prefix,
+                                                      Millis timeout) override {
+    return inner_.ScanWithEra(prefix, timeout);
   }
 
  private:
--- a/tests/controller/simulated_fleet.cc
+++ b/tests/controller/simulated_fleet.cc
@@ -90,17 +90,20 @@
   SimulatedStore(SimulatedFleet& fleet, Pausable& caller)
       : fleet_(fleet), caller_(caller) {}
 
-  Result<CommitOutcome> Commit(const Transaction& transaction,
-                               Millis timeout) override {
-    return Call([&] { return fleet_.store_.Commit(transaction, timeout); });
+  Result<StoreResponse<CommitOutcome>> CommitWithEra(
+      const Transaction& transaction,
+      Millis timeout) override {
+    return Call(
+        [&] { return fleet_.store_.CommitWithEra(transaction, timeout); });
   }
-  Result<std::optional<Row>> Read(const std::string& key,
-                                  Millis timeout) override {
-    return Call([&] { return fleet_.store_.Read(key, timeout); });
+  Result<StoreResponse<std::optional<Row>>> ReadWithEra(
+      const std::string& key,
+      Millis timeout) override {
+    return Call([&] { return fleet_.store_.ReadWithEra(key, timeout); });
   }
-  Result<std::vector<Row>> Scan(const std::string& prefix,
-                                Millis timeout) override {
-    return Call([&] { return fleet_.store_.Scan(prefix, timeout); });
+  Result<StoreResponse<std::vector<Row>>> ScanWithEra(const std::string& prefix,
+                                                      Millis timeout) override {
+    return Call([&] { return fleet_.store_.ScanWithEra(prefix, timeout); });
   }
 
  private:
--- a/tests/provider/http_clients_test.cc
+++ b/tests/provider/http_clients_test.cc
@@ -2,6 +2,7 @@
 
 #include "provider/provider.h"
 #include "support/platform_process.h"
+#include "support/raw_server.h"
 
 namespace bamboomount {
 namespace {
@@ -56,6 +57,38 @@
   BOOST_TEST(!table.Read("b", kTimeout).value().has_value());
 }
 
+// A lease holder that did not learn that the table came back from an older copy
+// would act on a tenure that the table has lost.
+BOOST_AUTO_TEST_CASE(responses_of_the_table_state_the_era) {
+  const auto put = Transaction().Put("a", "1");
+  BOOST_TEST(table.CommitWithEra(put, kTimeout).value().era == StoreEra(0));
+  platform.SetFaults(R"({"save_table_copy":true})");
+  BOOST_TEST(table.Commit(put, kTimeout).has_value());
+  platform.SetFaults(R"({"restore_table_copy":true})");
+  const auto row = table.ReadWithEra("a", kTimeout).value();
+  BOOST_TEST(row.era == StoreEra(1));
+  BOOST_TEST(row.value->version == RowVersion(1));
+  BOOST_TEST(table.ReadWithEra("b", kTimeout).value().era == StoreEra(1));
+  BOOST_TEST(table.ScanWithEra("", kTimeout).value().era == StoreEra(1));
+  BOOST_TEST(table.CommitWithEra(put, kTimeout).value().era == StoreEra(1));
+}
+
+// A store that states no era never comes back from a copy. A field that cannot
+// be read says nothing of the era, and must not count as era 0.
+BOOST_AUTO_TEST_CASE(an_era_is_a_whole_number_or_absent) {
+  const auto read_era = [](const std::string& field) {
+    support::RawServer server("HTTP/1.1 404 Not Found\r\n" + field +
+                              "Content-Length: 0\r\n\r\n");
+    return HttpTableStore(server.address()).ReadWithEra("a", kTimeout);
+  };
+  BOOST_TEST(read_era("").value().era == StoreEra(0));
+  BOOST_TEST(read_era("Store-Era: 7\r\n").value().era == StoreEra(7));
+  for (const char* malformed : {"", "x", "-1", "1x", "99999999999999999999"}) {
+    const auto read = read_era("Store-Era: " + std::string(malformed) + "\r\n");
+    BOOST_TEST(read.has_error(), malformed);
+  }
+}
+
 // An object that is altered or truncated on the way could not be used as a
 // snapshot.
 BOOST_AUTO_TEST_CASE(objects_are_returned_byte_for_byte) {
--- a/tests/provider/in_memory_table_store_test.cc
+++ b/tests/provider/in_memory_table_store_test.cc
@@ -53,6 +53,26 @@
   BOOST_TEST(store.Read("a", kTimeout).value()->value == "second");
 }
 
+// A simulated restore that kept later rows or gave out no version again would
+// not show the faults of callers that rely on either.
+BOOST_AUTO_TEST_CASE(a_restore_brings_back_the_copy_in_the_next_era) {
+  InMemoryTableStore store;
+  const auto put = [&](const std::string& key, const std::string& value) {
+    return store.CommitWithEra(Transaction().Put(key, value), kTimeout).value();
+  };
+  BOOST_TEST(put("a", "1").era == StoreEra(0));
+  store.SaveCopy();
+  put("a", "2");
+  put("b", "1");
+  store.RestoreCopy();
+  const auto row = store.ReadWithEra("a", kTimeout).value();
+  BOOST_TEST(row.era == StoreEra(1));
+  BOOST_TEST(row.value->value == "1");
+  BOOST_TEST(!store.Read("b", kTimeout).value().has_value());
+  put("a", "3");
+  BOOST_TEST(store.Read("a", kTimeout).value()->version == RowVersion(2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/state/in_memory_stores.cc
+++ b/tests/state/in_memory_stores.cc
@@ -12,8 +12,9 @@
 
 }  // namespace
 
-Result<CommitOutcome> ScriptedTableStore::Commit(const Transaction& transaction,
-                                                 Millis /*timeout*/) {
+Result<StoreResponse<CommitOutcome>> ScriptedTableStore::CommitWithEra(
+    const Transaction& transaction,
+    Millis /*timeout*/) {
   std::function<void()> run;
   {
     const std::lock_guard lock(mutex_);
@@ -44,23 +45,27 @@
   }
   if (fault == CommitFault::kLostResponse)
     return Unavailable(RunVerdict::kMayHaveRun);
-  return holds ? CommitOutcome::kCommitted : CommitOutcome::kConflict;
+  return StoreResponse<CommitOutcome>{
+      holds ? CommitOutcome::kCommitted : CommitOutcome::kConflict, StoreEra()};
 }
 
-Result<std::optional<Row>> ScriptedTableStore::Read(const std::string& key,
-                                                    Millis /*timeout*/) {
+Result<StoreResponse<std::optional<Row>>> ScriptedTableStore::ReadWithEra(
+    const std::string& key,
+    Millis /*timeout*/) {
   ++reads;
   if (unavailable)
     return Unavailable(RunVerdict::kNotRun);
   const std::lock_guard lock(mutex_);
   const auto found = rows_.find(key);
-  if (found == rows_.end())
-    return std::optional<Row>();
-  return std::optional<Row>(found->second);
+  StoreResponse<std::optional<Row>> response;
+  if (found != rows_.end())
+    response.value = found->second;
+  return response;
 }
 
-Result<std::vector<Row>> ScriptedTableStore::Scan(const std::string& prefix,
-                                                  Millis /*timeout*/) {
+Result<StoreResponse<std::vector<Row>>> ScriptedTableStore::ScanWithEra(
+    const std::string& prefix,
+    Millis /*timeout*/) {
   if (unavailable)
     return Unavailable(RunVerdict::kNotRun);
   const std::lock_guard lock(mutex_);
@@ -69,7 +74,7 @@
     if (key.starts_with(prefix))
       found.push_back(row);
   }
-  return found;
+  return StoreResponse<std::vector<Row>>{std::move(found), StoreEra()};
 }
 
 bool ScriptedTableStore::ConditionsHold(const Transaction& transaction) const {
--- a/tests/state/in_memory_stores.h
+++ b/tests/state/in_memory_stores.h
@@ -24,15 +24,17 @@
   kLostResponse,
 };
 
-// In-memory table with fault injection.
+// In-memory table with fault injection. Its era is always 0.
 class ScriptedTableStore : public TableStore {
  public:
-  Result<CommitOutcome> Commit(const Transaction& transaction,
-                               Millis timeout) override;
-  Result<std::optional<Row>> Read(const std::string& key,
-                                  Millis timeout) override;
-  Result<std::vector<Row>> Scan(const std::string& prefix,
-                                Millis timeout) override;
+  Result<StoreResponse<CommitOutcome>> CommitWithEra(
+      const Transaction& transaction,
+      Millis timeout) override;
+  Result<StoreResponse<std::optional<Row>>> ReadWithEra(
+      const std::string& key,
+      Millis timeout) override;
+  Result<StoreResponse<std::vector<Row>>> ScanWithEra(const std::string& prefix,
+                                                      Millis timeout) override;
 
   // Faults of the next commits, in order.
   std::vector<CommitFault> faults;
@@ -40,7 +42,7 @@
   std::function<void()> before_commit;
   // Makes all calls fail with kStoreUnavailable and verdict kNotRun.
   std::atomic<bool> unavailable = false;
-  // Number of calls of Read.
+  // Number of calls of ReadWithEra.
   std::atomic<int> reads = 0;
 
  private:
