Controller: base the lease on the era of the table, not on its row alone

What callers would see: after the table service has come back from an older copy, two controllers send orders and usage reports with one fencing token, or a later one with a lower token. The platform cannot tell the former holder from the present one, and refuses the reports of the present one or accepts those of both.

Cause: the row of the lease was the only place of the token, and the next token was the row's plus one. A copy from before the last change of holder gave the same token out again; one from before the first claim gave 1 out again. A missing row counted as "never held" and was taken without waiting. A copy may also show the lease as released although it was acquired since; and it shows a former holder its own row at a version that it expects, so its renewal counted again. It is the class of faults in which a value is trusted across a loss of the history that gave it its meaning.

Change: the token is (era of the table << 40 | version of the row after the claim), and higher than every token read before. A tenure, an unconfirmed claim and what was observed end with their era. The outcome of a commit that is answered in another era than the one in which its conditions were read is unknown. A missing row is waited for like an unchanged one, unless the era is 0 and no token has been seen. A release counts only in the era of its row, which the row now states. Tokens of era 1 have 13 digits, so order ids hold 20 digits of them, so that key order remains time order.

Ruled out: a process-wide random part in the token (it would not be ordered), a second row for the token (the copy loses it too), and to end the tenure on the next read only (a commit may be the first call in the new era).

--- a/src/controller/events.h
+++ b/src/controller/events.h
@@ -25,6 +25,10 @@
     4003, Severity::kInfo, "lease_released",
     "Graceful shutdown; another instance can acquire the lease without waiting "
     "for it to expire."};
+inline constexpr LogEvent kLeaseStoreRestored{
+    4004, Severity::kWarning, "lease_store_restored",
+    "The table service came back from an older copy. A held lease has ended; "
+    "the next tenure has a higher fencing token."};
 inline constexpr LogEvent kOrderAccepted{
     4010, Severity::kInfo, "order_accepted",
     "The platform has received an order for backend servers."};
@@ -56,9 +60,10 @@
 
 // All events of this library, for the event catalogue.
 inline constexpr std::array kControllerEvents{
-    kLeaseTaken,    kLeaseLost,      kLeaseSteppedDown, kLeaseReleased,
-    kOrderAccepted, kOrderRefused,   kOrderUnresolved,  kOrderAbandoned,
-    kWindowSealed,  kWindowReported, kReportFailed,     kMalformedRow};
+    kLeaseTaken,         kLeaseLost,     kLeaseSteppedDown, kLeaseReleased,
+    kLeaseStoreRestored, kOrderAccepted, kOrderRefused,     kOrderUnresolved,
+    kOrderAbandoned,     kWindowSealed,  kWindowReported,   kReportFailed,
+    kMalformedRow};
 
 }  // namespace bamboomount::events
 
--- a/src/controller/internal/lease_row.cc
+++ b/src/controller/internal/lease_row.cc
@@ -5,11 +5,9 @@
 namespace bamboomount::internal {
 
 std::string LeaseRow::ToText() const {
-  return nlohmann::json{{"holder", holder.value()},
-                        {"nonce", nonce},
-                        {"fencing_token", token.value()},
-                        {"renewals", renewal},
-                        {"released", released}}
+  return nlohmann::json{{"holder", holder.value()},       {"nonce", nonce},
+                        {"fencing_token", token.value()}, {"renewals", renewal},
+                        {"released", released},           {"era", era.value()}}
       .dump();
 }
 
@@ -20,7 +18,8 @@
                     json.at("nonce").get<std::string>(),
                     FencingToken(json.at("fencing_token").get<std::uint64_t>()),
                     json.at("renewals").get<std::int64_t>(),
-                    json.at("released").get<bool>()};
+                    json.at("released").get<bool>(),
+                    StoreEra(json.value("era", std::uint64_t{0}))};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/src/controller/internal/lease_row.h
+++ b/src/controller/internal/lease_row.h
@@ -20,8 +20,11 @@
   FencingToken token;
   // Number of the renewal attempt that wrote the row; 0 for the acquisition.
   std::int64_t renewal = 0;
-  // The holder has given up the lease, so it can be acquired without waiting.
+  // The holder has given up the lease, so it can be acquired without waiting in
+  // the era of the row.
   bool released = false;
+  // Era of the store for which the row was written.
+  StoreEra era;
 
   std::string ToText() const;
   // Empty if `text` is malformed.
--- a/src/controller/lease_manager.cc
+++ b/src/controller/lease_manager.cc
@@ -15,6 +15,12 @@
 using std::chrono::nanoseconds;
 
 constexpr std::size_t kNonceBytes = 8;
+// Bits of a fencing token that hold the row's version; the era is above them.
+constexpr unsigned kVersionBits = 40;
+
+FencingToken MakeToken(StoreEra era, RowVersion version) {
+  return FencingToken((era.value() << kVersionBits) + version.value());
+}
 
 }  // namespace
 
@@ -64,7 +70,7 @@
         std::nullopt};
   }
   transaction.Expect(kLeaseKey, held_->version);
-  return store_.Commit(transaction, timeout);
+  return CommitInEra(transaction, timeout);
 }
 
 void LeaseManager::StepDown() {
@@ -80,35 +86,60 @@
   row.released = true;
   const Millis timeout = RemainingTimeout();
   EndHolding();
-  const auto outcome = store_.Commit(Transaction()
-                                         .Expect(kLeaseKey, held.version)
-                                         .Put(kLeaseKey, row.ToText()),
-                                     timeout);
+  const auto outcome = CommitInEra(Transaction()
+                                       .Expect(kLeaseKey, held.version)
+                                       .Put(kLeaseKey, row.ToText()),
+                                   timeout);
   if (outcome && outcome.value() == CommitOutcome::kCommitted)
     Log(events::kLeaseReleased);
 }
 
+bool LeaseManager::EnterEra(StoreEra era) {
+  if (era <= era_)
+    return era == era_;
+  if (held_ || observed_version_)
+    Log(events::kLeaseStoreRestored, {{"era", std::to_string(era.value())}});
+  era_ = era;
+  pending_acquisition_.reset();
+  observed_version_.reset();
+  if (held_)
+    EndHolding();
+  return true;
+}
+
+Result<CommitOutcome> LeaseManager::CommitInEra(const Transaction& transaction,
+                                                Millis timeout) {
+  const StoreEra era = era_;
+  BOOST_OUTCOME_TRY(response, store_.CommitWithEra(transaction, timeout));
+  EnterEra(response.era);
+  // Versions are given out again in a later era, so a condition may hold there
+  // although another instance has written the row.
+  if (response.era != era) {
+    return Error{ErrorCode::kStoreUnavailable, RunVerdict::kMayHaveRun,
+                 "the store came back from an older copy", std::nullopt};
+  }
+  return response.value;
+}
+
 void LeaseManager::ObserveLeaseRow() {
   // After an acquisition with a lost response the row is read without waiting.
   if (!pending_acquisition_ && clock_() < next_observation_)
     return;
   next_observation_ = clock_() + settings_.observe_interval;
-  const auto read = store_.Read(kLeaseKey, settings_.store_timeout);
-  if (!read)
+  const auto read = store_.ReadWithEra(kLeaseKey, settings_.store_timeout);
+  if (!read || !EnterEra(read.value().era))
     return;
-  // The waiting time starts after the read, because the holder may have renewed
-  // the lease at any time before it.
-  const auto now = clock_();
-  if (!read.value()) {
-    Acquire(RowVersion(0), FencingToken(0));
+  if (!read.value().value) {
+    AcquireIfFree(std::nullopt, RowVersion(0));
     return;
   }
-  const Row& row = *read.value();
+  const Row& row = *read.value().value;
   const auto lease = LeaseRow::Parse(row.value);
   if (!lease) {
     Log(events::kMalformedRow, {{"key", kLeaseKey}});
     return;
   }
+  newest_token_ = std::max(newest_token_, lease->token);
   if (pending_acquisition_ && pending_acquisition_->nonce == lease->nonce) {
     const PendingAcquisition acquisition =
         *std::exchange(pending_acquisition_, std::nullopt);
@@ -117,31 +148,48 @@
     if (held_)
       return;
   }
-  if (observed_version_ != row.version) {
-    observed_version_ = row.version;
+  AcquireIfFree(lease, row.version);
+}
+
+bool LeaseManager::MayHaveLostTenures() const {
+  return era_ != StoreEra() || newest_token_ != FencingToken();
+}
+
+void LeaseManager::AcquireIfFree(const std::optional<LeaseRow>& row,
+                                 RowVersion version) {
+  // The waiting time starts after the read, because the holder may have renewed
+  // the lease at any time before it.
+  const auto now = clock_();
+  if (observed_version_ != version) {
+    observed_version_ = version;
     observed_since_ = now;
   }
   const auto free_at =
       observed_since_ + settings_.duration + settings_.takeover_margin;
-  if (lease->released || now >= free_at) {
-    Acquire(row.version, lease->token);
+  // A release in an earlier era may have been followed by other tenures.
+  const bool may_be_held =
+      row ? !row->released || row->era != era_ : MayHaveLostTenures();
+  if (may_be_held && now < free_at) {
+    next_observation_ = std::min(next_observation_, free_at);
     return;
   }
-  next_observation_ = std::min(next_observation_, free_at);
+  Acquire(version);
 }
 
-void LeaseManager::Acquire(RowVersion version, FencingToken last_token) {
+void LeaseManager::Acquire(RowVersion version) {
+  const StoreEra era = era_;
   HeldLease next;
-  next.token = last_token + FencingToken(1);
+  next.token = std::max(newest_token_ + FencingToken(1),
+                        MakeToken(era, version + RowVersion(1)));
   next.nonce = RandomHex(kNonceBytes);
   const auto sent = clock_();
   const auto outcome =
-      store_.Commit(Transaction()
-                        .Expect(kLeaseKey, version)
-                        .Put(kLeaseKey, MakeLeaseRow(next).ToText()),
-                    settings_.store_timeout);
+      CommitInEra(Transaction()
+                      .Expect(kLeaseKey, version)
+                      .Put(kLeaseKey, MakeLeaseRow(next).ToText()),
+                  settings_.store_timeout);
   if (!outcome) {
-    if (outcome.error().verdict == RunVerdict::kMayHaveRun)
+    if (outcome.error().verdict == RunVerdict::kMayHaveRun && era == era_)
       pending_acquisition_ = PendingAcquisition{next.nonce, next.token, sent};
     return;
   }
@@ -156,6 +204,7 @@
                                 nanoseconds valid_from) {
   pending_acquisition_.reset();
   observed_version_.reset();
+  newest_token_ = std::max(newest_token_, token);
   // The guard is armed before the lease counts as held, so that no action can
   // precede it.
   guard_.Arm(GuardDeadline(valid_from));
@@ -181,10 +230,12 @@
   ++held_->last_renewal;
   const auto sent = clock_();
   const auto outcome =
-      store_.Commit(Transaction()
-                        .Expect(kLeaseKey, held_->version)
-                        .Put(kLeaseKey, MakeLeaseRow(*held_).ToText()),
-                    timeout);
+      CommitInEra(Transaction()
+                      .Expect(kLeaseKey, held_->version)
+                      .Put(kLeaseKey, MakeLeaseRow(*held_).ToText()),
+                  timeout);
+  if (!held_)
+    return;
   if (outcome && outcome.value() == CommitOutcome::kCommitted) {
     // Unconfirmed renewals expect an older version, so they can no longer take
     // effect.
@@ -204,11 +255,11 @@
   const Millis timeout = RemainingTimeout();
   if (timeout <= Millis(0))
     return false;
-  const auto read = store_.Read(kLeaseKey, timeout);
-  if (!read)
+  const auto read = store_.ReadWithEra(kLeaseKey, timeout);
+  if (!read || !EnterEra(read.value().era) || !held_)
     return false;
-  const auto lease =
-      read.value() ? LeaseRow::Parse(read.value()->value) : std::nullopt;
+  const std::optional<Row>& row = read.value().value;
+  const auto lease = row ? LeaseRow::Parse(row->value) : std::nullopt;
   if (!lease || lease->nonce != held_->nonce) {
     Log(events::kLeaseLost,
         {{"holder", lease ? lease->holder.value() : std::string()}});
@@ -221,7 +272,7 @@
   const auto valid_from = renewal == held_->unconfirmed_renewals.end()
                               ? held_->valid_from
                               : std::max(held_->valid_from, renewal->second);
-  ExtendValidity(read.value()->version, valid_from);
+  ExtendValidity(row->version, valid_from);
   return true;
 }
 
@@ -241,7 +292,7 @@
 }
 
 LeaseRow LeaseManager::MakeLeaseRow(const HeldLease& held) const {
-  return {instance_, held.nonce, held.token, held.last_renewal, false};
+  return {instance_, held.nonce, held.token, held.last_renewal, false, era_};
 }
 
 nanoseconds LeaseManager::GuardDeadline(nanoseconds valid_from) const {
--- a/src/controller/lease_manager.h
+++ b/src/controller/lease_manager.h
@@ -24,7 +24,13 @@
 using BootClock = std::function<std::chrono::nanoseconds()>;
 
 // Acquires, renews and gives up the controller lease, which at most one process
-// of the fleet holds. Not thread-safe.
+// of the fleet holds.
+//
+// The fencing token of each tenure is higher than that of every one before. It
+// consists of the era of the store and of the row's version, not of the token
+// in the row: a store that comes back from an older copy has lost the newest
+// rows. A tenure ends with its era, because what the store says of it may have
+// been lost or given out again. Not thread-safe.
 class LeaseManager {
  public:
   LeaseManager(TableStore& store,
@@ -45,11 +51,16 @@
   bool holds() const { return held_.has_value(); }
   // The fencing token of the held lease; 0 if the lease is not held.
   FencingToken token() const;
+  // The newest era of the store that this instance knows, which is that of the
+  // lease while it is held.
+  StoreEra era() const { return era_; }
 
   // Commits `transaction` on the condition that the lease row is unchanged
   // since this holder last wrote it. Fails with kNotLeaseHolder and verdict
-  // kNotRun if the lease does not stay valid for `timeout`; other errors are
-  // those of the store. The lease condition can also be the cause of kConflict.
+  // kNotRun if the lease does not stay valid for `timeout`. Fails with verdict
+  // kMayHaveRun and ends the tenure if the store has entered a later era. Other
+  // errors are those of the store. The lease condition can also be the cause of
+  // kConflict.
   Result<CommitOutcome> CommitAsHolder(Transaction transaction, Millis timeout);
 
   // Ends holding the lease locally and lets it expire in the table.
@@ -78,8 +89,21 @@
     std::chrono::nanoseconds sent;
   };
 
+  // Returns false if the response is of an earlier era than the newest one. In
+  // a later era nothing is held or known.
+  bool EnterEra(StoreEra era);
+  // Fails with verdict kMayHaveRun if the response is of another era than the
+  // one in which the conditions of `transaction` were read.
+  Result<CommitOutcome> CommitInEra(const Transaction& transaction,
+                                    Millis timeout);
   void ObserveLeaseRow();
-  void Acquire(RowVersion version, FencingToken last_token);
+  // Whether another instance may hold the lease without a row in the table.
+  bool MayHaveLostTenures() const;
+  // Acquires the lease if it may be free according to `row`, otherwise
+  // schedules the next read.
+  void AcquireIfFree(const std::optional<internal::LeaseRow>& row,
+                     RowVersion version);
+  void Acquire(RowVersion version);
   // Starts holding the lease with validity from `valid_from`, unless so much
   // time has passed that the lease would have to be given up at once.
   void BeginHolding(RowVersion version,
@@ -106,10 +130,13 @@
   const InstanceId instance_;
   const LeaseSettings settings_;
   const BootClock clock_;
+  StoreEra era_;
+  // The highest token of any instance that was read or held here.
+  FencingToken newest_token_;
   std::optional<HeldLease> held_;
   std::optional<PendingAcquisition> pending_acquisition_;
-  // The version of the row when it was last read without holding the lease, and
-  // the time since which it has been unchanged.
+  // The version of the row when it was last read in this era without holding
+  // the lease, and the time since which it has been unchanged.
   std::optional<RowVersion> observed_version_;
   std::chrono::nanoseconds observed_since_{0};
   // Time of the next read of the row while the lease is not held.
--- a/src/controller/order_journal.cc
+++ b/src/controller/order_journal.cc
@@ -10,15 +10,14 @@
 namespace {
 
 constexpr char kOrderPrefix[] = "order/";
-// Number of digits of the token and of the number in an id. Both are padded
+// Numbers of digits of the token and of the number in an id. Both are padded
 // with zeros, so that key order is time order.
-constexpr std::size_t kIdFieldDigits = 12;
+constexpr std::size_t kTokenDigits = 20;
+constexpr std::size_t kNumberDigits = 12;
 
-std::string ZeroPadded(std::uint64_t number) {
+std::string ZeroPadded(std::uint64_t number, std::size_t width) {
   const std::string digits = std::to_string(number);
-  return std::string(kIdFieldDigits - std::min(kIdFieldDigits, digits.size()),
-                     '0') +
-         digits;
+  return std::string(width - std::min(width, digits.size()), '0') + digits;
 }
 
 std::string OrderKey(const BackendOrder& order) {
@@ -115,8 +114,8 @@
 }
 
 std::string OrderJournal::NextOrderId() {
-  return ZeroPadded(lease_.token().value()) + "-" +
-         ZeroPadded(++last_order_number_);
+  return ZeroPadded(lease_.token().value(), kTokenDigits) + "-" +
+         ZeroPadded(++last_order_number_, kNumberDigits);
 }
 
 bool OrderJournal::RecordOrder(const JournalEntry& entry) {
--- a/tests/controller/fleet_property_test.cc
+++ b/tests/controller/fleet_property_test.cc
@@ -32,6 +32,18 @@
   }));
 }
 
+// A store that comes back from an older copy gives row versions out again. If
+// that let two holders order, or use one fencing token, backend servers would
+// be paid for twice.
+BOOST_AUTO_TEST_CASE(orders_never_come_from_two_holders_after_restores) {
+  BOOST_TEST(rc::check("restores", [] {
+    SimulatedFleet fleet(ArbitraryChoices(), 3, 0, true);
+    fleet.Run();
+    RC_ASSERT(fleet.violations() == std::set<std::string>());
+    RC_ASSERT(fleet.order_count() > 0);
+  }));
+}
+
 // A window reported with two different totals, or usage that is lost or counted
 // twice, bills a customer wrongly.
 BOOST_AUTO_TEST_CASE(all_usage_is_reported_exactly_once) {
