Usage sealer: don't seal windows again that a restore may have lost

What customers would see: after the table service has come back from an older copy, a window that was sealed and reported is summed up and reported again with other totals, because rows of routers were lost or written again since.

Cause: "no seal in the table" was taken for "never sealed". The lease ends with the era, but its next holder reads progress, closed marks and seals from the copy.

Change: the first holder in an era records the newest window that was due when it began (row `usage-restore`, with the era). Up to that window a seal in the copy is reported unchanged, and a window without one is closed and passed over, with event 4023. Its takeover comes a lease duration and a margin (7 s) after the first read in the era, longer than the clock skew that usage windows allow for (5 s), so no former holder can have sealed a later one. Later tenures of the era read the row, so what becomes due afterwards is billed. Progress is read only in the era of the lease.

Ruled out: to report the sum again with the new token (the platform would hold two figures for a window), and to add the mark to `usage-progress` (instances of the earlier version could not read it during an update).

--- a/src/controller/events.h
+++ b/src/controller/events.h
@@ -53,6 +53,10 @@
 inline constexpr LogEvent kReportFailed{
     4022, Severity::kWarning, "usage_report_failed",
     "A usage report was not confirmed; the same totals are sent again."};
+inline constexpr LogEvent kWindowPassedOver{
+    4023, Severity::kWarning, "usage_window_passed_over",
+    "The table was restored, and this window may have been sealed before. It "
+    "is not sealed again; compare the platform's reports with other records."};
 inline constexpr LogEvent kMalformedRow{
     4030, Severity::kError, "malformed_row",
     "A row of the table service could not be parsed. Check which version of "
@@ -63,7 +67,7 @@
     kLeaseTaken,         kLeaseLost,     kLeaseSteppedDown, kLeaseReleased,
     kLeaseStoreRestored, kOrderAccepted, kOrderRefused,     kOrderUnresolved,
     kOrderAbandoned,     kWindowSealed,  kWindowReported,   kReportFailed,
-    kMalformedRow};
+    kWindowPassedOver,   kMalformedRow};
 
 }  // namespace bamboomount::events
 
--- a/src/controller/usage_sealer.cc
+++ b/src/controller/usage_sealer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "controller/events.h"
+#include "controller/internal/restore_row.h"
 #include "telemetry/telemetry.h"
 
 namespace bamboomount {
@@ -49,7 +50,7 @@
   const auto& windows = settings_.windows;
   if (clock_() < windows.EndOf(progress_->window) + windows.close_delay)
     return false;
-  if (!progress_->sealed && (!CloseWindow() || !SealWindow()))
+  if (!progress_->sealed && !PrepareTotals())
     return false;
   return ReportWindow() && FinishWindow();
 }
@@ -62,18 +63,78 @@
 
 bool UsageSealer::LoadProgress() {
   const FencingToken token = lease_.token();
-  const auto row = store_.Read(kProgressKey, settings_.store_timeout);
-  if (!row)
+  std::optional<UsageWindow> sealed_through;
+  if (!LoadSealedThrough(sealed_through))
     return false;
-  const auto window =
-      row.value() ? ParseWindow(row.value()->value) : FirstUnreportedWindow();
+  const auto read = store_.ReadWithEra(kProgressKey, settings_.store_timeout);
+  if (!read || read.value().era != lease_.era())
+    return false;
+  const std::optional<Row>& row = read.value().value;
+  const auto window = row ? ParseWindow(row->value) : FirstUnreportedWindow();
   if (!window)
     return false;
-  progress_ = Progress{token, *window, std::nullopt, 0};
+  progress_ = Progress{token, *window, sealed_through, std::nullopt, 0};
   return true;
 }
 
-// Called if there is no progress row, so nothing has been reported yet. Routers
+bool UsageSealer::LoadSealedThrough(
+    std::optional<UsageWindow>& sealed_through) {
+  const StoreEra era = lease_.era();
+  if (era == StoreEra())
+    return true;
+  const auto read =
+      store_.ReadWithEra(internal::kRestoreKey, settings_.store_timeout);
+  if (!read || read.value().era != era)
+    return false;
+  if (read.value().value) {
+    const auto known = internal::RestoreRow::Parse(read.value().value->value);
+    if (known && known->era == era) {
+      sealed_through = known->sealed_through;
+      return true;
+    }
+  }
+  sealed_through = NewestDueWindow();
+  const internal::RestoreRow row{era, *sealed_through};
+  return IsCommitted(lease_.CommitAsHolder(
+      Transaction().Put(internal::kRestoreKey, row.ToText()),
+      settings_.store_timeout));
+}
+
+UsageWindow UsageSealer::NewestDueWindow() const {
+  const auto& windows = settings_.windows;
+  return windows.WindowAt(clock_() - windows.close_delay) - UsageWindow(1);
+}
+
+bool UsageSealer::PrepareTotals() {
+  if (!CloseWindow())
+    return false;
+  if (progress_->sealed_through &&
+      progress_->window <= *progress_->sealed_through) {
+    return LoadSealFromCopy();
+  }
+  return SealWindow();
+}
+
+bool UsageSealer::LoadSealFromCopy() {
+  const auto read = store_.ReadWithEra(UsageSealedKey(progress_->window),
+                                       settings_.store_timeout);
+  if (!read || read.value().era != lease_.era())
+    return false;
+  progress_->reported = 0;
+  if (!read.value().value) {
+    Log(events::kWindowPassedOver,
+        {{"window", std::to_string(progress_->window.value())}});
+    progress_->sealed = SealedUsage();
+    return true;
+  }
+  progress_->sealed = SealedUsage::Parse(read.value().value->value);
+  if (!progress_->sealed)
+    Log(events::kMalformedRow, {{"key", read.value().value->key}});
+  return progress_->sealed.has_value();
+}
+
+// Called if there is no progress row, so nothing has been reported yet, or the
+// table was restored from before the first report. Routers
 // may still write to any window within the retention period, so all of these
 // windows are included.
 std::optional<UsageWindow> UsageSealer::FirstUnreportedWindow() {
@@ -208,8 +269,8 @@
     return false;
   }
   Log(events::kWindowReported, {{"window", std::to_string(window.value())}});
-  progress_ =
-      Progress{progress_->token, window + UsageWindow(1), std::nullopt, 0};
+  progress_ = Progress{progress_->token, window + UsageWindow(1),
+                       progress_->sealed_through, std::nullopt, 0};
   return true;
 }
 
--- a/src/controller/usage_sealer.h
+++ b/src/controller/usage_sealer.h
@@ -24,6 +24,10 @@
 // Closes each usage window, sums up the rows of the routers, seals the sum and
 // reports it customer by customer. Not thread-safe; used from the thread of the
 // lease manager.
+//
+// After a restore of the table from an older copy, windows that may have been
+// sealed before it are not sealed again: their seal in the copy is reported, or
+// else nothing, because another sum could contradict what was reported.
 class UsageSealer {
  public:
   UsageSealer(TableStore& store,
@@ -34,7 +38,7 @@
 
   // Continues with the oldest window that is not reported, as far as the lease,
   // the store and max_reports_per_step allow. Returns true if the window was
-  // completely reported.
+  // completely reported, or passed over after a restore.
   bool Step();
 
   // The oldest window that is not reported. Empty before the first step as
@@ -46,6 +50,8 @@
   struct Progress {
     FencingToken token;
     UsageWindow window;
+    // Windows up to this one may have been sealed before the latest restore.
+    std::optional<UsageWindow> sealed_through;
     // Content of the sealed row; set when the window is sealed.
     std::optional<SealedUsage> sealed;
     // Number of customers of `sealed` that this holder has reported.
@@ -53,6 +59,16 @@
   };
 
   bool LoadProgress();
+  // Loads the window up to which seals may have been lost, and records it at
+  // the first call in an era. Returns false if that failed.
+  bool LoadSealedThrough(std::optional<UsageWindow>& sealed_through);
+  // The newest window that any earlier holder may have sealed by now.
+  UsageWindow NewestDueWindow() const;
+  // Closes the window and sets the totals to report. Returns false if the step
+  // has to be repeated.
+  bool PrepareTotals();
+  // Sets the totals of the seal in the copy, or none if the copy has no seal.
+  bool LoadSealFromCopy();
   std::optional<UsageWindow> FirstUnreportedWindow();
   bool CloseWindow();
   bool SealWindow();
--- a/tests/controller/fleet_property_test.cc
+++ b/tests/controller/fleet_property_test.cc
@@ -55,6 +55,17 @@
   }));
 }
 
+// A store that comes back from an older copy has lost seals of reported
+// windows. Totals summed up again would bill a customer wrongly.
+BOOST_AUTO_TEST_CASE(no_window_is_reported_with_other_totals_after_restores) {
+  BOOST_TEST(rc::check("usage and restores", [] {
+    SimulatedFleet fleet(ArbitraryChoices(), 2, 2, true);
+    fleet.Run();
+    RC_ASSERT(fleet.violations() == std::set<std::string>());
+    RC_ASSERT(fleet.ReportedUsage() != CustomerUsage());
+  }));
+}
+
 // The random cases rarely pause between a check and the following send. This
 // test tries every pause point: with one pause that is longer than the lease,
 // and with two pauses that are so only together.
--- a/tests/controller/usage_sealer_test.cc
+++ b/tests/controller/usage_sealer_test.cc
@@ -54,6 +54,15 @@
     while (sealer.Step()) {
     }
   }
+  // Acquires the lease after its former tenure has expired, then continues.
+  void TakeOverAfterRestore() {
+    now += seconds(2);
+    lease.Step();
+    lease.Step();
+    now += seconds(7);
+    SealAndReportDueWindows();
+    BOOST_REQUIRE(lease.holds());
+  }
 };
 
 BOOST_FIXTURE_TEST_SUITE(usage_sealer, Fixture)
@@ -106,6 +115,61 @@
   BOOST_TEST(!lease.holds());
 }
 
+// The seal of a reported window is lost with the newest writes. If the window
+// were summed up again, it would be reported twice with different totals.
+BOOST_AUTO_TEST_CASE(a_window_is_not_sealed_again_after_a_restore) {
+  PutRow(UsageWindow(10), "r1", true);
+  store.SaveCopy();
+  now = seconds(670);
+  SealAndReportDueWindows();
+  BOOST_TEST(received.reports.size() == 1U);
+  store.RestoreCopy();
+  PutRow(UsageWindow(10), "r2", true);
+  PutRow(UsageWindow(11), "r1", true);
+  TakeOverAfterRestore();
+  BOOST_TEST(received.reports.size() == 1U);
+  BOOST_TEST(store.Read(UsageClosedKey(UsageWindow(10)), kTimeout)
+                 .value()
+                 .has_value());
+  now = seconds(730);
+  lease.StepDown();
+  TakeOverAfterRestore();
+  BOOST_REQUIRE(received.reports.size() == 2U);
+  BOOST_TEST(received.reports[1].window == UsageWindow(11));
+  BOOST_TEST(received.reports[1].requests == 1);
+}
+
+// A window that no holder can have sealed before the restore must be billed,
+// and a later tenure must not count it among those that were.
+BOOST_AUTO_TEST_CASE(a_later_tenure_seals_what_became_due_after_a_restore) {
+  store.RestoreCopy();
+  now = seconds(660);
+  TakeOverAfterRestore();
+  lease.StepDown();
+  PutRow(UsageWindow(10), "r1", true);
+  now = seconds(700);
+  TakeOverAfterRestore();
+  BOOST_REQUIRE(received.reports.size() == 1U);
+  BOOST_TEST(received.reports[0].window == UsageWindow(10));
+}
+
+// A window whose seal is in the copy may be reported in part; the rest must
+// follow with the totals of the seal.
+BOOST_AUTO_TEST_CASE(a_seal_in_the_copy_is_reported_unchanged) {
+  SealedUsage sealed;
+  sealed.customers[CustomerId("k")] = {7, Tokens(8), Tokens(9)};
+  (void)store.Commit(
+      Transaction().Put(UsageSealedKey(UsageWindow(10)), sealed.ToText()),
+      kTimeout);
+  PutRow(UsageWindow(10), "r1", true);
+  store.SaveCopy();
+  store.RestoreCopy();
+  now = seconds(670);
+  TakeOverAfterRestore();
+  BOOST_REQUIRE(received.reports.size() == 1U);
+  BOOST_TEST(received.reports[0].requests == 7);
+}
+
 // Rows that are never deleted would fill the table service.
 BOOST_AUTO_TEST_CASE(old_rows_are_deleted) {
   PutRow(UsageWindow(10), "r1", true);
