Router: resume a broken stream only at the version that began it

What callers would see: while engines of two software versions serve in one pool, a stream whose engine fails goes on with the text of an engine of the other version. What two versions write doesn't fit together, and nothing tells the caller.

Cause: the router chose any other engine of the pool for the rest of a stream. It knew no version, and engines don't check one.

Change: an engine states its version in `X-Engine-Version`. The router keeps that of the engine whose first event it forwarded, sends it as `X-Expected-Engine-Version` when it resumes, and forwards a continuation only from a response that states the same version. A stream whose first engine stated none is broken off with an error event, as one that no engine can resume. An engine that refuses for its version has not failed: it keeps getting requests and is not counted as failed. The engine stand-in states a version (option `--engine-version`, default v1), and answers 409 without running a request for another one, unless `--ignore-expected-version` is set.

Ruled out: to take the version from the configuration or the load report (both are older than the process that answers). Callers cannot resume at the daemon: no request field for it is read in src/router or apps, so the router's own continuation is the only way on.

Evidence, before the change: a_broken_stream_does_not_resume_at_another_version: check interrupted > 0 has failed [0 <= 0] a_broken_stream_of_an_unknown_version_does_not_resume: check interrupted > 0 has failed [0 <= 0] After it both pass. a_broken_stream_finds_its_version_among_others passed before as well; it guards against streams that are given up. The suite complete_responses, router_test and docs_test pass; the other system suites were not run.

--- a/src/router/internal/backend_call.cc
+++ b/src/router/internal/backend_call.cc
@@ -79,7 +79,8 @@
   co_return BackendResponseHead{
       static_cast<int>(response.result_int()),
       std::string(response[http::field::content_type]),
-      std::string(response["X-Request-Id"])};
+      std::string(response["X-Request-Id"]),
+      SoftwareVersion(std::string(response["X-Engine-Version"]))};
 }
 
 asio::awaitable<Result<void>> BackendCall::ReadNextHead() {
--- a/src/router/internal/backend_call.h
+++ b/src/router/internal/backend_call.h
@@ -20,6 +20,8 @@
   std::string content_type;
   // Value of X-Request-Id; empty if the response has none.
   std::string request_id;
+  // Value of X-Engine-Version; empty if the response has none.
+  SoftwareVersion engine_version;
 };
 
 // One request to a backend server on its own connection. A connection is never
--- a/src/router/internal/backend_request_builder.cc
+++ b/src/router/internal/backend_request_builder.cc
@@ -52,6 +52,13 @@
   return *this;
 }
 
+BackendRequestBuilder& BackendRequestBuilder::ExpectedVersion(
+    const SoftwareVersion& version) {
+  if (!version.empty())
+    request_.set("X-Expected-Engine-Version", version.value());
+  return *this;
+}
+
 BackendRequestBuilder& BackendRequestBuilder::Body(std::string body) {
   request_.body() = std::move(body);
   return *this;
--- a/src/router/internal/backend_request_builder.h
+++ b/src/router/internal/backend_request_builder.h
@@ -22,6 +22,9 @@
   // Asks the engine to resume its stream after the tokens that the caller
   // already has. No effect for 0 tokens.
   BackendRequestBuilder& ResumeOffset(Tokens delivered_tokens);
+  // Asks the engine to refuse the request if it has another version. No effect
+  // for an empty version.
+  BackendRequestBuilder& ExpectedVersion(const SoftwareVersion& version);
   BackendRequestBuilder& Body(std::string body);
 
   BackendRequest Build();
--- a/src/router/internal/chat_exchange.cc
+++ b/src/router/internal/chat_exchange.cc
@@ -118,13 +118,15 @@
     if (caller_gone_ || running_.cancel_reason())
       break;
     excluded_backends_.push_back(slot.value().backend);
-    context_.dependencies.metrics.Increment(
-        "bamboomount_backend_failures_total",
-        {{"backend", slot.value().backend.value()}});
+    if (!version_mismatch_) {
+      context_.dependencies.metrics.Increment(
+          "bamboomount_backend_failures_total",
+          {{"backend", slot.value().backend.value()}});
+    }
     Log(kBackendAttemptFailed, {{"request", request_.id.value()},
                                 {"backend", slot.value().backend.value()},
                                 {"error", last_error.message}});
-    if (attempt + 1 == kMaxAttempts)
+    if (attempt + 1 == kMaxAttempts || !MayResume())
       break;
     const bool may_retry =
         co_await WaitForRetry(context_, running_, attempt + 1);
@@ -162,6 +164,7 @@
   attempt_start_ = std::chrono::steady_clock::now();
   last_progress_report_ = attempt_start_;
   const Tokens delivered_before_attempt = delivered_tokens_;
+  version_mismatch_ = false;
   const BackendRule* backend = plan_.config->FindBackend(slot.backend);
   Result<void> result = Error{ErrorCode::kNoBackend,
                               RunVerdict::kNotRun,
@@ -179,7 +182,8 @@
     outcome.end = result.error().verdict == RunVerdict::kNotRun
                       ? SlotEnd::kConnectFailed
                       : SlotEnd::kBackendFailed;
-  if (caller_gone_ || running_.cancel_reason())
+  // An engine of another version has not failed and keeps getting requests.
+  if (caller_gone_ || running_.cancel_reason() || version_mismatch_)
     outcome.end = SlotEnd::kCancelled;
   span.SetAttribute("result",
                     result ? "ok" : std::string(result.error().message));
@@ -201,6 +205,7 @@
           .Priority(plan_.class_rule.tier)
           .Trace(trace)
           .ResumeOffset(delivered_tokens_)
+          .ExpectedVersion(stream_version_)
           .Body(plan_.body)
           .Build();
   auto sent = co_await call.Send(backend_request, kSendTimeout);
@@ -216,17 +221,33 @@
                          {"backend", backend.backend.value()}});
     co_return BackendError("the answer belongs to another request");
   }
+  if (!FitsStream(head.value())) {
+    version_mismatch_ = true;
+    co_return BackendError("the engine has another version than the stream");
+  }
   const bool is_error = head.value().status != kHttpOk;
   if (is_error && !IsNonRetryableStatus(head.value().status))
     co_return BackendError("status " + std::to_string(head.value().status));
   if (plan_.streamed && !is_error) {
-    auto forwarded = co_await ForwardStream(call, outcome);
+    auto forwarded =
+        co_await ForwardStream(call, head.value().engine_version, outcome);
     co_return forwarded;
   }
   auto forwarded = co_await ForwardBufferedResponse(call, head.value());
   co_return forwarded;
 }
 
+bool ChatExchange::FitsStream(const BackendResponseHead& head) const {
+  if (!reply_started_ || head.engine_version == stream_version_)
+    return true;
+  // An error without a version is one of a server in front of the engine.
+  return head.status != kHttpOk && head.engine_version.empty();
+}
+
+bool ChatExchange::MayResume() const {
+  return !reply_started_ || !stream_version_.empty();
+}
+
 asio::awaitable<Result<void>> ChatExchange::ForwardBufferedResponse(
     BackendCall& call,
     const BackendResponseHead& head) {
@@ -254,6 +275,7 @@
 
 asio::awaitable<Result<void>> ChatExchange::ForwardStream(
     BackendCall& call,
+    const SoftwareVersion& version,
     SlotOutcome& outcome) {
   EventStreamSplitter events;
   const Millis stall_timeout =
@@ -265,7 +287,7 @@
     if (!chunk.value())
       co_return BackendError("the stream ended without its end mark");
     events.Append(*chunk.value());
-    auto done = co_await ForwardEvents(events, outcome);
+    auto done = co_await ForwardEvents(events, version, outcome);
     if (!done)
       co_return done.error();
     if (done.value())
@@ -277,6 +299,7 @@
 
 asio::awaitable<Result<bool>> ChatExchange::ForwardEvents(
     EventStreamSplitter& events,
+    const SoftwareVersion& version,
     SlotOutcome& outcome) {
   std::string batch;
   Tokens batch_tokens;
@@ -297,6 +320,7 @@
     co_return false;
   if (!reply_started_) {
     reply_started_ = true;
+    stream_version_ = version;
     const std::string content_type = "text/event-stream";
     const std::vector<ReplyHeader> headers = ReplyHeaders();
     const bool started = co_await reply_.BeginStream(content_type, headers);
--- a/src/router/internal/chat_exchange.h
+++ b/src/router/internal/chat_exchange.h
@@ -15,7 +15,8 @@
 
 // Serves one chat request: acquires slots, sends the request to backend servers
 // and forwards the response to the caller. A broken stream is resumed at
-// another engine after the last token that was sent to the caller.
+// another engine of the same version after the last token that was sent to the
+// caller. It is not resumed if its engine stated no version.
 class ChatExchange {
  public:
   ChatExchange(HandlerContext& context,
@@ -36,14 +37,21 @@
                                             const BackendRule& backend,
                                             const TraceContext& trace,
                                             SlotOutcome& outcome);
+  // Whether the version of the response allows to forward it after what the
+  // caller already has. Errors are never forwarded then.
+  bool FitsStream(const BackendResponseHead& head) const;
+  // Whether another engine may go on with the response.
+  bool MayResume() const;
   asio::awaitable<Result<void>> ForwardBufferedResponse(
       BackendCall& call,
       const BackendResponseHead& head);
   asio::awaitable<Result<void>> ForwardStream(BackendCall& call,
+                                              const SoftwareVersion& version,
                                               SlotOutcome& outcome);
   // Forwards the complete events in `events`. Returns true after the [DONE]
   // event.
   asio::awaitable<Result<bool>> ForwardEvents(class EventStreamSplitter& events,
+                                              const SoftwareVersion& version,
                                               SlotOutcome& outcome);
   asio::awaitable<void> ReplyWithError(const Error& cause);
   void RecordFirstToken(SlotOutcome& outcome);
@@ -63,6 +71,11 @@
   // Tokens sent to the caller, over all attempts.
   Tokens delivered_tokens_;
   bool reply_started_ = false;
+  // Version of the engine that sent the first event of the stream; empty if it
+  // stated none.
+  SoftwareVersion stream_version_;
+  // The engine of this attempt works, but has another version than the stream.
+  bool version_mismatch_ = false;
   bool caller_gone_ = false;
   bool may_have_run_ = false;
   SteadyTime attempt_start_;
--- a/standins/engine/chat_request.cc
+++ b/standins/engine/chat_request.cc
@@ -46,6 +46,7 @@
   chat.tier = ParseNumberOr(request.header("X-Priority"), kDefaultTier);
   chat.resume_offset =
       ParseNumberOr(request.header("X-Resume-Offset"), std::int64_t{0});
+  chat.expected_version = request.header("X-Expected-Engine-Version");
   return chat;
 }
 
--- a/standins/engine/chat_request.h
+++ b/standins/engine/chat_request.h
@@ -22,6 +22,8 @@
   int tier = 0;
   // Tokens that the caller already has; generation starts after them.
   std::int64_t resume_offset = 0;
+  // Value of X-Expected-Engine-Version; empty if any version may answer.
+  std::string expected_version;
 };
 
 // Parses the body and headers of `request`. Returns nothing if the body is
--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -160,6 +160,8 @@
     refusal = MakeErrorReply(400, "not a chat completion request");
   } else if (faults.refuse) {
     refusal = MakeErrorReply(503, "refused by a fault switch");
+  } else if (IsForAnotherVersion(*chat)) {
+    refusal = MakeErrorReply(409, "another version is expected");
   } else if (slots_.waiting() >= options_.queue_limit) {
     refusal = MakeErrorReply(503, "queue is full");
   } else {
@@ -178,9 +180,20 @@
   }
   refusal.headers.emplace_back("X-Request-Id",
                                exchange.request().header("X-Request-Id"));
+  AddVersion(refusal);
   co_await exchange.Reply(std::move(refusal));
 }
 
+bool Engine::IsForAnotherVersion(const ChatRequest& chat) const {
+  return !options_.ignore_expected_version && !chat.expected_version.empty() &&
+         chat.expected_version != options_.version;
+}
+
+void Engine::AddVersion(HttpReply& reply) const {
+  if (!options_.version.empty())
+    reply.headers.emplace_back("X-Engine-Version", options_.version);
+}
+
 asio::awaitable<void> Engine::Generate(Exchange& exchange,
                                        Generation& generation) {
   const Registration registration(generations_, generation);
@@ -214,6 +227,7 @@
   }
   for (int answer = 0; answer < answers && !exchange.is_closed(); ++answer) {
     HttpReply head = StreamHead(generation.chat);
+    AddVersion(head);
     co_await exchange.StartStream(std::move(head));
     co_await StreamTokens(exchange, generation);
   }
@@ -268,6 +282,7 @@
   }
   HttpReply reply;
   reply.headers.emplace_back("X-Request-Id", generation.chat.request_id);
+  AddVersion(reply);
   reply.body = CompletionBody(generation.chat, generation.total_tokens);
   co_await exchange.ReplyWithFaults(std::move(reply), generation.faults);
 }
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -46,6 +46,9 @@
   HttpReply CancelGenerations(const std::string& request_id);
   HttpReply LoadReply() const;
   boost::asio::awaitable<void> HandleChatCompletion(Exchange& exchange);
+  bool IsForAnotherVersion(const ChatRequest& chat) const;
+  // States the version of this engine in `reply`.
+  void AddVersion(HttpReply& reply) const;
   boost::asio::awaitable<void> Generate(Exchange& exchange,
                                         Generation& generation);
   boost::asio::awaitable<void> StreamCompletion(Exchange& exchange,
--- a/standins/engine/engine_options.h
+++ b/standins/engine/engine_options.h
@@ -36,6 +36,11 @@
   std::int64_t event_lag_ms = 500;
   // Every event_gap-th cache event is lost; 0 loses none.
   int event_gap = 20;
+  // Version of the engine's software, stated in X-Engine-Version; empty states
+  // none.
+  std::string version = "v1";
+  // Whether a request for another version is run all the same.
+  bool ignore_expected_version = false;
   // Whether orders with a stale fencing token are refused.
   bool check_fencing = false;
 };
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -56,6 +56,10 @@
                    "Delay of /cache-events, in milliseconds");
   Option event_gap(command, options.event_gap, "event-gap",
                    "Loses every n-th cache event; 0 loses none");
+  Option version(command, options.version, "engine-version",
+                 "Version of the engine's software; empty states none");
+  TCLAP::SwitchArg ignore("", "ignore-expected-version",
+                          "Run requests for another version", command);
   TCLAP::SwitchArg check("", "check-fencing",
                          "Refuse orders with a stale fencing token", command);
   command.parse(argc, argv);
@@ -72,6 +76,8 @@
   load_lag.Store();
   event_lag.Store();
   event_gap.Store();
+  version.Store();
+  options.ignore_expected_version = ignore.getValue();
   options.check_fencing = check.getValue();
   return options;
 }
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -117,9 +117,14 @@
 }
 
 void Fleet::StartBackends() {
-  for (int i = 0; i < options_.engines; ++i) {
+  for (std::size_t i = 0; i < static_cast<std::size_t>(options_.engines); ++i) {
+    std::vector<std::string> arguments = options_.engine_arguments;
+    if (i < options_.engine_versions.size()) {
+      arguments.insert(arguments.end(),
+                       {"--engine-version", options_.engine_versions[i]});
+    }
     engines_.push_back(std::make_unique<BackendProcess>(
-        options_.programs + "/standin_engine", options_.engine_arguments));
+        options_.programs + "/standin_engine", arguments));
   }
   for (int i = 0; i < options_.services; ++i) {
     services_.push_back(std::make_unique<BackendProcess>(
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -25,6 +25,8 @@
   // Maximum number of concurrent requests per backend server.
   int slots = 8;
   std::vector<std::string> engine_arguments = {"--pace", "200"};
+  // Versions of single engines, by index; further engines have the default one.
+  std::vector<std::string> engine_versions = {};
   std::string admin_token = "operator-token-for-tests";
   std::string backend_credential = "credential-for-backend-servers";
 };
--- a/tests/system/complete_responses_test.cc
+++ b/tests/system/complete_responses_test.cc
@@ -73,6 +73,26 @@
   return count;
 }
 
+// Breaks the streams of the first of two engines, and checks that each ends
+// with an error instead of text of the second one.
+void CheckNoStreamResumes(const FleetOptions& options) {
+  Fleet fleet(options);
+  fleet.engine(0).SetFaults(R"({"close_after_tokens":3})");
+  const auto replies = AskConcurrently(fleet, 6);
+  int interrupted = 0;
+  for (std::size_t i = 0; i < replies.size(); ++i) {
+    const std::string prompt = "prompt " + std::to_string(i);
+    if (replies[i].done) {
+      CheckComplete(replies[i], prompt);
+      continue;
+    }
+    ++interrupted;
+    CheckReportedAsInterrupted(replies[i], prompt);
+  }
+  BOOST_TEST(interrupted > 0);
+  BOOST_TEST(interrupted == CountChatRequests(fleet.engine(0)));
+}
+
 // Faults that break a stream after a number of tokens.
 constexpr const char* kMidStreamFaults[] = {
     R"({"crash_after_tokens":3})",    R"({"close_after_tokens":3})",
@@ -100,6 +120,46 @@
   }
 }
 
+// Guards against a stream that holds text of two software versions, which does
+// not fit together: with engines of the versions that began and that did not
+// begin it, and with engines that do not check the expected version.
+BOOST_AUTO_TEST_CASE(a_broken_stream_does_not_resume_at_another_version) {
+  for (const bool checked : {true, false}) {
+    FleetOptions options = TestFleetOptions(2, 1, 1);
+    options.engine_versions = {"v1", "v2"};
+    if (!checked)
+      options.engine_arguments.emplace_back("--ignore-expected-version");
+    CheckNoStreamResumes(options);
+  }
+}
+
+// Guards against the same if the engines state no version, so that nobody knows
+// whether a second one has the version of the first.
+BOOST_AUTO_TEST_CASE(a_broken_stream_of_an_unknown_version_does_not_resume) {
+  FleetOptions options = TestFleetOptions(2, 1, 1);
+  options.engine_versions = {"", ""};
+  CheckNoStreamResumes(options);
+  options.engine_versions = {"", "v2"};
+  CheckNoStreamResumes(options);
+}
+
+// Guards against streams that are given up although an engine of their version
+// serves, and against engines that get no more work because they refused to
+// resume a stream of another version.
+BOOST_AUTO_TEST_CASE(a_broken_stream_finds_its_version_among_others) {
+  FleetOptions options = TestFleetOptions(3, 1, 1);
+  options.engine_versions = {"v1", "v2", "v1"};
+  Fleet fleet(options);
+  fleet.engine(0).SetFaults(R"({"close_after_tokens":3})");
+  const auto replies = AskConcurrently(fleet, 6);
+  for (std::size_t i = 0; i < replies.size(); ++i)
+    CheckComplete(replies[i], "prompt " + std::to_string(i));
+  BOOST_TEST(CountChatRequests(fleet.engine(0)) > 0);
+  const int before = CountChatRequests(fleet.engine(1));
+  AskConcurrently(fleet, 6);
+  BOOST_TEST(CountChatRequests(fleet.engine(1)) > before);
+}
+
 // Guards against truncated text that a caller takes for complete: a stream that
 // no engine can resume must end with an error event.
 BOOST_AUTO_TEST_CASE(a_stream_that_cannot_resume_ends_with_an_error) {
