--- a/check/main.cc
+++ b/check/main.cc
@@ -73,15 +73,21 @@
 
 std::vector<World> AllWorlds() {
   constexpr std::size_t kLeaseDepth = 13;
+  constexpr std::size_t kLeaseRestoreDepth = 8;
   constexpr std::size_t kReplicationDepth = 7;
   constexpr std::size_t kAttemptsDepth = 4;
   std::vector<World> worlds;
-  worlds.push_back({"lease", [](const Limits& limits) {
-                      return Check(
-                          "lease",
-                          [] { return std::make_unique<LeaseWorld>(); },
-                          kLeaseDepth, limits);
-                    }});
+  const auto add_lease = [&worlds](const std::string& world, std::size_t depth,
+                                   LeaseWorld::Options options) {
+    worlds.push_back(
+        {world, [=](const Limits& limits) {
+           return Check(
+               world, [=] { return std::make_unique<LeaseWorld>(options); },
+               depth, limits);
+         }});
+  };
+  add_lease("lease-steady", kLeaseDepth, {});
+  add_lease("lease-restore", kLeaseRestoreDepth, {1, 2, true});
   const auto add_replication = [&worlds](const std::string& world,
                                          ReplicationWorld::Options options) {
     worlds.push_back(
@@ -101,21 +107,30 @@
       {"once", RequestKind::kAtMostOnce},
       {"stream", RequestKind::kStream},
       {"resumable", RequestKind::kResumableStream}};
-  for (const auto& [name, kind] : kinds) {
+  const auto add_attempts = [&worlds](const std::string& name,
+                                      AttemptsWorld::Options options) {
     for (const int attempts : {1, 2, 3}) {
+      options.attempts = attempts;
       const std::string world =
           "attempts-" + name + "-" + std::to_string(attempts);
-      worlds.push_back({world, [=, kind = kind](const Limits& limits) {
-                          return Check(
-                              world,
-                              [=] {
-                                return std::make_unique<AttemptsWorld>(
-                                    kind, attempts);
-                              },
-                              kAttemptsDepth, limits);
-                        }});
+      worlds.push_back(
+          {world, [=](const Limits& limits) {
+             return Check(
+                 world,
+                 [=] { return std::make_unique<AttemptsWorld>(options); },
+                 kAttemptsDepth, limits);
+           }});
     }
-  }
+  };
+  for (const auto& [name, kind] : kinds)
+    add_attempts(name, {kind});
+  AttemptsWorld::Options mixed{RequestKind::kResumableStream};
+  mixed.versions = {"v1", "v2", "v1"};
+  add_attempts("mixed", mixed);
+  mixed.resumption = AttemptsWorld::Resumption::kOfKnownOrigin;
+  add_attempts("resumed", mixed);
+  mixed.resumption = AttemptsWorld::Resumption::kOfUnknownOrigin;
+  add_attempts("unknown", mixed);
   return worlds;
 }
 
--- a/src/controller/events.h
+++ b/src/controller/events.h
@@ -25,6 +25,10 @@
     4003, Severity::kInfo, "lease_released",
     "Graceful shutdown; another instance can acquire the lease without waiting "
     "for it to expire."};
+inline constexpr LogEvent kLeaseStoreRestored{
+    4004, Severity::kWarning, "lease_store_restored",
+    "The table service came back from an older copy. A held lease has ended; "
+    "the next tenure has a higher fencing token."};
 inline constexpr LogEvent kOrderAccepted{
     4010, Severity::kInfo, "order_accepted",
     "The platform has received an order for backend servers."};
@@ -49,6 +53,10 @@
 inline constexpr LogEvent kReportFailed{
     4022, Severity::kWarning, "usage_report_failed",
     "A usage report was not confirmed; the same totals are sent again."};
+inline constexpr LogEvent kWindowPassedOver{
+    4023, Severity::kWarning, "usage_window_passed_over",
+    "The table was restored, and this window may have been sealed before. It "
+    "is not sealed again; compare the platform's reports with other records."};
 inline constexpr LogEvent kMalformedRow{
     4030, Severity::kError, "malformed_row",
     "A row of the table service could not be parsed. Check which version of "
@@ -56,9 +64,10 @@
 
 // All events of this library, for the event catalogue.
 inline constexpr std::array kControllerEvents{
-    kLeaseTaken,    kLeaseLost,      kLeaseSteppedDown, kLeaseReleased,
-    kOrderAccepted, kOrderRefused,   kOrderUnresolved,  kOrderAbandoned,
-    kWindowSealed,  kWindowReported, kReportFailed,     kMalformedRow};
+    kLeaseTaken,         kLeaseLost,     kLeaseSteppedDown, kLeaseReleased,
+    kLeaseStoreRestored, kOrderAccepted, kOrderRefused,     kOrderUnresolved,
+    kOrderAbandoned,     kWindowSealed,  kWindowReported,   kReportFailed,
+    kWindowPassedOver,   kMalformedRow};
 
 }  // namespace bamboomount::events
 
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -111,6 +111,10 @@
     7034, Severity::kWarning, "poison_part_found",
     "Engines crashed one after the other while they answered requests with a "
     "part of the prompt; requests with the part are refused."};
+inline constexpr LogEvent kStreamResumed{
+    7035, Severity::kInfo, "stream_resumed",
+    "A caller resumes a stream. It goes on only at servers of the software "
+    "version that began it, and is refused if that is unknown."};
 inline constexpr LogEvent kPoolOverloaded{
     7050, Severity::kWarning, "pool_overloaded",
     "The demand on a pool exceeds its capacity, both in servers; this instance "
@@ -140,21 +144,26 @@
 inline constexpr LogEvent kOrderFailed{
     7045, Severity::kWarning, "order_failed",
     "An order for backend servers failed; other zones are tried."};
+inline constexpr LogEvent kStoreRestored{
+    7046, Severity::kWarning, "store_restored",
+    "The store came back from an older copy; what instances wrote since the "
+    "copy is gone. The duty lease is acquired anew, with a higher token."};
 inline constexpr LogEvent kMemoryStateChanged{
     7060, Severity::kWarning, "caller_memory_state_changed",
     "The memory that callers make the process hold became scarce (new requests "
     "are refused), exhausted (connections are closed) or normal again."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,         kStopRequested,  kStopped,          kSettingsReloaded,
-    kSettingsRefused, kConfigApplied,  kConfigUnreadable, kStoreLost,
-    kStoreRegained,   kHistoryLost,    kStorePollFailed,  kEvacuationBegan,
-    kEvacuationEnded, kBackendListed,  kBackendGone,      kBackendUnreadable,
-    kBackendLeaving,  kBackendPaused,  kMemberUnreadable, kMemberListed,
-    kMemberGone,      kPeerRowsFailed, kRequestPlaced,    kRequestRefused,
-    kAttemptFailed,   kRequestEnded,   kPoisonPartFound,  kLeaseTaken,
-    kLeaseLost,       kUsageReported,  kUsageNotReported, kBackendsOrdered,
-    kOrderFailed,     kPoolOverloaded, kPoolRecovered,    kMemoryStateChanged};
+    kStarted,         kStopRequested,     kStopped,          kSettingsReloaded,
+    kSettingsRefused, kConfigApplied,     kConfigUnreadable, kStoreLost,
+    kStoreRegained,   kHistoryLost,       kStorePollFailed,  kEvacuationBegan,
+    kEvacuationEnded, kBackendListed,     kBackendGone,      kBackendUnreadable,
+    kBackendLeaving,  kBackendPaused,     kMemberUnreadable, kMemberListed,
+    kMemberGone,      kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,
+    kAttemptFailed,   kRequestEnded,      kPoisonPartFound,  kStreamResumed,
+    kLeaseTaken,      kLeaseLost,         kUsageReported,    kUsageNotReported,
+    kBackendsOrdered, kOrderFailed,       kStoreRestored,    kPoolOverloaded,
+    kPoolRecovered,   kMemoryStateChanged};
 
 }  // namespace bamboomount::gateway_events
 
