Move the binding of streams out of the exchange

What binds a stream to its pool and version is a module of its own now, and the interface for messages about streams has its own header, so that streams and replication no longer include each other.

--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -49,6 +49,7 @@
     : dispatcher_(dispatcher),
       request_(std::move(request)),
       reply_(std::move(reply)),
+      stream_(dispatcher, head_, admitted_),
       search_(dispatcher, *this),
       retries_(dispatcher),
       relay_(reply_, request_.received),
@@ -78,58 +79,24 @@
           self->GiveUp("the request deadline has passed");
       });
   pool_ = admitted_.route->ChoosePool(dispatcher_.Random());
-  if (ResumesStream())
+  if (stream_.IsResume())
     LocateStream();
   else
     BeginInPool(pool_);
 }
 
-bool Exchange::ResumesStream() const {
-  return IsStream(admitted_.route->kind) &&
-         !(head_.last_event_id.empty() && head_.resumed_request.empty());
-}
-
 void Exchange::LocateStream() {
-  // The share that the stream began in is not known if there are several.
-  const std::vector<PoolShare>& shares = admitted_.route->shares;
-  const PoolId only_pool = shares.size() == 1 ? shares.front().pool : PoolId();
-  dispatcher_.stream_origins().Find(
-      head_.resumed_request, only_pool,
-      [self = shared_from_this()](const std::optional<StreamOrigin>& origin) {
-        if (!self->ended_)
-          self->OnStreamLocated(origin);
-      });
+  stream_.Locate([self = shared_from_this()](const auto& origin) {
+    if (!self->ended_)
+      self->OnStreamLocated(origin);
+  });
 }
 
 void Exchange::OnStreamLocated(const std::optional<StreamOrigin>& origin) {
-  LogResumed(head_, origin);
-  if (!origin) {
-    RefuseTemporarily("the software version that began the stream is unknown");
-    return;
-  }
-  const std::vector<PoolShare>& shares = admitted_.route->shares;
-  const bool allowed = std::any_of(
-      shares.begin(), shares.end(),
-      [&](const PoolShare& share) { return share.pool == origin->pool; });
-  if (!allowed) {
-    RefuseTemporarily("the route no longer leads to the pool of the stream");
-    return;
-  }
-  if (!dispatcher_.state().backends().Lists(origin->pool, origin->version)) {
-    RefuseTemporarily("no server has the software version of the stream");
-    return;
-  }
-  admitted_.stream_version = origin->version;
-  if (!KnowsServers()) {
-    RefuseTemporarily("the software versions of the servers are out of date");
-    return;
-  }
-  BeginInPool(origin->pool);
-}
-
-bool Exchange::KnowsServers() const {
-  return !admitted_.stream_version ||
-         dispatcher_.state().BackendVersionsAreCurrent(BootClock::now());
+  if (const auto obstacle = stream_.BindTo(origin))
+    RefuseTemporarily(*obstacle);
+  else
+    BeginInPool(origin->pool);
 }
 
 void Exchange::BeginInPool(const PoolId& pool) {
@@ -263,8 +230,7 @@
   const BackendServer& server = attempt_->server();
   // The server may have started to leave, or asked for a pause, while the
   // connection was being set up.
-  if (!dispatcher_.AcceptsRequests(server.id) || !HasSameVersion(server) ||
-      !KnowsServers())
+  if (!stream_.Accepts(server))
     return std::nullopt;
   if (!admitted_.customer.empty() && !dispatcher_.state().KeysAreCurrent(now)) {
     keys_stale_ = true;
@@ -278,11 +244,6 @@
   return EncodeForwardedHead(request_.message, head, dispatcher_.protocol());
 }
 
-bool Exchange::HasSameVersion(const BackendServer& server) const {
-  const BackendServer* listed = dispatcher_.state().backends().Find(server.id);
-  return listed && listed->version == server.version;
-}
-
 void Exchange::OnReplyHead(const http::response_header<>& header,
                            const ReplyHead& head,
                            std::optional<std::uint64_t> content_length) {
@@ -302,7 +263,7 @@
   if (ended_)
     return false;
   if (relay_.started())
-    RecordStreamOrigin();
+    stream_.RecordBegin(pool_, attempt_->server());
   switch (step) {
     case ResponseRelay::Step::kContinue:
       return true;
@@ -316,21 +277,6 @@
   return true;
 }
 
-const RequestId& Exchange::StreamId() const {
-  return ResumesStream() ? head_.resumed_request : head_.id;
-}
-
-void Exchange::RecordStreamOrigin() {
-  if (origin_recorded_ ||
-      admitted_.route->kind != RequestKind::kResumableStream)
-    return;
-  origin_recorded_ = true;
-  admitted_.stream_version = attempt_->server().version;
-  if (!StreamId().empty())
-    dispatcher_.stream_origins().Record(StreamId(),
-                                        {pool_, *admitted_.stream_version});
-}
-
 void Exchange::ResumeWhenDrained() {
   reply_->WhenDrained([self = shared_from_this(), attempt = attempt_] {
     if (!self->ended_ && self->attempt_ == attempt)
@@ -387,9 +333,7 @@
 
 void Exchange::OnNotSent(ServerFailure failure) {
   const BackendId server = attempt_->server().id;
-  const bool accepts_requests = dispatcher_.AcceptsRequests(server) &&
-                                HasSameVersion(attempt_->server()) &&
-                                KnowsServers();
+  const bool accepts_requests = stream_.Accepts(attempt_->server());
   ReleaseAttempt();
   if (keys_stale_) {
     FailWithoutResponse("configuration too old to exclude withdrawn keys");
@@ -481,8 +425,8 @@
 }
 
 bool Exchange::TryAnotherServer() {
-  if (ended_ || TimeLeft(BootClock::now()) <= Millis(0) || !KnowsServers() ||
-      !retries_.TryRetry(admitted_, pool_))
+  if (ended_ || TimeLeft(BootClock::now()) <= Millis(0) ||
+      !stream_.KnowsServers() || !retries_.TryRetry(admitted_, pool_))
     return false;
   // Posted, because the call stack still contains the attempt that ended.
   asio::post(dispatcher_.context(),
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -13,6 +13,7 @@
 #include "gateway/forwarding/response_relay.h"
 #include "gateway/forwarding/retry_state.h"
 #include "gateway/forwarding/server_search.h"
+#include "gateway/forwarding/stream_binding.h"
 
 namespace bamboomount {
 
@@ -51,19 +52,10 @@
  private:
   // Returns false if the request was refused and the response sent.
   bool Admit();
-  // Whether the caller resumes a stream.
-  bool ResumesStream() const;
   // Finds out where the resumed stream began, and refuses the request if that
   // is not known.
   void LocateStream();
   void OnStreamLocated(const std::optional<StreamOrigin>& origin);
-  // Whether a server may be chosen now. Servers for the rest of a stream must
-  // be known to have its version.
-  bool KnowsServers() const;
-  // Records where the stream of the response has begun.
-  void RecordStreamOrigin();
-  // The caller's request that brought the first event of the stream.
-  const RequestId& StreamId() const;
   // Sends the request to a server of the pool.
   void BeginInPool(const PoolId& pool);
   // Refuses the request if the demand on the pool exceeds its capacity. Returns
@@ -85,9 +77,6 @@
   bool TryAnotherServer();
   void FailWithoutResponse(std::string_view reason);
 
-  // Whether the list still has the server with the version that it had when it
-  // was chosen: a server may start again under its id with another.
-  bool HasSameVersion(const BackendServer& server) const;
   void CountUsageOnce();
   void RecordFirstBytes();
   void ReleaseAttempt();
@@ -117,8 +106,8 @@
   CostQuery cost_;
   bool ended_ = false;
   bool usage_counted_ = false;
-  bool origin_recorded_ = false;
 
+  StreamBinding stream_;
   ServerSearch search_;
   RetryState retries_;
   ResponseRelay relay_;
--- a/src/gateway/replication/gossip_exchange.h
+++ b/src/gateway/replication/gossip_exchange.h
@@ -11,19 +11,10 @@
 #include "gateway/gateway_state.h"
 #include "gateway/internal/asio.h"
 #include "gateway/replication/gossip_message.h"
-#include "gateway/streams/stream_origin_message.h"
+#include "gateway/streams/stream_origin_handler.h"
 
 namespace bamboomount {
 
-// Handles messages about the origins of streams, which share the socket with
-// the gossip messages.
-class StreamOriginHandler {
- public:
-  virtual ~StreamOriginHandler() = default;
-  virtual void OnMessage(const StreamOriginMessage& message,
-                         const Member& sender) = 0;
-};
-
 // Builds outgoing gossip messages and handles received ones.
 class GossipHandler {
  public:
@@ -77,8 +68,8 @@
   // if the last early round is more recent than that. Does nothing before
   // Start() or without a peer address.
   void SendEarlyRound();
-  // `handler` must outlive this object. Without one, messages about streams are
-  // dropped.
+  // `handler` gets the messages about streams, which share the socket with the
+  // gossip messages; without one they are dropped. It must outlive this object.
   void SetStreamOriginHandler(StreamOriginHandler& handler) {
     stream_origin_handler_ = &handler;
   }
--- a/src/gateway/streams/peer_stream_origins.h
+++ b/src/gateway/streams/peer_stream_origins.h
@@ -11,8 +11,8 @@
 
 #include "gateway/gateway_state.h"
 #include "gateway/internal/asio.h"
-#include "gateway/replication/gossip_exchange.h"
 #include "gateway/streams/local_stream_origins.h"
+#include "gateway/streams/stream_origin_handler.h"
 #include "gateway/streams/stream_origin_message.h"
 
 namespace bamboomount {
