Bound what callers can make the table of streams hold

What callers would see: an instance that runs out of memory, since callers choose the ids of their requests and each stream was kept for 30 s. Cause: neither the number of records nor the length of an id had a bound. Found by reading. Change: at most 10,000 records, the oldest gives way; ids of more than 256 bytes are not recorded, so such a stream is resumed only where the pool has had one version.

--- a/src/gateway/streams/stream_origin_table.cc
+++ b/src/gateway/streams/stream_origin_table.cc
@@ -6,6 +6,10 @@
                                const StreamOrigin& origin,
                                Instant now) {
   Forget(now);
+  if (stream.value().size() > kMaxIdBytes)
+    return;
+  if (by_time_.size() >= kMaxRecords)
+    ForgetOldest();
   const auto [entry, is_new] =
       recorded_.try_emplace(stream, Recorded{origin, now});
   entry->second.at = now;
@@ -21,12 +25,16 @@
 }
 
 void StreamOriginTable::Forget(Instant now) {
-  while (!by_time_.empty() && now - by_time_.front().first >= kStreamLifetime) {
-    const auto entry = recorded_.find(by_time_.front().second);
-    if (entry != recorded_.end() && now - entry->second.at >= kStreamLifetime)
-      recorded_.erase(entry);
-    by_time_.pop_front();
-  }
+  while (!by_time_.empty() && now - by_time_.front().first >= kStreamLifetime)
+    ForgetOldest();
+}
+
+void StreamOriginTable::ForgetOldest() {
+  const auto& [at, stream] = by_time_.front();
+  const auto entry = recorded_.find(stream);
+  if (entry != recorded_.end() && entry->second.at == at)
+    recorded_.erase(entry);
+  by_time_.pop_front();
 }
 
 }  // namespace bamboomount
--- a/src/gateway/streams/stream_origin_table.h
+++ b/src/gateway/streams/stream_origin_table.h
@@ -20,6 +20,12 @@
   // first event.
   static constexpr Millis kStreamLifetime{30'000};
 
+  // Bounds the memory that callers can fill, since they choose the ids. A
+  // stream with a longer id is not recorded, and the oldest one gives way to a
+  // new one.
+  static constexpr std::size_t kMaxIdBytes = 256;
+  static constexpr std::size_t kMaxRecords = 10'000;
+
   struct Entry {
     RequestId stream;
     StreamOrigin origin;
@@ -38,6 +44,7 @@
   };
 
   void Forget(Instant now);
+  void ForgetOldest();
 
   std::unordered_map<RequestId, Recorded> recorded_;
   // In order of time; a stream may occur several times.
