--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
 #include <string>
 
 #include "gateway/streams/pool_version_history.h"
@@ -33,17 +34,18 @@
 // Guards against callers that fill the memory by many streams, by long ids, or
 // by resumes of one stream.
 BOOST_AUTO_TEST_CASE(callers_cannot_fill_the_table) {
-  constexpr auto kMax = static_cast<int>(StreamOriginTable::kMaxRecords);
+  constexpr auto kMax =
+      static_cast<std::int64_t>(StreamOriginTable::kMaxRecords);
   StreamOriginTable table;
   table.Record(RequestId(std::string(StreamOriginTable::kMaxIdBytes + 1, 'x')),
                {kPool, kOld}, At(0));
   BOOST_TEST(table.size() == 0U);
-  for (int i = 0; i <= kMax; ++i)
+  for (std::int64_t i = 0; i <= kMax; ++i)
     table.Record(RequestId(std::to_string(i)), {kPool, kOld}, At(0));
   BOOST_TEST(table.size() == StreamOriginTable::kMaxRecords);
   BOOST_TEST(!table.Find(RequestId("0"), At(0)).has_value());
   BOOST_TEST(table.Find(RequestId(std::to_string(kMax)), At(0)).has_value());
-  for (int i = 0; i < 2 * kMax; ++i)
+  for (std::int64_t i = 0; i < 2 * kMax; ++i)
     table.Record(RequestId("one"), {kPool, kOld}, At(i));
   BOOST_TEST(table.Find(RequestId("one"), At(2 * kMax)).has_value());
   BOOST_TEST(table.size() == 1U);
