Log the position of a lost history, and table reads that are dropped

So a dropped history, a store that came back from a copy, and a late read looked the same. The lines name the position, the position of the read, and its era. No change of behaviour.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -49,6 +49,10 @@
     7015, Severity::kInfo, "store_poll_failed",
     "A stale replica of this table could not get the changes from the store; "
     "it polls again later."};
+inline constexpr LogEvent kTableReadDropped{
+    7018, Severity::kWarning, "table_read_dropped",
+    "A whole table was read at an older version than this instance has; the "
+    "rows that it has stay in use."};
 inline constexpr LogEvent kBackendListed{
     7020, Severity::kInfo, "backend_listed",
     "A backend server was added, or its state changed."};
@@ -154,16 +158,16 @@
     "are refused), exhausted (connections are closed) or normal again."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,         kStopRequested,     kStopped,          kSettingsReloaded,
-    kSettingsRefused, kConfigApplied,     kConfigUnreadable, kStoreLost,
-    kStoreRegained,   kHistoryLost,       kStorePollFailed,  kEvacuationBegan,
-    kEvacuationEnded, kBackendListed,     kBackendGone,      kBackendUnreadable,
-    kBackendLeaving,  kBackendPaused,     kMemberUnreadable, kMemberListed,
-    kMemberGone,      kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,
-    kAttemptFailed,   kRequestEnded,      kPoisonPartFound,  kStreamResumed,
-    kLeaseTaken,      kLeaseLost,         kUsageReported,    kUsageNotReported,
-    kBackendsOrdered, kOrderFailed,       kStoreRestored,    kPoolOverloaded,
-    kPoolRecovered,   kMemoryStateChanged};
+    kStarted,           kStopRequested,   kStopped,           kSettingsReloaded,
+    kSettingsRefused,   kConfigApplied,   kConfigUnreadable,  kStoreLost,
+    kStoreRegained,     kHistoryLost,     kTableReadDropped,  kStorePollFailed,
+    kEvacuationBegan,   kEvacuationEnded, kBackendListed,     kBackendGone,
+    kBackendUnreadable, kBackendLeaving,  kBackendPaused,     kMemberUnreadable,
+    kMemberListed,      kMemberGone,      kPeerRowsFailed,    kRequestPlaced,
+    kRequestRefused,    kAttemptFailed,   kRequestEnded,      kPoisonPartFound,
+    kStreamResumed,     kLeaseTaken,      kLeaseLost,         kUsageReported,
+    kUsageNotReported,  kBackendsOrdered, kOrderFailed,       kStoreRestored,
+    kPoolOverloaded,    kPoolRecovered,   kMemoryStateChanged};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/replication/table_follower.cc
+++ b/src/gateway/replication/table_follower.cc
@@ -59,11 +59,27 @@
 void TableFollower::OnTableRead(const RowsResponse& response) {
   OnSuccess(response.info);
   // The replica may have advanced further by gossip during the call.
-  if (!replica_.is_loaded() || response.info.position >= replica_.position()) {
-    replica_.Reset(response.rows, response.info.position);
-    NotifySnapshot(response.rows);
-    Confirm(response.info);
+  if (replica_.is_loaded() && response.info.position < replica_.position()) {
+    LogReadDropped(response.info);
+    return;
   }
+  replica_.Reset(response.rows, response.info.position);
+  NotifySnapshot(response.rows);
+  Confirm(response.info);
+}
+
+void TableFollower::LogHistoryLost() const {
+  Log(gateway_events::kHistoryLost,
+      {{"table", options_.table},
+       {"position", std::to_string(replica_.position().value())}});
+}
+
+void TableFollower::LogReadDropped(const StoreResponseInfo& info) const {
+  Log(gateway_events::kTableReadDropped,
+      {{"table", options_.table},
+       {"position", std::to_string(replica_.position().value())},
+       {"read_position", std::to_string(info.position.value())},
+       {"read_era", std::to_string(info.era.value())}});
 }
 
 void TableFollower::ContinueWatching() {
@@ -126,7 +142,7 @@
           OnSuccess(response.value().info);
           Apply(response.value());
         } else if (response.error().code == ErrorCode::kHistoryLost) {
-          Log(gateway_events::kHistoryLost, {{"table", options_.table}});
+          LogHistoryLost();
           poll_pending_ = true;
           store.ReadTable(options_.table, [this](Result<RowsResponse> table) {
             poll_pending_ = false;
@@ -190,7 +206,7 @@
 
 void TableFollower::OnFailure(const Error& error) {
   if (error.code == ErrorCode::kHistoryLost) {
-    Log(gateway_events::kHistoryLost, {{"table", options_.table}});
+    LogHistoryLost();
     ReadTable();
     return;
   }
--- a/src/gateway/replication/table_follower.h
+++ b/src/gateway/replication/table_follower.h
@@ -99,6 +99,8 @@
   void Confirm(const StoreResponseInfo& info);
   void NotifySnapshot(const std::vector<TableRow>& rows);
   void NotifyChanges(const std::vector<TableRow>& rows);
+  void LogHistoryLost() const;
+  void LogReadDropped(const StoreResponseInfo& info) const;
   void OnFailure(const Error& error);
   void OnSuccess(const StoreResponseInfo& info);
   void ContinueWatching();
