Test instances that follow a store which comes back from a copy (fail)

A configuration or a leaving server that is written after the restore is missed, with and without a 410, alone and in a fleet; nothing at all is read from the store until it has given out the instance's version again.

--- a/tests/entry_fixture/store_standin.cc
+++ b/tests/entry_fixture/store_standin.cc
@@ -72,22 +72,32 @@
   server_.Run([&] { copy_ = {rows_, version_}; });
 }
 
-void StoreStandin::RestoreCopy() {
+void StoreStandin::RestoreCopy(LostRows lost_rows) {
   server_.Run([&] {
-    const std::map<Key, Row> lost = std::move(rows_);
+    const std::map<Key, Row> before = std::move(rows_);
     rows_ = copy_.rows;
     version_ = copy_.version;
     ++era_;
-    for (const auto& [key, row] : lost) {
+    for (const auto& [key, row] : before) {
       const bool foreign =
           std::find(kForeignTables.begin(), kForeignTables.end(), key.first) !=
           kForeignTables.end();
       if (foreign && row.version > copy_.version)
-        Write(key, row.value, row.deleted);
+        lost_rows_[key] = row;
     }
+    if (lost_rows == LostRows::kWrittenAgain)
+      WriteLostRows();
   });
 }
 
+void StoreStandin::WriteLostRowsAgain() {
+  server_.Run([&] { WriteLostRows(); });
+}
+
+void StoreStandin::AdvanceVersion(int count) {
+  server_.Run([&] { version_ += static_cast<std::uint64_t>(count); });
+}
+
 std::map<std::int64_t, json> StoreStandin::LatestUsageCounts() {
   std::map<std::int64_t, json> counts;
   for (const UsageReport& report : UsageReports())
@@ -261,4 +271,9 @@
   rows_[key] = {value, ++version_, deleted};
 }
 
+void StoreStandin::WriteLostRows() {
+  for (const auto& [key, row] : std::exchange(lost_rows_, {}))
+    Write(key, row.value, row.deleted);
+}
+
 }  // namespace bamboomount::entry_test
--- a/tests/entry_fixture/store_standin.h
+++ b/tests/entry_fixture/store_standin.h
@@ -24,6 +24,14 @@
   kSilent,
 };
 
+// What becomes of the rows of the operator and the backend servers that a copy
+// lacks.
+enum class LostRows {
+  kWrittenAgain,
+  // They are missing until WriteLostRowsAgain().
+  kMissing,
+};
+
 // An accepted usage report.
 struct UsageReport {
   std::string holder;
@@ -68,8 +76,11 @@
   // instances have written since is gone, versions are given out again, reads
   // of changes from a version that was not given out yet get 410, and the era
   // in each response rises by one. The operator and the backend servers write
-  // their present rows again.
-  void RestoreCopy();
+  // their present rows again, at once or with WriteLostRowsAgain().
+  void RestoreCopy(LostRows lost_rows = LostRows::kWrittenAgain);
+  void WriteLostRowsAgain();
+  // Gives out `count` versions to tables that no instance reads.
+  void AdvanceVersion(int count);
   // Number of calls received.
   int calls();
   // Accepted usage reports, in order.
@@ -105,11 +116,14 @@
   bool ConditionHolds(const nlohmann::json& condition) const;
   void AcceptUsage(const standin::HttpRequest& request);
   void Write(const Key& key, const std::string& value, bool deleted);
+  void WriteLostRows();
 
   std::map<Key, Row> rows_;
   std::uint64_t version_ = 1;
   std::uint64_t oldest_change_ = 0;
   Copy copy_;
+  // Rows of the operator and the backend servers that the copy lacked.
+  std::map<Key, Row> lost_rows_;
   std::uint64_t era_ = 0;
   StoreMode mode_ = StoreMode::kUp;
   int commit_responses_to_lose_ = 0;
