--- a/check/main.cc
+++ b/check/main.cc
@@ -102,6 +102,8 @@
   add_replication("replication-2", {2, true, false});
   add_replication("replication-3", {3, false, false});
   add_replication("replication-lost", {2, true, true});
+  add_replication("replication-restore", {2, true, false, 1, 1});
+  add_replication("replication-restore-3", {3, false, false, 1, 2});
   const std::vector<std::pair<std::string, RequestKind>> kinds{
       {"safe", RequestKind::kIdempotent},
       {"once", RequestKind::kAtMostOnce},
--- a/check/replication_world.cc
+++ b/check/replication_world.cc
@@ -20,10 +20,14 @@
   return text;
 }
 
+std::string Text(const TablePosition& position) {
+  return std::to_string(position.era.value()) + ":" +
+         std::to_string(position.version.value());
+}
+
 std::string Text(const ReplicaStatus& status) {
-  return std::to_string(status.revision.value()) + "/" +
-         std::to_string(status.position.value()) + "/" +
-         std::to_string(status.confirmed.count()) + "/" +
+  return std::to_string(status.revision.value()) + "/" + Text(status.position) +
+         "/" + std::to_string(status.confirmed.count()) + "/" +
          std::to_string(status.digest);
 }
 
@@ -32,7 +36,7 @@
 }
 
 std::string Text(const StoreResponseInfo& info) {
-  return "position " + std::to_string(info.position.value()) + " at " +
+  return "position " + Text(info.table_position()) + " at " +
          std::to_string(info.store_time.count()) + SentAt(info.sent);
 }
 
@@ -64,7 +68,8 @@
         "the store reads changes after " + std::to_string(position.value()) +
             " for " + name_ + SentAt(sent),
         [this, done, sent, position] {
-          if (position < world_.history_start_)
+          if (position < world_.present().start ||
+              position > world_.present().position)
             world_.Send(
                 name_ + " gets: history lost",
                 [done] {
@@ -122,7 +127,7 @@
   // Version of the row that the instance uses; 0 if it uses none.
   std::uint64_t version = 0;
   // The position at the last check.
-  RowVersion position;
+  TablePosition position;
   StateFreshness freshness;
   Connection connection;
   TableFollower follower;
@@ -138,8 +143,8 @@
       Deliver(0, false);
   }
   if (options.history_is_lost) {
-    position_ += RowVersion(1);
-    history_start_ = position_;
+    present().position += RowVersion(1);
+    present().start = present().position;
   }
 }
 
@@ -150,16 +155,7 @@
 
 std::vector<ReplicationWorld::Step> ReplicationWorld::PossibleSteps() {
   std::vector<Step> steps{{"time passes", [this] { now_ += kTick; }}};
-  if (changes_.size() < kMaxChanges)
-    steps.push_back(
-        {changes_.back().removed ? "the row is written" : "the row is removed",
-         [this] { Write(!changes_.back().removed); }});
-  if (position_.value() < 2 * kMaxChanges)
-    steps.push_back(
-        {"another table changes", [this] { position_ += RowVersion(1); }});
-  if (history_start_ < position_)
-    steps.push_back({"the store drops its history",
-                     [this] { history_start_ = position_; }});
+  AddStoreSteps(steps);
   for (std::size_t i = 0; i < instances_.size(); ++i) {
     Instance& instance = *instances_[i];
     AddCall(steps, instance.name + " polls the store",
@@ -187,6 +183,35 @@
   return steps;
 }
 
+void ReplicationWorld::AddStoreSteps(std::vector<Step>& steps) {
+  const History& history = present();
+  const bool removed =
+      history.changes.empty() || history.changes.back().removed;
+  if (history.changes.size() < kMaxChanges)
+    steps.push_back({removed ? "the row is written" : "the row is removed",
+                     [this, removed] { Write(!removed); }});
+  if (history.position.value() < 2 * kMaxChanges)
+    steps.push_back({"another table changes",
+                     [this] { present().position += RowVersion(1); }});
+  if (history.start < history.position)
+    steps.push_back({"the store drops its history",
+                     [this] { present().start = present().position; }});
+  if (copies_taken_ < options_.copies)
+    steps.push_back({"the store takes a copy", [this] {
+                       copy_ = present();
+                       ++copies_taken_;
+                     }});
+  if (copy_ && eras_.size() <= options_.restores)
+    steps.push_back(
+        {"the store comes back from the copy", [this] { RestoreCopy(); }});
+}
+
+void ReplicationWorld::RestoreCopy() {
+  present().end = now_;
+  eras_.push_back(*copy_);
+  present().first_new = present().changes.size();
+}
+
 void ReplicationWorld::AddCall(std::vector<Step>& steps,
                                const std::string& name,
                                const std::function<void()>& begin) {
@@ -215,8 +240,8 @@
 }
 
 void ReplicationWorld::Write(bool removed) {
-  position_ += RowVersion(1);
-  changes_.push_back({position_, removed, now_});
+  present().position += RowVersion(1);
+  present().changes.push_back({present().position, removed, now_});
 }
 
 void ReplicationWorld::Send(std::string name,
@@ -229,10 +254,10 @@
   Instance& sender = *instances_[from];
   Instance& receiver = *instances_[to];
   const ReplicaStatus status = sender.follower.status();
-  const auto fetch = [this, &sender, &receiver](RowVersion after, auto done) {
+  const auto fetch = [this, &sender, &receiver](const TablePosition& after,
+                                                auto done) {
     Send(
-        sender.name + " is asked for rows after " +
-            std::to_string(after.value()),
+        sender.name + " is asked for rows after " + Text(after),
         [this, &sender, &receiver, after, done] {
           const PeerRows rows = sender.follower.RowsSince(after);
           Send(
@@ -267,21 +292,24 @@
 }
 
 StoreResponseInfo ReplicationWorld::StoreInfo(Instant sent) const {
-  return {sent, ToMillis(now_.time_since_epoch()), position_};
+  return {sent, ToMillis(now_.time_since_epoch()), present().position,
+          StoreEra(eras_.size() - 1)};
 }
 
 std::vector<TableRow> ReplicationWorld::Rows(RowVersion after,
                                              bool with_removals) const {
-  const Change& last = changes_.back();
+  if (present().changes.empty())
+    return {};
+  const Change& last = present().changes.back();
   if (last.version <= after || (last.removed && !with_removals))
     return {};
   return {{kTable, kKey, "", last.version, last.removed}};
 }
 
-std::uint64_t ReplicationWorld::VersionAt(RowVersion position) const {
+std::uint64_t ReplicationWorld::VersionAt(const TablePosition& position) const {
   std::uint64_t version = 0;
-  for (const Change& change : changes_) {
-    if (change.version <= position)
+  for (const Change& change : eras_[position.era.value()].changes) {
+    if (change.version <= position.version)
       version = change.removed ? 0 : change.version.value();
   }
   return version;
@@ -294,11 +322,31 @@
   instance.position = status.position;
   if (instance.version != VersionAt(status.position))
     return "an instance has other rows than the store at its position";
-  for (const Change& change : changes_) {
-    if (status.position < change.version &&
-        ToMillis(change.at.time_since_epoch()) < status.confirmed)
+  const std::size_t era = status.position.era.value();
+  const auto& end = eras_[era].end;
+  if (end && ToMillis(end->time_since_epoch()) < status.confirmed)
+    return "the rows are confirmed for a time after the store came back";
+  for (std::size_t i = era; i < eras_.size(); ++i) {
+    std::string violation = CheckChanges(instance, i);
+    if (!violation.empty())
+      return violation;
+  }
+  return "";
+}
+
+std::string ReplicationWorld::CheckChanges(const Instance& instance,
+                                           std::size_t era) const {
+  const ReplicaStatus status = instance.follower.status();
+  const bool later_era = era > status.position.era.value();
+  const std::vector<Change>& changes = eras_[era].changes;
+  for (std::size_t i = later_era ? eras_[era].first_new : 0; i < changes.size();
+       ++i) {
+    const Change& change = changes[i];
+    const bool missing = later_era || status.position.version < change.version;
+    if (missing && ToMillis(change.at.time_since_epoch()) < status.confirmed)
       return "a change is missing that came before the confirmed time";
-    const bool replaced = change.version.value() > instance.version;
+    const bool replaced =
+        later_era || change.version.value() > instance.version;
     if (instance.version != 0 && replaced && now_ - change.at > kBound &&
         instance.freshness.IsConfirmedWithin(kBound, now_))
       return "a row is used too long after its removal";
@@ -315,16 +363,26 @@
 
 std::string ReplicationWorld::State() const {
   std::ostringstream text;
-  text << ToMillis(now_.time_since_epoch()).count() << " " << position_.value()
-       << " " << history_start_.value();
-  for (const Change& change : changes_)
-    text << " " << change.version.value()
-         << ToMillis(change.at.time_since_epoch()).count();
+  text << ToMillis(now_.time_since_epoch()).count() << " " << copies_taken_;
+  std::vector<History> histories = eras_;
+  if (copy_)
+    histories.push_back(*copy_);
+  for (const History& history : histories) {
+    text << " " << history.position.value() << " " << history.start.value()
+         << " " << history.first_new;
+    if (history.end)
+      text << " until " << ToMillis(history.end->time_since_epoch()).count();
+    for (const Change& change : history.changes)
+      text << " " << change.version.value()
+           << ToMillis(change.at.time_since_epoch()).count();
+  }
   for (const auto& instance : instances_) {
     text << "|" << instance->version << " "
          << Text(instance->follower.status());
-    for (RowVersion after; after <= position_; after += RowVersion(1))
-      text << instance->follower.RowsSince(after).is_snapshot;
+    const StoreEra era = instance->follower.era();
+    for (RowVersion after; after <= eras_[era.value()].position;
+         after += RowVersion(1))
+      text << instance->follower.RowsSince({era, after}).is_snapshot;
     text << " " << instance->freshness.Age(now_).value_or(Millis(-1)).count();
     if (const auto local = instance->freshness.LocalTime(Millis(0)))
       text << " " << local->time_since_epoch().count();
--- a/check/replication_world.h
+++ b/check/replication_world.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,8 @@
 // Instances with the real TableFollower and StateFreshness, and a store whose
 // table has one key. Calls, answers and messages arrive at once or in any order
 // at any time; messages between instances are lost or come twice. An instance
-// sleeps as long as it takes no step.
+// sleeps as long as it takes no step. The store may come back from a copy, in a
+// new era in which it gives out versions again.
 //
 // Properties: an instance has exactly the rows of its position, which never
 // goes back, and has reached the position of the store's time that it holds as
@@ -32,6 +34,9 @@
     bool has_delays = true;
     // Whether the store has dropped the history that the instances need.
     bool history_is_lost = false;
+    // How often the store takes a copy, and comes back from it.
+    std::size_t copies = 0;
+    std::size_t restores = 0;
   };
 
   explicit ReplicationWorld(const Options& options);
@@ -51,6 +56,17 @@
     bool removed = false;
     Instant at;
   };
+  // The changes that the store has in one era.
+  struct History {
+    std::vector<Change> changes;
+    // The first of them that was made in the era; those before are the copy's.
+    std::size_t first_new = 0;
+    RowVersion position;
+    // Changes up to this version can't be read.
+    RowVersion start;
+    // When the store came back from a copy; empty for the present era.
+    std::optional<Instant> end;
+  };
   // A call, answer or message on its way.
   struct Work {
     // Says all that it carries, since states are told apart by it.
@@ -69,7 +85,11 @@
   void AddCall(std::vector<Step>& steps,
                const std::string& name,
                const std::function<void()>& begin);
+  void AddStoreSteps(std::vector<Step>& steps);
   void Write(bool removed);
+  void RestoreCopy();
+  History& present() { return eras_.back(); }
+  const History& present() const { return eras_.back(); }
   void Send(std::string name, std::function<void()> deliver, bool is_message);
   void SendStatus(std::size_t from, std::size_t to);
   void Deliver(std::size_t index, bool keep);
@@ -77,16 +97,20 @@
   StoreResponseInfo StoreInfo(Instant sent) const;
   std::vector<TableRow> Rows(RowVersion after, bool with_removals) const;
   // Version of the key's row at `position`; 0 if there is none.
-  std::uint64_t VersionAt(RowVersion position) const;
+  std::uint64_t VersionAt(const TablePosition& position) const;
+  // What is wrong with what the instance holds as confirmed or uses, as to the
+  // changes of one era; empty if nothing is.
+  std::string CheckChanges(const Instance& instance, std::size_t era) const;
   std::string CheckInstance(Instance& instance) const;
   void Check();
 
   const Options options_;
   asio::io_context context_;
   Instant now_{std::chrono::hours(1)};
-  RowVersion position_;
-  RowVersion history_start_;
-  std::vector<Change> changes_;
+  // Indexed by the era.
+  std::vector<History> eras_{1};
+  std::optional<History> copy_;
+  std::size_t copies_taken_ = 0;
   std::vector<Work> works_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::string violation_;
--- a/fuzz/document_checks.cc
+++ b/fuzz/document_checks.cc
@@ -395,10 +395,11 @@
     PeerRows rows;
     rows.rows = {{"t", "k1", "v1", RowVersion(3), false},
                  {"t", "k2", "", RowVersion(4), true}};
-    rows.status = {RowVersion(4), RowVersion(5), Millis(6), 7};
+    rows.status = {RowVersion(4), {StoreEra(1), RowVersion(5)}, Millis(6), 7};
     PeerRowsEncoder encoder;
-    const std::string bytes = SpoilBytes(
-        encoder.Encode({"t", RowVersion(2)}, rows), choices, is_sound);
+    const std::string bytes =
+        SpoilBytes(encoder.Encode({"t", {StoreEra(1), RowVersion(2)}}, rows),
+                   choices, is_sound);
     const auto decoded = DecodePeerRows("t", bytes);
     Require(!is_sound || (decoded && decoded.value().rows.size() == 2),
             "sound rows of a peer are refused");
--- a/src/gateway/control/async_table_store.h
+++ b/src/gateway/control/async_table_store.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_CONTROL_ASYNC_TABLE_STORE_H_
 #define GATEWAY_CONTROL_ASYNC_TABLE_STORE_H_
 
+#include <compare>
 #include <functional>
 #include <string>
 #include <utility>
@@ -21,6 +22,15 @@
   bool deleted = false;
 };
 
+// A position in the changes of the store. Any position of a later era comes
+// after those of an earlier one; versions of different eras can't be compared.
+struct TablePosition {
+  StoreEra era;
+  RowVersion version;
+
+  friend auto operator<=>(const TablePosition&, const TablePosition&) = default;
+};
+
 // Metadata of a response of the store.
 struct StoreResponseInfo {
   // When the request was sent.
@@ -29,8 +39,9 @@
   Millis store_time{0};
   // The response reflects all changes up to this version.
   RowVersion position;
-  // Versions of different eras can't be compared.
   StoreEra era = StoreEra(0);
+
+  TablePosition table_position() const { return {era, position}; }
 };
 
 struct RowsResponse {
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -53,6 +53,11 @@
     7018, Severity::kWarning, "table_read_dropped",
     "A whole table was read at an older version than this instance has; the "
     "rows that it has stay in use."};
+inline constexpr LogEvent kTableRestored{
+    7019, Severity::kWarning, "table_restored",
+    "The store came back from an older copy; this table was read anew there. "
+    "What was written since the copy is missing until its owner writes it "
+    "again."};
 inline constexpr LogEvent kBackendListed{
     7020, Severity::kInfo, "backend_listed",
     "A backend server was added, or its state changed."};
@@ -158,16 +163,20 @@
     "are refused), exhausted (connections are closed) or normal again."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,           kStopRequested,   kStopped,           kSettingsReloaded,
-    kSettingsRefused,   kConfigApplied,   kConfigUnreadable,  kStoreLost,
-    kStoreRegained,     kHistoryLost,     kTableReadDropped,  kStorePollFailed,
-    kEvacuationBegan,   kEvacuationEnded, kBackendListed,     kBackendGone,
-    kBackendUnreadable, kBackendLeaving,  kBackendPaused,     kMemberUnreadable,
-    kMemberListed,      kMemberGone,      kPeerRowsFailed,    kRequestPlaced,
-    kRequestRefused,    kAttemptFailed,   kRequestEnded,      kPoisonPartFound,
-    kStreamResumed,     kLeaseTaken,      kLeaseLost,         kUsageReported,
-    kUsageNotReported,  kBackendsOrdered, kOrderFailed,       kStoreRestored,
-    kPoolOverloaded,    kPoolRecovered,   kMemoryStateChanged};
+    kStarted,           kStopRequested,    kStopped,
+    kSettingsReloaded,  kSettingsRefused,  kConfigApplied,
+    kConfigUnreadable,  kStoreLost,        kStoreRegained,
+    kHistoryLost,       kTableReadDropped, kTableRestored,
+    kStorePollFailed,   kEvacuationBegan,  kEvacuationEnded,
+    kBackendListed,     kBackendGone,      kBackendUnreadable,
+    kBackendLeaving,    kBackendPaused,    kMemberUnreadable,
+    kMemberListed,      kMemberGone,       kPeerRowsFailed,
+    kRequestPlaced,     kRequestRefused,   kAttemptFailed,
+    kRequestEnded,      kPoisonPartFound,  kStreamResumed,
+    kLeaseTaken,        kLeaseLost,        kUsageReported,
+    kUsageNotReported,  kBackendsOrdered,  kOrderFailed,
+    kStoreRestored,     kPoolOverloaded,   kPoolRecovered,
+    kMemoryStateChanged};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -55,12 +55,12 @@
                                      const std::string& address) {
   for (std::size_t i = 0; i < kSharedTableCount; ++i) {
     // Version 0: the sender has not loaded the table yet.
-    if (message.tables[i].position == RowVersion())
+    if (message.tables[i].position.version == RowVersion())
       continue;
     TableFollower& follower = *followers_[i];
     follower.OnPeerStatus(
         message.tables[i],
-        [this, &follower, address](RowVersion after,
+        [this, &follower, address](const TablePosition& after,
                                    PeerRowsClient::Callback done) {
           client_.Fetch(address, {follower.table(), after}, std::move(done));
         });
--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -12,6 +12,9 @@
 
 using Json = nlohmann::json;
 
+// Index in the status of a table.
+constexpr std::size_t kEraIndex = 4;
+// Indexes in a message.
 constexpr std::size_t kPartEvidenceIndex = 13;
 constexpr std::size_t kDemandIndex = 14;
 constexpr std::size_t kUnreachableIndex = 15;
@@ -23,8 +26,9 @@
 Json EncodeTables(const GossipMessage& message) {
   Json tables = Json::array();
   for (const ReplicaStatus& table : message.tables)
-    tables.push_back({table.revision.value(), table.position.value(),
-                      table.confirmed.count(), table.digest});
+    tables.push_back({table.revision.value(), table.position.version.value(),
+                      table.confirmed.count(), table.digest,
+                      table.position.era.value()});
   return tables;
 }
 
@@ -135,8 +139,12 @@
 }
 
 ReplicaStatus DecodeTable(const Json& table) {
+  // Absent in messages of earlier versions, which may run during an upgrade.
+  const std::uint64_t era =
+      table.size() > kEraIndex ? table.at(kEraIndex).get<std::uint64_t>() : 0;
   return {RowVersion(table.at(0).get<std::uint64_t>()),
-          RowVersion(table.at(1).get<std::uint64_t>()), MillisOf(table.at(2)),
+          {StoreEra(era), RowVersion(table.at(1).get<std::uint64_t>())},
+          MillisOf(table.at(2)),
           table.at(3).get<std::uint64_t>()};
 }
 
--- a/src/gateway/replication/gossip_message.h
+++ b/src/gateway/replication/gossip_message.h
@@ -46,7 +46,7 @@
   // Increases with each message; receivers drop messages that arrive out of
   // order.
   std::uint64_t sequence = 0;
-  // Indexed by SharedTable. A table that is not loaded yet has position 0.
+  // Indexed by SharedTable. A table that is not loaded yet has version 0.
   std::array<ReplicaStatus, kSharedTableCount> tables;
   MemberStatus member_status;
   // Steady clock of the store at its last recovery from an outage; 0 if there
--- a/src/gateway/replication/peer_rows.cc
+++ b/src/gateway/replication/peer_rows.cc
@@ -29,6 +29,16 @@
                       bytes.size());
 }
 
+// Empty if the text does not begin with a number.
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (parsed.ec != std::errc())
+    return std::nullopt;
+  return number;
+}
+
 std::vector<std::uint8_t> CompressRows(const std::vector<TableRow>& rows) {
   Json list = Json::array();
   for (const TableRow& row : rows) {
@@ -59,34 +69,38 @@
 
 std::string EncodePeerRowsTarget(const PeerRowsQuery& query) {
   return std::string(kPath) + "?table=" + query.table +
-         "&after=" + std::to_string(query.after.value());
+         "&after=" + std::to_string(query.after.version.value()) +
+         "&era=" + std::to_string(query.after.era.value());
 }
 
 std::optional<PeerRowsQuery> DecodePeerRowsTarget(const std::string& target) {
   if (PathOf(target) != kPath)
     return std::nullopt;
-  const std::string after = QueryValue(target, "after");
-  std::uint64_t version = 0;
-  const auto parsed =
-      std::from_chars(after.data(), after.data() + after.size(), version);
-  if (after.empty() || parsed.ec != std::errc())
+  const auto version = ParseNumber(QueryValue(target, "after"));
+  if (!version)
     return std::nullopt;
-  return PeerRowsQuery{QueryValue(target, "table"), RowVersion(version)};
+  // Absent in queries of earlier versions, which may run during an upgrade.
+  const auto era = ParseNumber(QueryValue(target, "era"));
+  return PeerRowsQuery{QueryValue(target, "table"),
+                       {StoreEra(era.value_or(0)), RowVersion(*version)}};
 }
 
 std::string PeerRowsEncoder::Encode(const PeerRowsQuery& query,
                                     const PeerRows& rows) {
   CompressedRows& last = last_by_table_[query.table];
+  const StoreEra era = rows.status.position.era;
   const bool reusable = !last.bytes.empty() && last.after == query.after &&
+                        last.era == era &&
                         last.revision == rows.status.revision &&
                         last.is_snapshot == rows.is_snapshot;
   if (!reusable)
-    last = {query.after, rows.status.revision, rows.is_snapshot,
+    last = {query.after, era, rows.status.revision, rows.is_snapshot,
             CompressRows(rows.rows)};
   const Json body{{"whole", rows.is_snapshot},
                   {"rows", Json::binary(last.bytes)},
                   {"revision", rows.status.revision.value()},
-                  {"position", rows.status.position.value()},
+                  {"position", rows.status.position.version.value()},
+                  {"era", era.value()},
                   {"confirmed_ms", rows.status.confirmed.count()}};
   const auto bytes = Json::to_msgpack(body);
   return {bytes.begin(), bytes.end()};
@@ -99,7 +113,10 @@
     PeerRows rows;
     rows.is_snapshot = json.at("whole").get<bool>();
     rows.status.revision = RowVersion(json.at("revision").get<std::uint64_t>());
-    rows.status.position = RowVersion(json.at("position").get<std::uint64_t>());
+    // Responses of earlier versions have no era.
+    rows.status.position = {
+        StoreEra(json.value("era", std::uint64_t{0})),
+        RowVersion(json.at("position").get<std::uint64_t>())};
     rows.status.confirmed = Millis(json.at("confirmed_ms").get<Millis::rep>());
     const Json::binary_t& frame = json.at("rows").get_binary();
     BOOST_OUTCOME_TRY(
--- a/src/gateway/replication/peer_rows.h
+++ b/src/gateway/replication/peer_rows.h
@@ -14,10 +14,10 @@
 
 namespace bamboomount {
 
-// A query to a peer for the changes of a table after a version.
+// A query to a peer for the changes of a table after a position.
 struct PeerRowsQuery {
   std::string table;
-  RowVersion after;
+  TablePosition after;
 };
 
 // The query as the target of an HTTP GET request.
@@ -35,7 +35,8 @@
 
  private:
   struct CompressedRows {
-    RowVersion after;
+    TablePosition after;
+    StoreEra era;
     RowVersion revision;
     bool is_snapshot = false;
     std::vector<std::uint8_t> bytes;
--- a/src/gateway/replication/store_watch_coordinator.cc
+++ b/src/gateway/replication/store_watch_coordinator.cc
@@ -86,7 +86,10 @@
       !state_.freshness().IsConfirmedWithin(limit, now);
   const bool backends_are_stale =
       !state_.backend_freshness().IsConfirmedWithin(limit, now);
-  if (!config_is_stale && !backends_are_stale) {
+  // No deadline depends on the instance table, but this instance may be missing
+  // in those of its peers, which then ignore its messages and send it none.
+  const bool instances_are_outdated = IsOfEarlierEra(SharedTable::kInstances);
+  if (!config_is_stale && !backends_are_stale && !instances_are_outdated) {
     poll_schedule_.OnFresh();
     return;
   }
@@ -100,6 +103,16 @@
   if (backends_are_stale)
     followers_[static_cast<std::size_t>(SharedTable::kBackends)]->PollOnce(
         store_);
+  if (instances_are_outdated)
+    followers_[static_cast<std::size_t>(SharedTable::kInstances)]->PollOnce(
+        store_);
+}
+
+bool StoreWatchCoordinator::IsOfEarlierEra(SharedTable table) const {
+  const StoreEra era = followers_[static_cast<std::size_t>(table)]->era();
+  return std::any_of(
+      followers_.begin(), followers_.end(),
+      [era](const TableFollower* follower) { return follower->era() > era; });
 }
 
 Millis StoreWatchCoordinator::MaxStaleness() const {
--- a/src/gateway/replication/store_watch_coordinator.h
+++ b/src/gateway/replication/store_watch_coordinator.h
@@ -39,6 +39,8 @@
   void AssignWatchRole(Instant now);
   // Polls the store for the tables that are stale, when the schedule allows it.
   void PollIfStale(Instant now);
+  // Whether another table was read in a later era of the store.
+  bool IsOfEarlierEra(SharedTable table) const;
   // Staleness above which this instance polls the store itself. Grows with the
   // rank.
   Millis MaxStaleness() const;
--- a/src/gateway/replication/table_follower.cc
+++ b/src/gateway/replication/table_follower.cc
@@ -58,26 +58,52 @@
 
 void TableFollower::OnTableRead(const RowsResponse& response) {
   OnSuccess(response.info);
+  const TablePosition position = response.info.table_position();
   // The replica may have advanced further by gossip during the call.
-  if (replica_.is_loaded() && response.info.position < replica_.position()) {
+  if (replica_.is_loaded() && position < replica_.position()) {
     LogReadDropped(response.info);
     return;
   }
-  replica_.Reset(response.rows, response.info.position);
-  NotifySnapshot(response.rows);
+  Replace(response.rows, position, response.info.store_time);
   Confirm(response.info);
 }
 
+void TableFollower::Replace(const std::vector<TableRow>& rows,
+                            const TablePosition& position,
+                            Millis store_time) {
+  const bool restored = replica_.is_loaded() && position.era != era();
+  if (restored) {
+    LogRestored(position);
+    // The clock of the store may have gone back too.
+    confirmed_ = Millis(0);
+  }
+  replica_.Reset(rows, position);
+  if (restored)
+    observer_.OnStoreRestored(store_time);
+  NotifySnapshot(rows);
+}
+
 void TableFollower::LogHistoryLost() const {
   Log(gateway_events::kHistoryLost,
       {{"table", options_.table},
-       {"position", std::to_string(replica_.position().value())}});
+       {"position", std::to_string(replica_.position().version.value())},
+       {"era", std::to_string(era().value())}});
+}
+
+void TableFollower::LogRestored(const TablePosition& position) const {
+  Log(gateway_events::kTableRestored,
+      {{"table", options_.table},
+       {"era_before", std::to_string(era().value())},
+       {"version_before", std::to_string(replica_.position().version.value())},
+       {"era", std::to_string(position.era.value())},
+       {"version", std::to_string(position.version.value())}});
 }
 
 void TableFollower::LogReadDropped(const StoreResponseInfo& info) const {
   Log(gateway_events::kTableReadDropped,
       {{"table", options_.table},
-       {"position", std::to_string(replica_.position().value())},
+       {"position", std::to_string(replica_.position().version.value())},
+       {"era", std::to_string(era().value())},
        {"read_position", std::to_string(info.position.value())},
        {"read_era", std::to_string(info.era.value())}});
 }
@@ -89,9 +115,10 @@
 }
 
 void TableFollower::ReadChanges() {
+  const TablePosition from = replica_.position();
   store_.ReadChanges(
-      options_.table, replica_.position(), watch_wait_.value_or(Millis(0)),
-      [this](Result<RowsResponse> response) {
+      options_.table, from.version, watch_wait_.value_or(Millis(0)),
+      [this, from](Result<RowsResponse> response) {
         if (stopped_)
           return;
         if (!response) {
@@ -99,14 +126,21 @@
           return;
         }
         OnSuccess(response.value().info);
-        Apply(response.value());
-        ScheduleStep(options_.pause, &TableFollower::ContinueWatching);
+        if (!Apply(response.value(), from) && response.value().info.era > era())
+          ReadTable();
+        else
+          ScheduleStep(options_.pause, &TableFollower::ContinueWatching);
       });
 }
 
-void TableFollower::Apply(const RowsResponse& response) {
-  NotifyChanges(replica_.Apply(response.rows, response.info.position));
+bool TableFollower::Apply(const RowsResponse& response,
+                          const TablePosition& from) {
+  const TablePosition position = response.info.table_position();
+  if (position.era != from.era || position.era != era())
+    return false;
+  NotifyChanges(replica_.Apply(response.rows, position.version));
   Confirm(response.info);
+  return true;
 }
 
 void TableFollower::NotifySnapshot(const std::vector<TableRow>& rows) {
@@ -132,23 +166,21 @@
   if (!replica_.is_loaded() || poll_pending_ || stopped_)
     return;
   poll_pending_ = true;
+  const TablePosition from = replica_.position();
   store.ReadChanges(
-      options_.table, replica_.position(), Millis(0),
-      [this, &store](Result<RowsResponse> response) {
+      options_.table, from.version, Millis(0),
+      [this, &store, from](Result<RowsResponse> response) {
         poll_pending_ = false;
         if (stopped_)
           return;
         if (response) {
           OnSuccess(response.value().info);
-          Apply(response.value());
+          if (!Apply(response.value(), from) &&
+              response.value().info.era > era())
+            ReadTableOnce(store);
         } else if (response.error().code == ErrorCode::kHistoryLost) {
           LogHistoryLost();
-          poll_pending_ = true;
-          store.ReadTable(options_.table, [this](Result<RowsResponse> table) {
-            poll_pending_ = false;
-            if (!stopped_ && table)
-              OnTableRead(table.value());
-          });
+          ReadTableOnce(store);
         } else {
           Log(gateway_events::kStorePollFailed,
               {{"table", options_.table}, {"cause", response.error().message}});
@@ -160,9 +192,18 @@
       });
 }
 
+void TableFollower::ReadTableOnce(AsyncTableStore& store) {
+  poll_pending_ = true;
+  store.ReadTable(options_.table, [this](Result<RowsResponse> table) {
+    poll_pending_ = false;
+    if (!stopped_ && table)
+      OnTableRead(table.value());
+  });
+}
+
 void TableFollower::OnPeerStatus(const ReplicaStatus& status,
                                  const PeerFetch& fetch) {
-  if (stopped_ || !replica_.is_loaded())
+  if (stopped_ || !replica_.is_loaded() || status.position.era < era())
     return;
   if (replica_.AdvanceTo(status)) {
     confirmed_ = std::max(confirmed_, status.confirmed);
@@ -180,13 +221,15 @@
 }
 
 void TableFollower::ApplyPeerRows(const PeerRows& response) {
+  const TablePosition& position = response.status.position;
   if (response.is_snapshot) {
-    if (response.status.position < replica_.position())
+    if (position < replica_.position())
       return;
-    replica_.Reset(response.rows, response.status.position);
-    NotifySnapshot(response.rows);
+    Replace(response.rows, position, response.status.confirmed);
   } else {
-    NotifyChanges(replica_.Apply(response.rows, response.status.position));
+    if (position.era != era())
+      return;
+    NotifyChanges(replica_.Apply(response.rows, position.version));
   }
   confirmed_ = std::max(confirmed_, response.status.confirmed);
   observer_.OnConfirmedByPeer(response.status.confirmed);
@@ -197,7 +240,7 @@
           replica_.digest()};
 }
 
-PeerRows TableFollower::RowsSince(RowVersion position) const {
+PeerRows TableFollower::RowsSince(const TablePosition& position) const {
   const auto changes = replica_.ChangesSince(position);
   if (changes)
     return {false, *changes, status()};
--- a/src/gateway/replication/table_follower.h
+++ b/src/gateway/replication/table_follower.h
@@ -28,6 +28,12 @@
   // All changes up to this reading of the steady clock of the store have been
   // delivered, according to a peer.
   virtual void OnConfirmedByPeer(Millis /*store_time*/) {}
+  // The store came back from an older copy, and the table was read anew there.
+  // `store_time` is the steady clock of the store at that read. Comes before
+  // the snapshot, which may be older than what was delivered until now: rows
+  // that were written since the copy are missing until their owners write them
+  // again.
+  virtual void OnStoreRestored(Millis /*store_time*/) {}
   // The store responds again after failed calls. Comes before the rows of that
   // response.
   virtual void OnStoreRecovered(const StoreResponseInfo& /*info*/) {}
@@ -37,9 +43,11 @@
 //
 // A few instances watch the store by long polls. The others compare the status
 // in gossip messages with their replica and fetch missing changes from peers
-// that have them. If the store has dropped the history that is needed, the
-// whole table is read again; failed calls are repeated from the last position.
-// So no change is skipped. Used from the thread of the io_context.
+// that have them. If the store has dropped the history that is needed, or has
+// come back from a copy, the whole table is read again; failed calls are
+// repeated from the last position. So no change is skipped. What the store or a
+// peer says of an earlier era proves nothing. Used from the thread of the
+// io_context.
 class TableFollower {
  public:
   struct Options {
@@ -47,10 +55,10 @@
     // Pause between two calls while watching, so that changes are batched.
     Millis pause{0};
   };
-  // Fetches the changes after a version from a peer; `done` gets an empty value
-  // on failure.
+  // Fetches the changes after a position from a peer; `done` gets an empty
+  // value on failure.
   using PeerFetch =
-      std::function<void(RowVersion after,
+      std::function<void(const TablePosition& after,
                          std::function<void(std::optional<PeerRows>)> done)>;
 
   TableFollower(asio::io_context& context,
@@ -83,9 +91,12 @@
   const std::string& table() const { return options_.table; }
   bool is_loaded() const { return replica_.is_loaded(); }
   ReplicaStatus status() const;
+  // The era of the store from which the rows are.
+  StoreEra era() const { return replica_.position().era; }
   // Response to a peer that has all changes up to `position`: the changes since
-  // then, or the whole table if some of them are no longer available.
-  PeerRows RowsSince(RowVersion position) const;
+  // then, or the whole table if some of them are no longer available or the
+  // position is of another era.
+  PeerRows RowsSince(const TablePosition& position) const;
   // Whether the last call to the store failed. Failed polls count only while
   // the follower is not watching.
   bool store_failed() const { return failures_ > 0; }
@@ -94,12 +105,22 @@
   void ReadTable();
   void ReadChanges();
   void OnTableRead(const RowsResponse& response);
-  void Apply(const RowsResponse& response);
+  // Handles the changes after `from`, which was sent with the call. Returns
+  // false if they are of another era than that position or the replica, so that
+  // changes may be missing.
+  bool Apply(const RowsResponse& response, const TablePosition& from);
+  // Reads the whole table by `store` on behalf of a poll.
+  void ReadTableOnce(AsyncTableStore& store);
+  // Replaces all rows. `store_time` is that of the read.
+  void Replace(const std::vector<TableRow>& rows,
+               const TablePosition& position,
+               Millis store_time);
   void ApplyPeerRows(const PeerRows& response);
   void Confirm(const StoreResponseInfo& info);
   void NotifySnapshot(const std::vector<TableRow>& rows);
   void NotifyChanges(const std::vector<TableRow>& rows);
   void LogHistoryLost() const;
+  void LogRestored(const TablePosition& position) const;
   void LogReadDropped(const StoreResponseInfo& info) const;
   void OnFailure(const Error& error);
   void OnSuccess(const StoreResponseInfo& info);
--- a/src/gateway/replication/table_replica.cc
+++ b/src/gateway/replication/table_replica.cc
@@ -8,7 +8,7 @@
 namespace bamboomount {
 
 void TableReplica::Reset(const std::vector<TableRow>& rows,
-                         RowVersion position) {
+                         const TablePosition& position) {
   rows_.clear();
   by_version_.clear();
   tombstones_.clear();
@@ -16,41 +16,41 @@
   for (const TableRow& row : rows)
     Put(row);
   position_ = position;
-  history_start_ = position;
+  history_start_ = position.version;
   is_loaded_ = true;
 }
 
 std::vector<TableRow> TableReplica::Apply(const std::vector<TableRow>& changes,
-                                          RowVersion position) {
+                                          RowVersion version) {
   std::vector<TableRow> applied;
   for (const TableRow& row : changes) {
     // Changes up to the current position have been applied before.
-    if (row.version <= position_)
+    if (row.version <= position_.version)
       continue;
     Put(row);
     applied.push_back(row);
   }
-  AdvancePosition(position);
+  AdvancePosition(version);
   EvictOldTombstones();
   return applied;
 }
 
 bool TableReplica::AdvanceTo(const ReplicaStatus& status) {
-  if (!is_loaded_)
+  if (!is_loaded_ || status.position.era != position_.era)
     return false;
-  const bool has_newest_change = status.revision <= position_;
+  const bool has_newest_change = status.revision <= position_.version;
   if (!has_newest_change && status.digest != digest_)
     return false;
   // Equal rows do not show which of them were added and removed in between, so
   // the changes since this position cannot be given to a peer.
   if (!has_newest_change)
     history_start_ = std::max(history_start_, status.revision);
-  AdvancePosition(status.position);
+  AdvancePosition(status.position.version);
   return true;
 }
 
-void TableReplica::AdvancePosition(RowVersion position) {
-  position_ = std::max(position_, position);
+void TableReplica::AdvancePosition(RowVersion version) {
+  position_.version = std::max(position_.version, version);
 }
 
 RowVersion TableReplica::revision() const {
@@ -69,12 +69,13 @@
 }
 
 std::optional<std::vector<TableRow>> TableReplica::ChangesSince(
-    RowVersion position) const {
-  if (!is_loaded_ || position < history_start_)
+    const TablePosition& position) const {
+  if (!is_loaded_ || position.era != position_.era ||
+      position.version < history_start_)
     return std::nullopt;
   std::vector<TableRow> changes;
-  const auto first =
-      by_version_.lower_bound({position + RowVersion(1), std::string()});
+  const auto first = by_version_.lower_bound(
+      {position.version + RowVersion(1), std::string()});
   for (auto item = first; item != by_version_.end(); ++item)
     changes.push_back(rows_.at(item->second));
   return changes;
--- a/src/gateway/replication/table_replica.h
+++ b/src/gateway/replication/table_replica.h
@@ -22,14 +22,15 @@
   static constexpr std::size_t kMaxTombstones = 1000;
 
   // Replaces all rows by those of the table at `position`.
-  void Reset(const std::vector<TableRow>& rows, RowVersion position);
-  // Applies changes, which must be complete up to `position`, and returns those
-  // that are new here.
+  void Reset(const std::vector<TableRow>& rows, const TablePosition& position);
+  // Applies changes of the replica's era, which must be complete up to
+  // `version`, and returns those that are new here.
   std::vector<TableRow> Apply(const std::vector<TableRow>& changes,
-                              RowVersion position);
+                              RowVersion version);
   // Advances to the position of an instance with `status` if that proves that
-  // this replica has the same rows: it has the newest change to them, or rows
-  // of equal digest. Returns false if changes may be missing.
+  // this replica has the same rows: both are of one era, and the replica has
+  // the newest change to them, or rows of equal digest. Returns false if
+  // changes may be missing.
   bool AdvanceTo(const ReplicaStatus& status);
 
   // False before the first Reset().
@@ -37,18 +38,20 @@
   // No change up to the position is newer than this. The version of the last
   // known change, or a later one up to which removals may be missing.
   RowVersion revision() const;
-  RowVersion position() const { return position_; }
+  const TablePosition& position() const { return position_; }
   // Digest of the keys and versions of all rows. Does not depend on their
   // order.
   std::uint64_t digest() const { return digest_; }
   std::vector<TableRow> Rows() const;
   // Changes after `position` by ascending version, removals included; empty if
-  // some removals since then are no longer kept or nothing is loaded.
-  std::optional<std::vector<TableRow>> ChangesSince(RowVersion position) const;
+  // it is of another era, some removals since then are no longer kept, or
+  // nothing is loaded.
+  std::optional<std::vector<TableRow>> ChangesSince(
+      const TablePosition& position) const;
 
  private:
   // Never moves the position back.
-  void AdvancePosition(RowVersion position);
+  void AdvancePosition(RowVersion version);
   void Put(const TableRow& row);
   // Adds the row to the digest, or removes it if it is included.
   void ToggleInDigest(const TableRow& row);
@@ -59,7 +62,7 @@
   std::set<std::pair<RowVersion, std::string>> by_version_;
   std::set<std::pair<RowVersion, std::string>> tombstones_;
   std::uint64_t digest_ = 0;
-  RowVersion position_;
+  TablePosition position_;
   // Removals up to this version may be missing.
   RowVersion history_start_;
   bool is_loaded_ = false;
--- a/tests/entry/restored_tables_test.cc
+++ b/tests/entry/restored_tables_test.cc
@@ -68,9 +68,12 @@
   EntryInstance& AddGossiping(const std::string& name) {
     return AddReady(name, {{"peer_address", "127.0.0.1:0"}});
   }
-  // Takes a copy, and lets the instances follow the store far beyond it: to
-  // version 2 of the configuration and a second server.
+  // Takes a copy with the rows of the instances, and lets them follow the store
+  // far beyond it: to version 2 of the configuration and a second server.
   void FollowBeyondCopy(const std::vector<EntryInstance*>& instances) {
+    BOOST_TEST(WaitUntil([&] {
+      return store().Table("bamboomount-instances").size() == instances.size();
+    }));
     store().TakeCopy();
     store().AdvanceVersion(kManyVersions);
     AddBackend("e-2");
@@ -92,6 +95,18 @@
     return WaitUntil(
         [&] { return StatusOf(instance, KeyOf(version)) == kUnavailable; });
   }
+  // Registers a server of another pool, and calls the instance until it lists
+  // that server and some times more.
+  void CallUntilNextServerIsListed(EntryInstance& instance) {
+    constexpr int kCalls = 10;
+    AddBackend("e-3", "other");
+    BOOST_TEST(WaitUntil([&] {
+      StatusOf(instance, KeyOf(1));
+      return HasLogged(instance, "backend_listed", {{"backend", "e-3"}});
+    }));
+    for (int i = 0; i < kCalls; ++i)
+      StatusOf(instance, KeyOf(1));
+  }
   void Drain(BackendStandin& server) {
     store().Put("servers", server.id(), server.RowValue("pool", true));
   }
@@ -184,46 +199,26 @@
 // Guards against requests to a server that was seen leaving: in the copy it is
 // still ready, and it writes its row again some time later.
 BOOST_AUTO_TEST_CASE(a_copy_does_not_bring_back_a_leaving_server) {
-  BackendStandin& second = AddBackend("e-2");
   EntryInstance& instance = AddReady("i-1");
   store().TakeCopy();
   Drain(server());
-  BOOST_TEST(WaitUntil([&] {
-    return HasLogged(instance, "backend_listed",
-                     {{"backend", "e-1"}, {"draining", "yes"}});
-  }));
+  BOOST_TEST(WaitUntilNoServer(instance, 1));
   const int before = server().ArrivalCount();
   store().RestoreCopy(LostRows::kMissing);
-  AddBackend("e-3");
-  BOOST_TEST(WaitUntil([&] {
-    BOOST_TEST(StatusOf(instance, KeyOf(1)) == kOk);
-    return HasLogged(instance, "backend_listed", {{"backend", "e-3"}});
-  }));
-  for (int i = 0; i < 20; ++i)
-    BOOST_TEST(StatusOf(instance, KeyOf(1)) == kOk);
+  CallUntilNextServerIsListed(instance);
   BOOST_TEST(server().ArrivalCount() == before);
-  BOOST_TEST(second.ArrivalCount() > 0);
 }
 
 // Guards against requests to a server that was seen gone: it is listed in the
 // copy until the store finds it silent.
 BOOST_AUTO_TEST_CASE(a_copy_does_not_bring_back_a_removed_server) {
-  AddBackend("e-2");
   EntryInstance& instance = AddReady("i-1");
   store().TakeCopy();
   store().Remove("servers", "e-1");
-  BOOST_TEST(WaitUntil([&] {
-    return HasLogged(instance, "backend_gone", {{"backend", "e-1"}});
-  }));
+  BOOST_TEST(WaitUntilNoServer(instance, 1));
   const int before = server().ArrivalCount();
   store().RestoreCopy(LostRows::kMissing);
-  AddBackend("e-3");
-  BOOST_TEST(WaitUntil([&] {
-    BOOST_TEST(StatusOf(instance, KeyOf(1)) == kOk);
-    return HasLogged(instance, "backend_listed", {{"backend", "e-3"}});
-  }));
-  for (int i = 0; i < 20; ++i)
-    BOOST_TEST(StatusOf(instance, KeyOf(1)) == kOk);
+  CallUntilNextServerIsListed(instance);
   BOOST_TEST(server().ArrivalCount() == before);
 }
 
--- a/tests/entry/slow_link_test.cc
+++ b/tests/entry/slow_link_test.cc
@@ -79,7 +79,7 @@
   rows.rows.push_back(
       {"op", "config", RandomText(kLargeRowBytes), RowVersion(13), false});
   rows.status.revision = RowVersion(13);
-  rows.status.position = RowVersion(13);
+  rows.status.position = {StoreEra(0), RowVersion(13)};
   return rows;
 }
 
@@ -89,16 +89,16 @@
 // fetched a large configuration again and again, filled their links with it and
 // never got it.
 BOOST_AUTO_TEST_CASE(a_large_configuration_arrives_from_a_peer) {
-  const PeerRowsQuery query{"op", RowVersion(1)};
+  const PeerRowsQuery query{"op", {StoreEra(0), RowVersion(1)}};
   const BodyServer peer(PeerRowsEncoder().Encode(query, LargeRows()));
   TcpProxy link(peer.address());
   link.SetDelay(kSlowLinkDelay);
   boost::asio::io_context context;
   PeerRowsClient client(context);
   std::optional<PeerRows> received;
-  client.Fetch(
-      link.address(), {"op", RowVersion(1)},
-      [&](std::optional<PeerRows> rows) { received = std::move(rows); });
+  client.Fetch(link.address(), query, [&](std::optional<PeerRows> rows) {
+    received = std::move(rows);
+  });
   context.run();
   BOOST_REQUIRE(received.has_value());
   BOOST_TEST(received->rows.front().value.size() == kLargeRowBytes);
@@ -131,7 +131,7 @@
   boost::asio::io_context context;
   PeerRowsClient client(context);
   bool failed = false;
-  client.Fetch(peer.address(), {"op", RowVersion(1)},
+  client.Fetch(peer.address(), {"op", {StoreEra(0), RowVersion(1)}},
                [&](const std::optional<PeerRows>& rows) { failed = !rows; });
   context.run();
   BOOST_TEST(failed);
--- a/tests/gateway/gossip_message_test.cc
+++ b/tests/gateway/gossip_message_test.cc
@@ -13,7 +13,9 @@
   GossipMessage message;
   message.instance = InstanceId("a");
   message.sequence = 7;
-  message.tables[1] = {RowVersion(3), RowVersion(5), Millis(99),
+  message.tables[1] = {RowVersion(3),
+                       {StoreEra(2), RowVersion(5)},
+                       Millis(99),
                        0xffff'ffff'ffff'fff0};
   message.member_status = {Millis(1'700'000'000'123), false};
   message.store_recovery_time = Millis(44);
@@ -54,7 +56,7 @@
   BOOST_TEST(read.value().sequence == 7U);
   const ReplicaStatus& table = read.value().tables[1];
   BOOST_TEST((table.revision == RowVersion(3)));
-  BOOST_TEST((table.position == RowVersion(5)));
+  BOOST_TEST((table.position == TablePosition{StoreEra(2), RowVersion(5)}));
   BOOST_TEST(table.confirmed.count() == 99);
   BOOST_TEST(table.digest == 0xffff'ffff'ffff'fff0);
   BOOST_TEST(read.value().member_status.wall_offset->count() ==
--- a/tests/gateway/peer_rows_test.cc
+++ b/tests/gateway/peer_rows_test.cc
@@ -11,14 +11,18 @@
 namespace {
 
 constexpr std::size_t kMaxBytes = 1'000'000;
-const PeerRowsQuery kQuery{"op", RowVersion(1)};
+constexpr TablePosition At(std::uint64_t era, std::uint64_t version) {
+  return {StoreEra(era), RowVersion(version)};
+}
+
+const PeerRowsQuery kQuery{"op", At(2, 1)};
 
 PeerRows MakeRows(std::string value, RowVersion version) {
   PeerRows rows;
   rows.rows.push_back({"op", "config", std::move(value), version, false});
   rows.rows.push_back({"op", "old", "", version, true});
   rows.status.revision = version;
-  rows.status.position = version;
+  rows.status.position = {StoreEra(2), version};
   return rows;
 }
 
@@ -63,10 +67,33 @@
       encoder.Encode(kQuery, MakeRows("second", RowVersion(4)));
   BOOST_TEST(DecodePeerRows("op", second).value().rows[0].value == "second");
   const PeerRows since{false, {}, MakeRows("", RowVersion(4)).status};
-  const std::string third = encoder.Encode({"op", RowVersion(4)}, since);
+  const std::string third = encoder.Encode({"op", At(2, 4)}, since);
   BOOST_TEST(DecodePeerRows("op", third).value().rows.empty());
 }
 
+// Guards against kept rows of before a restore of the store, which gives out
+// the same versions again.
+BOOST_AUTO_TEST_CASE(rows_of_another_era_are_encoded_again) {
+  PeerRowsEncoder encoder;
+  PeerRows rows = MakeRows("before", RowVersion(3));
+  encoder.Encode(kQuery, rows);
+  rows.rows[0].value = "after";
+  rows.status.position = At(3, 3);
+  const auto received = DecodePeerRows("op", encoder.Encode(kQuery, rows));
+  BOOST_TEST(received.value().rows[0].value == "after");
+  BOOST_TEST((received.value().status.position == At(3, 3)));
+}
+
+// Guards against a query that loses its era: the peer would answer with the
+// changes since an equal version of another history.
+BOOST_AUTO_TEST_CASE(a_query_keeps_its_position) {
+  const auto query = DecodePeerRowsTarget(EncodePeerRowsTarget(kQuery));
+  BOOST_TEST((query.value().after == kQuery.after));
+  BOOST_TEST(query.value().table == "op");
+  const auto before = DecodePeerRowsTarget("/peer/rows?table=op&after=4");
+  BOOST_TEST((before.value().after == At(0, 4)));
+}
+
 // Guards against a message that makes the reader reserve memory without bound,
 // or that ends the process.
 BOOST_AUTO_TEST_CASE(malformed_frames_are_rejected) {
--- a/tests/gateway/table_follower_test.cc
+++ b/tests/gateway/table_follower_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <tuple>
@@ -40,14 +41,59 @@
   std::deque<Task> tasks_;
 };
 
-// The store, whose clock advances by 1 ms with each version.
-struct SimulatedStore {
-  VersionedTable table;
-  RowVersion history_start;
-
+// The store. Its clock advances by 1 ms with each version and each restore.
+class SimulatedStore {
+ public:
+  const VersionedTable& table() const { return table_; }
   StoreResponseInfo Info() const {
-    return {Instant(), Millis(table.position().value()), table.position()};
+    const TablePosition position = table_.position();
+    return {Instant(), now_, position.version, position.era};
+  }
+  // Whether the store can tell what has changed after the version.
+  bool HasHistorySince(RowVersion version) const {
+    return version >= history_start_ && version <= table_.position().version;
+  }
+
+  void Write(const std::string& key, bool removed) {
+    table_.Write(key, removed);
+    RecordVersion();
+  }
+  void AdvanceVersion() {
+    table_.AdvanceVersion();
+    RecordVersion();
   }
+  void DiscardHistory() { history_start_ = table_.position().version; }
+  void TakeCopy() { table_.TakeCopy(); }
+  void RestoreCopy() {
+    now_ += Millis(1);
+    era_ended_.push_back(now_);
+    table_.RestoreCopy();
+    history_start_ = RowVersion();
+  }
+
+  // Whether no change after `position` came up to the time `confirmed`.
+  bool IsComplete(const TablePosition& position, Millis confirmed) const {
+    const std::size_t era = position.era.value();
+    if (era < era_ended_.size() && confirmed > era_ended_[era])
+      return false;
+    const auto next = given_out_.upper_bound(position);
+    return next == given_out_.end() || next->first.era != position.era ||
+           next->second > confirmed;
+  }
+
+ private:
+  void RecordVersion() {
+    now_ += Millis(1);
+    given_out_[table_.position()] = now_;
+  }
+
+  VersionedTable table_;
+  RowVersion history_start_;
+  Millis now_{0};
+  // When each version was given out.
+  std::map<TablePosition, Millis> given_out_;
+  // When each era but the present one ended.
+  std::vector<Millis> era_ended_;
 };
 
 // One connection of an instance to the store.
@@ -59,7 +105,7 @@
   void ReadTable(const std::string& /*table*/,
                  Callback<RowsResponse> done) override {
     work_.Add([this, done] {
-      Respond(done, RowsResponse{store_.table.Rows(), store_.Info()});
+      Respond(done, RowsResponse{store_.table().Rows(), store_.Info()});
     });
   }
   void ReadChanges(const std::string& /*table*/,
@@ -67,12 +113,12 @@
                    Millis /*wait*/,
                    Callback<RowsResponse> done) override {
     work_.Add([this, position, done] {
-      if (position < store_.history_start)
+      if (!store_.HasHistorySince(position))
         Respond(done, Error{ErrorCode::kHistoryLost, RunVerdict::kNotRun, "",
                             std::nullopt});
       else
         Respond(done,
-                RowsResponse{store_.table.Changes(position), store_.Info()});
+                RowsResponse{store_.table().Changes(position), store_.Info()});
     });
   }
   void Commit(const StoreTransaction& /*transaction*/,
@@ -128,6 +174,8 @@
   kRemove,
   kAdvanceVersion,
   kDiscardHistory,
+  kTakeCopy,
+  kRestoreCopy,
   kPoll,
   kWatch,
   kStopWatching,
@@ -159,16 +207,22 @@
     const std::string key = "k" + std::to_string(step.other % kKeys);
     switch (step.action) {
       case Action::kWrite:
-        store_.table.Write(key, false);
+        store_.Write(key, false);
         break;
       case Action::kRemove:
-        store_.table.Write(key, true);
+        store_.Write(key, true);
         break;
       case Action::kAdvanceVersion:
-        store_.table.AdvanceVersion();
+        store_.AdvanceVersion();
         break;
       case Action::kDiscardHistory:
-        store_.history_start = store_.table.position();
+        store_.DiscardHistory();
+        break;
+      case Action::kTakeCopy:
+        store_.TakeCopy();
+        break;
+      case Action::kRestoreCopy:
+        store_.RestoreCopy();
         break;
       case Action::kPoll:
         follower.PollOnce(instances_[step.instance]->second_connection);
@@ -196,8 +250,8 @@
       const ReplicaStatus status = instance->follower.status();
       if (instance->follower.is_loaded() &&
           (instance->observer.content !=
-               store_.table.ContentAt(status.position) ||
-           Millis(status.position.value()) < status.confirmed))
+               store_.table().ContentAt(status.position) ||
+           !store_.IsComplete(status.position, status.confirmed)))
         return false;
     }
     return true;
@@ -209,7 +263,7 @@
       return;
     work_.Add([this, from, to, status = instances_[from]->follower.status()] {
       instances_[to]->follower.OnPeerStatus(
-          status, [this, from](RowVersion after, auto done) {
+          status, [this, from](const TablePosition& after, auto done) {
             work_.Add([this, from, after, done] {
               const PeerRows rows = instances_[from]->follower.RowsSince(after);
               work_.Add([done, rows] { done(rows); });
@@ -231,6 +285,8 @@
       {4, Action::kRemove},
       {1, Action::kAdvanceVersion},
       {1, Action::kDiscardHistory},
+      {1, Action::kTakeCopy},
+      {1, Action::kRestoreCopy},
       {3, Action::kPoll},
       {1, Action::kWatch},
       {1, Action::kStopWatching},
@@ -250,7 +306,7 @@
 // Guards against an instance that takes a peer's position, digest or revision
 // for proof that it has changes which it lacks: it went on using a server whose
 // row had been removed. The instances sleep, wake and hear each other and the
-// store in any order.
+// store in any order. The store drops its history and comes back from copies.
 RC_BOOST_PROP(rows_match_the_store_at_the_position_of_each_instance, ()) {
   constexpr std::size_t kSteps = 1000;
   // Shrinking so many steps would exceed the time limit of the test.
--- a/tests/gateway/table_replica_test.cc
+++ b/tests/gateway/table_replica_test.cc
@@ -29,10 +29,11 @@
 void SyncPeer(const TableReplica& source, TableReplica& target) {
   if (!source.is_loaded() || !target.is_loaded())
     return;
-  if (target.AdvanceTo(StatusOf(source)))
+  if (source.position().era < target.position().era ||
+      target.AdvanceTo(StatusOf(source)))
     return;
   if (const auto changes = source.ChangesSince(target.position()))
-    target.Apply(*changes, source.position());
+    target.Apply(*changes, source.position().version);
   else if (source.position() >= target.position())
     target.Reset(source.Rows(), source.position());
 }
@@ -41,8 +42,8 @@
 
 // Guards against a replica that misses a change, for example the removal of a
 // backend server, when it gets its changes from peers instead of the store.
-// Whatever mix of reads and peer updates it went through, its rows must be
-// those of the store at its position.
+// Whatever mix of reads, peer updates and restores of the store it went
+// through, its rows must be those of the store at its position.
 RC_BOOST_PROP(rows_match_the_store_at_the_replica_position, ()) {
   constexpr int kReplicas = 3;
   constexpr std::size_t kSteps = 60;
@@ -51,7 +52,7 @@
   const auto steps =
       *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
           kSteps,
-          rc::gen::tuple(rc::gen::inRange(0, 6), rc::gen::inRange(0, kReplicas),
+          rc::gen::tuple(rc::gen::inRange(0, 8), rc::gen::inRange(0, kReplicas),
                          rc::gen::inRange(0, kReplicas)));
   for (const auto& [action, one, other] : steps) {
     TableReplica& replica = replicas[static_cast<std::size_t>(one)];
@@ -69,8 +70,16 @@
         replica.Reset(table.Rows(), table.position());
         break;
       case 4:
-        if (replica.is_loaded())
-          replica.Apply(table.Changes(replica.position()), table.position());
+        if (replica.is_loaded() &&
+            replica.position().era == table.position().era)
+          replica.Apply(table.Changes(replica.position().version),
+                        table.position().version);
+        break;
+      case 5:
+        table.TakeCopy();
+        break;
+      case 6:
+        table.RestoreCopy();
         break;
       default:
         SyncPeer(replica, replicas[static_cast<std::size_t>(other)]);
@@ -91,9 +100,10 @@
   TableReplica replica;
   replica.Reset(table.Rows(), table.position());
   table.Write("b", false);
-  const auto changes = table.Changes(replica.position());
-  BOOST_TEST(replica.Apply(changes, table.position()).size() == 1U);
-  BOOST_TEST(replica.Apply(changes, table.position()).empty());
+  const auto changes = table.Changes(replica.position().version);
+  const RowVersion version = table.position().version;
+  BOOST_TEST(replica.Apply(changes, version).size() == 1U);
+  BOOST_TEST(replica.Apply(changes, version).empty());
 }
 
 // Guards against memory that grows with each server that was ever removed, and
@@ -103,12 +113,12 @@
   VersionedTable table;
   TableReplica replica;
   replica.Reset({}, table.position());
-  const RowVersion start = replica.position();
+  const TablePosition start = replica.position();
   for (std::size_t i = 0; i < TableReplica::kMaxTombstones + 10; ++i)
     table.Write("k" + std::to_string(i), true);
-  replica.Apply(table.Changes(start), table.position());
+  replica.Apply(table.Changes(start.version), table.position().version);
   BOOST_TEST(!replica.ChangesSince(start).has_value());
-  BOOST_TEST(replica.ChangesSince(RowVersion(500))->size() ==
+  BOOST_TEST(replica.ChangesSince({start.era, RowVersion(500)})->size() ==
              TableReplica::kMaxTombstones + 10 - 500);
 }
 
@@ -124,10 +134,11 @@
   for (TableReplica* replica : {&current, &missed_both, &missed_removal})
     replica->Reset(table.Rows(), table.position());
   table.Write("b", false);
-  missed_removal.Apply(table.Changes(missed_removal.position()),
-                       table.position());
+  missed_removal.Apply(table.Changes(missed_removal.position().version),
+                       table.position().version);
   table.Write("b", true);
-  current.Apply(table.Changes(current.position()), table.position());
+  current.Apply(table.Changes(current.position().version),
+                table.position().version);
   SyncPeer(current, missed_both);
   BOOST_TEST((missed_both.position() == table.position()));
   SyncPeer(missed_both, missed_removal);
@@ -144,7 +155,7 @@
     for (std::uint64_t second = 1; second <= kVersions; ++second) {
       TableReplica replica;
       replica.Reset({RowAt("i-2", first), RowAt("i-3", second)},
-                    RowVersion(kVersions));
+                    {StoreEra(0), RowVersion(kVersions)});
       BOOST_TEST(replica.digest() != 0U);
     }
   }
--- a/tests/gateway/versioned_table.h
+++ b/tests/gateway/versioned_table.h
@@ -13,21 +13,28 @@
 // Versions of the rows of a table by key.
 using TableContent = std::map<std::string, std::uint64_t>;
 
-// A table of the store with its history of versions.
+// A table of the store with its history of versions, in each era of the store.
 class VersionedTable {
  public:
   void Write(const std::string& key, bool removed) {
-    ++version_;
-    history_.push_back({"t", key, "", RowVersion(version_), removed});
+    ++present().version;
+    present().rows.push_back(
+        {"t", key, "", RowVersion(present().version), removed});
   }
   // A transaction on another table.
-  void AdvanceVersion() { ++version_; }
+  void AdvanceVersion() { ++present().version; }
 
-  RowVersion position() const { return RowVersion(version_); }
+  void TakeCopy() { copy_ = present(); }
+  // Comes back from the copy in a new era; versions are given out again.
+  void RestoreCopy() { eras_.push_back(copy_); }
+
+  TablePosition position() const {
+    return {StoreEra(eras_.size() - 1), RowVersion(present().version)};
+  }
   // The last change of each key after `after`, as the store returns them.
   std::vector<TableRow> Changes(RowVersion after) const {
     std::map<std::string, TableRow> last;
-    for (const TableRow& row : history_) {
+    for (const TableRow& row : present().rows) {
       if (row.version > after)
         last.insert_or_assign(row.key, row);
     }
@@ -46,10 +53,10 @@
     return rows;
   }
   // The rows as of `position`.
-  TableContent ContentAt(RowVersion position) const {
+  TableContent ContentAt(const TablePosition& position) const {
     TableContent content;
-    for (const TableRow& row : history_) {
-      if (row.version > position)
+    for (const TableRow& row : eras_.at(position.era.value()).rows) {
+      if (row.version > position.version)
         break;
       if (row.deleted)
         content.erase(row.key);
@@ -60,8 +67,17 @@
   }
 
  private:
-  std::vector<TableRow> history_;
-  std::uint64_t version_ = 0;
+  struct History {
+    std::vector<TableRow> rows;
+    std::uint64_t version = 0;
+  };
+
+  History& present() { return eras_.back(); }
+  const History& present() const { return eras_.back(); }
+
+  // Indexed by the era.
+  std::vector<History> eras_{1};
+  History copy_;
 };
 
 }  // namespace bamboomount
