Do not let a copy of the store revert what is known of a server

Callers saw: requests reached a server after its leaving had been acknowledged (DRAIN), and 503 while the only server of a pool had not written its row again.

Cause: the table of a store that came back from a copy was taken as it stands. It lists servers that have left since the copy, lists leaving ones as ready and restarted ones as the process before, and lacks those that came since. The time in which a lapsed row keeps its server usable began only after an outage of 1.5 s or more; a restore may take a moment.

Change: the registry remembers for a minute which processes have left, draining or not. For five seconds after a restore, a full read does not undo this: rows of processes that were draining, gone or replaced are dropped, until a change shows them, which is written after the restore. The row of a process that was gone without draining is used if the store still lists it after that time, as it removes silent servers sooner. Each restore opens the window in which a server whose row is missing stays usable.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -15,7 +15,8 @@
           {{"backend", row.key}, {"cause", server.error().message}});
       continue;
     }
-    ProcessListedServer(server.value());
+    if (!backends().IsOutdated(server.value(), now))
+      ProcessListedServer(server.value());
     servers.push_back(server.value());
   }
   backends().Replace(servers, now);
@@ -101,6 +102,10 @@
                                                         BootClock::now());
 }
 
+void BackendObserver::OnStoreRestored(Millis store_time) {
+  dispatcher_.state().RecordStoreRestore(store_time, BootClock::now());
+}
+
 void BackendObserver::OnStoreRecovered(const StoreResponseInfo& info) {
   GatewayState& state = dispatcher_.state();
   const Instant now = BootClock::now();
--- a/src/gateway/control/backend_observer.h
+++ b/src/gateway/control/backend_observer.h
@@ -20,6 +20,7 @@
   void OnChanges(const std::vector<TableRow>& rows) override;
   void OnConfirmed(const StoreResponseInfo& info) override;
   void OnConfirmedByPeer(Millis store_time) override;
+  void OnStoreRestored(Millis store_time) override;
   void OnStoreRecovered(const StoreResponseInfo& info) override;
 
  private:
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bamboomount {
@@ -60,6 +61,11 @@
       backend_freshness_.LocalTime(store_time).value_or(now));
 }
 
+void GatewayState::RecordStoreRestore(Millis store_time, Instant now) {
+  store_recovery_time_ = std::max(store_recovery_time_, store_time);
+  backends_.OnStoreRestored(now);
+}
+
 void GatewayState::OnReportedStoreRecovery(Millis store_time, Instant now) {
   if (store_time <= reported_recovery_time_)
     return;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -79,6 +79,9 @@
   // `store_time`. Rows of live backend servers may have expired during the
   // outage.
   void RecordStoreRecovery(Millis store_time, Instant now);
+  // Records that the list of backend servers was read from a store that came
+  // back from an older copy. `store_time` is its clock at that read.
+  void RecordStoreRestore(Millis store_time, Instant now);
   // Handles another instance's report of such a recovery. Ignores it if the
   // store answered during the alleged outage: the other instance was paused or
   // cut off, and no row has expired.
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -16,6 +16,8 @@
   if (HasAnnounced(server, now))
     server.draining = true;
   servers_.insert_or_assign(server.id, Entry{server, std::nullopt});
+  departed_.Forget(server.id);
+  withheld_.erase(server.id);
   ++revision_;
 }
 
@@ -48,6 +50,7 @@
 }
 
 void BackendRegistry::Remove(const BackendId& id, Instant now) {
+  withheld_.erase(id);
   const auto entry = servers_.find(id);
   if (entry == servers_.end())
     return;
@@ -57,16 +60,44 @@
       entry->second.usable_until = restore_until_;
     return;
   }
+  EraseDeparted(entry, now);
+}
+
+void BackendRegistry::EraseDeparted(std::map<BackendId, Entry>::iterator entry,
+                                    Instant now) {
+  departed_.Record(entry->second.server, now);
   servers_.erase(entry);
 }
 
+void BackendRegistry::OnStoreRestored(Instant now) {
+  OnStoreRecovered(now);
+  copied_rows_until_ = now + kCopiedRowLifetime;
+}
+
+bool BackendRegistry::IsOutdated(const BackendServer& row, Instant now) const {
+  if (!copied_rows_until_ || now >= *copied_rows_until_)
+    return false;
+  const BackendServer* known = Find(row.id);
+  if (!known)
+    return departed_.Includes(row);
+  if (IsSameProcess(row.started_at_ms, known->started_at_ms))
+    return known->draining && !row.draining;
+  return row.started_at_ms < known->started_at_ms;
+}
+
 void BackendRegistry::Replace(const std::vector<BackendServer>& servers,
                               Instant now) {
   std::set<BackendId> listed;
   // Servers in the first read of the table were listed before this instance
   // started.
   const Instant since = servers_.empty() ? Instant() : now;
+  std::map<BackendId, WithheldRow> withheld;
   for (const BackendServer& server : servers) {
+    if (IsOutdated(server, now)) {
+      if (departed_.MayHaveLapsed(server))
+        withheld[server.id] = {server, *copied_rows_until_};
+      continue;
+    }
     listed.insert(server.id);
     Update(server, since);
   }
@@ -77,6 +108,7 @@
   }
   for (const BackendId& id : missing)
     Remove(id, now);
+  withheld_ = std::move(withheld);
 }
 
 void BackendRegistry::RemoveUnreadable(const BackendId& id) {
@@ -95,15 +127,26 @@
   std::erase_if(announcements_, [now](const auto& item) {
     return now - item.second.last_listed >= kAnnouncementLifetime;
   });
+  departed_.Expire(now);
+  ReleaseWithheldRows(now);
   for (auto entry = servers_.begin(); entry != servers_.end();) {
     const auto& until = entry->second.usable_until;
-    if (until && now >= *until) {
-      entry = servers_.erase(entry);
-      ++revision_;
-    } else {
-      ++entry;
-    }
+    const auto current = entry++;
+    if (!until || now < *until)
+      continue;
+    EraseDeparted(current, now);
+    ++revision_;
+  }
+}
+
+void BackendRegistry::ReleaseWithheldRows(Instant now) {
+  std::vector<BackendServer> released;
+  for (const auto& [id, row] : withheld_) {
+    if (now >= row.end)
+      released.push_back(row.server);
   }
+  for (const BackendServer& server : released)
+    Update(server, now);
 }
 
 std::vector<const BackendServer*> BackendRegistry::Usable(
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -9,6 +9,7 @@
 
 #include "gateway/boot_clock.h"
 #include "gateway/membership/backend_server.h"
+#include "gateway/membership/departed_servers.h"
 
 namespace bamboomount {
 
@@ -19,6 +20,10 @@
 // within kRestoreWindow of the store's recovery. Until then a server whose row
 // has lapsed stays usable.
 //
+// A store that comes back from an older copy lists servers that have left
+// since, and lists leaving ones as ready, until they write their rows again or
+// the store finds them silent. Until then what was known of a process holds.
+//
 // A server may announce in its replies that it leaves, before or without doing
 // so in the store. It then counts as draining until its process is replaced.
 class BackendRegistry {
@@ -26,6 +31,11 @@
   // Live servers are listed again within about 2 s of the store's recovery.
   static constexpr Millis kRestoreWindow{2200};
 
+  // A row that a copy of the store brought back and that is still listed after
+  // this time is renewed by a live process: the store removes the row of a
+  // server that has been silent for three of its status reports.
+  static constexpr Millis kCopiedRowLifetime{5000};
+
   // How long an announcement is remembered after the server was last listed.
   static constexpr Millis kAnnouncementLifetime{600'000};
 
@@ -48,6 +58,12 @@
   void OnStoreRecovered(Instant recovered_at) {
     restore_until_ = recovered_at + kRestoreWindow;
   }
+  // The store came back from an older copy. Starts the restore window, and the
+  // time in which a full read may hold older rows than those known. Called
+  // before the rows of that copy are applied.
+  void OnStoreRestored(Instant now);
+  // Whether the row, of a full read, is older than what is known of the server.
+  bool IsOutdated(const BackendServer& row, Instant now) const;
   // Removes lapsed servers that were not listed again within the restore
   // window.
   void Expire(Instant now);
@@ -89,13 +105,25 @@
   bool IsUsable(const BackendServer& server) const {
     return !server.draining && !evacuated_zones_.contains(server.zone);
   }
+  // A row of a copy that is not used, unless it is still listed at the end.
+  struct WithheldRow {
+    BackendServer server;
+    Instant end;
+  };
+
+  void EraseDeparted(std::map<BackendId, Entry>::iterator entry, Instant now);
+  void ReleaseWithheldRows(Instant now);
   bool HasAnnounced(const BackendServer& server, Instant now);
   bool InRestoreWindow(Instant now) const;
 
   std::map<BackendId, Entry> servers_;
   std::map<BackendId, Announcement> announcements_;
+  DepartedServers departed_;
+  std::map<BackendId, WithheldRow> withheld_;
   std::set<ZoneId> evacuated_zones_;
   std::optional<Instant> restore_until_;
+  // Until then, full reads may hold rows of a copy.
+  std::optional<Instant> copied_rows_until_;
   std::uint64_t revision_ = 0;
 };
 
