Keep instances whose rows a restore of the store has lost

Cause: the list of instances of a copy was taken as it stands. An instance that registered since the copy was dropped by the others, together with its gossip, until its row was back; in that time it heard of no change but by its own polls, and callers were not sent to it. An instance that was leaving was offered again, and one that was gone was offered until its heartbeat timed out.

Change: for five seconds after a restore, instances that are not listed remain, and write their rows again, as they can tell that they are not listed. A process that leaves stays leaving. An instance that only the copy knows counts as silent until it is heard.

--- a/src/gateway/control/instance_registrar.cc
+++ b/src/gateway/control/instance_registrar.cc
@@ -45,7 +45,7 @@
     return;
   const Member self = DescribeSelf();
   const Member* listed = state_.members().Find(self.instance);
-  if (listed && *listed == self)
+  if (listed && *listed == self && state_.members().IsListed(self.instance))
     return;
   WriteRow(self);
 }
--- a/src/gateway/control/member_observer.cc
+++ b/src/gateway/control/member_observer.cc
@@ -10,10 +10,14 @@
   listed.reserve(rows.size());
   for (const TableRow& row : rows)
     listed.emplace_back(row.key);
-  members_.RetainOnly(listed);
+  members_.RetainOnly(listed, BootClock::now());
   OnChanges(rows);
 }
 
+void MemberObserver::OnStoreRestored(Millis /*store_time*/) {
+  members_.OnStoreRestored(BootClock::now());
+}
+
 void MemberObserver::OnChanges(const std::vector<TableRow>& rows) {
   const Instant now = BootClock::now();
   for (const TableRow& row : rows) {
--- a/src/gateway/control/member_observer.h
+++ b/src/gateway/control/member_observer.h
@@ -15,6 +15,7 @@
 
   void OnSnapshot(const std::vector<TableRow>& rows) override;
   void OnChanges(const std::vector<TableRow>& rows) override;
+  void OnStoreRestored(Millis store_time) override;
 
  private:
   MemberRegistry& members_;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -233,6 +233,7 @@
   dispatcher_.connections().CloseExpired(now);
   BackendRegistry& backends = dispatcher_.state().backends();
   backends.Expire(now);
+  dispatcher_.state().members().Expire(now);
   dispatcher_.state().cold_pacer().Expire(now);
   dispatcher_.WakeHeldBack();
   for (const PoisonPart& part : dispatcher_.state().poison_parts().Update(now))
--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -32,14 +32,22 @@
 void MemberRegistry::Update(const Member& member,
                             RowVersion version,
                             Instant now) {
+  const bool is_new = !entries_.contains(member.instance);
   Entry& entry = entries_[member.instance];
   const bool restarted = entry.member.incarnation != member.incarnation;
+  // A process that leaves does not stay; the row is from before it left.
+  const bool outdated = !restarted && entry.member.leaving && !member.leaving;
   entry.member = member;
+  entry.member.leaving = member.leaving || outdated;
+  entry.listed = !outdated;
   entry.version = version;
   entry.rank_hash = StableHash(member.instance.value());
   instance_by_hash_[HashOf(member.instance)] = member.instance;
-  if (restarted && !member.peer_address.empty())
-    entry.last_heartbeat = now;
+  if (!restarted || member.peer_address.empty())
+    return;
+  entry.last_heartbeat = now;
+  if (is_new && InRestoreWindow(now))
+    entry.last_heartbeat = now - HeartbeatTimeout() - Millis(1);
 }
 
 void MemberRegistry::Remove(const InstanceId& instance) {
@@ -47,13 +55,42 @@
   instance_by_hash_.erase(HashOf(instance));
 }
 
-void MemberRegistry::RetainOnly(const std::vector<InstanceId>& listed) {
+void MemberRegistry::RetainOnly(const std::vector<InstanceId>& listed,
+                                Instant now) {
   const std::set<InstanceId> kept(listed.begin(), listed.end());
-  std::erase_if(entries_, [&kept](const auto& item) {
-    return !kept.contains(item.first);
+  for (auto& [instance, entry] : entries_) {
+    if (!kept.contains(instance))
+      entry.listed = false;
+  }
+  if (!InRestoreWindow(now))
+    EraseUnlisted();
+}
+
+void MemberRegistry::OnStoreRestored(Instant now) {
+  restore_until_ = now + kRestoreWindow;
+}
+
+void MemberRegistry::Expire(Instant now) {
+  if (!restore_until_ || now < *restore_until_)
+    return;
+  restore_until_.reset();
+  EraseUnlisted();
+}
+
+void MemberRegistry::EraseUnlisted() {
+  std::erase_if(entries_, [this](const auto& item) {
+    const bool erased = !item.second.listed;
+    if (erased)
+      instance_by_hash_.erase(HashOf(item.first));
+    return erased;
   });
 }
 
+bool MemberRegistry::IsListed(const InstanceId& instance) const {
+  const auto entry = entries_.find(instance);
+  return entry != entries_.end() && entry->second.listed;
+}
+
 void MemberRegistry::RecordHeartbeat(const InstanceId& instance,
                                      const MemberStatus& status,
                                      Instant now) {
@@ -233,7 +270,7 @@
   if (IsLikelyIsolated(now))
     return failed;
   for (const auto& [instance, entry] : entries_) {
-    if (entry.last_heartbeat &&
+    if (entry.listed && entry.last_heartbeat &&
         now - *entry.last_heartbeat > HeartbeatTimeout() * kRowRemovalFactor)
       failed.push_back({instance, entry.version});
   }
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -51,6 +51,9 @@
   // The row of an instance that is silent for this multiple of the timeout is
   // to be removed from the store.
   static constexpr int kRowRemovalFactor = 3;
+  // Time in which instances write their rows again after a restore of the
+  // store.
+  static constexpr Millis kRestoreWindow{5000};
 
   // A row of the store at a version, so that a newer one is not removed.
   struct Row {
@@ -62,8 +65,20 @@
   // must send its first heartbeat within the timeout after `now`.
   void Update(const Member& member, RowVersion version, Instant now);
   void Remove(const InstanceId& instance);
-  // Removes instances that are not in `listed`.
-  void RetainOnly(const std::vector<InstanceId>& listed);
+  // Removes instances that are not in `listed`, except for those whose rows a
+  // restore of the store may have lost: they remain, as not listed, until the
+  // end of the restore window.
+  void RetainOnly(const std::vector<InstanceId>& listed, Instant now);
+  // The store came back from an older copy. Called before the rows of that copy
+  // are applied. Instances that the copy brings back count as silent until they
+  // are heard.
+  void OnStoreRestored(Instant now);
+  // Removes instances whose rows were not written again within the restore
+  // window.
+  void Expire(Instant now);
+  // Whether the store has the row of the instance as this registry describes
+  // it.
+  bool IsListed(const InstanceId& instance) const;
   // Handles a gossip message of the instance. Ignored if the instance has no
   // row.
   void RecordHeartbeat(const InstanceId& instance,
@@ -116,6 +131,8 @@
   struct Entry {
     Member member;
     RowVersion version;
+    // The store has this row; false if a restore of the store has lost it.
+    bool listed = true;
     // Decides the rank among instances of equal capacity.
     std::uint64_t rank_hash = 0;
     // Empty if the instance does not take part in gossip.
@@ -129,6 +146,7 @@
   // its negated capacity, and its hash.
   using RankKey = std::tuple<bool, double, std::uint64_t>;
 
+  void EraseUnlisted();
   RankKey RankKeyOf(const Entry& entry, Instant now) const;
   Millis HeartbeatTimeout() const;
   bool IsSilent(const Entry& entry, Instant now) const;
@@ -136,7 +154,12 @@
   // silent, so that the fault is more likely at this instance.
   bool IsLikelyIsolated(Instant now) const;
 
+  bool InRestoreWindow(Instant now) const {
+    return restore_until_ && now < *restore_until_;
+  }
+
   std::map<InstanceId, Entry> entries_;
+  std::optional<Instant> restore_until_;
   std::unordered_map<std::uint32_t, InstanceId> instance_by_hash_;
 };
 
--- a/tests/gateway/member_registry_test.cc
+++ b/tests/gateway/member_registry_test.cc
@@ -159,6 +159,62 @@
   BOOST_TEST(registry.FirstCandidates(9, At(0)).size() == 6U);
 }
 
+// Guards against a fleet that falls apart when the store comes back from a copy
+// without the rows of some instances: their messages were dropped, and callers
+// were not sent to them. Also against rows that are never written again because
+// the instance takes itself for listed.
+BOOST_AUTO_TEST_CASE(an_instance_whose_row_is_lost_remains_for_a_while) {
+  MemberRegistry registry;
+  for (const char* name : {"a", "b"})
+    Add(registry, MakeMember(name));
+  registry.OnStoreRestored(At(1000));
+  registry.RetainOnly({InstanceId("a")}, At(1000));
+  BOOST_TEST(Addresses(registry, "z", At(1000)).size() == 2U);
+  BOOST_TEST(registry.IsListed(InstanceId("a")));
+  BOOST_TEST(!registry.IsListed(InstanceId("b")));
+  Add(registry, MakeMember("b"));
+  BOOST_TEST(registry.IsListed(InstanceId("b")));
+  registry.RetainOnly({InstanceId("a")}, At(1100));
+  registry.Expire(At(1000) + MemberRegistry::kRestoreWindow);
+  BOOST_TEST(!registry.Find(InstanceId("b")));
+  registry.RetainOnly({}, At(10'000));
+  BOOST_TEST(registry.All().empty());
+}
+
+// Guards against callers that are sent to an instance that stops: the copy is
+// from before it said so.
+BOOST_AUTO_TEST_CASE(a_copy_does_not_undo_the_leaving_of_a_process) {
+  MemberRegistry registry;
+  Add(registry, MakeMember("a"));
+  Add(registry, MakeMember("b"));
+  Member leaving = MakeMember("c");
+  leaving.leaving = true;
+  Add(registry, leaving);
+  registry.OnStoreRestored(At(0));
+  Add(registry, MakeMember("c"));
+  BOOST_TEST(Addresses(registry, "z").size() == 2U);
+  BOOST_TEST(!registry.IsListed(InstanceId("c")));
+  Member restarted = MakeMember("c");
+  restarted.incarnation = Incarnation("c-2");
+  Add(registry, restarted);
+  BOOST_TEST(Addresses(registry, "z").size() == 3U);
+}
+
+// Guards against callers that are sent to an instance that is gone and that the
+// copy brings back.
+BOOST_AUTO_TEST_CASE(an_instance_of_a_copy_is_offered_once_it_is_heard) {
+  MemberRegistry registry;
+  for (const char* name : {"a", "b"}) {
+    Add(registry, MakeMember(name));
+    registry.RecordHeartbeat(InstanceId(name), {}, At(1000));
+  }
+  registry.OnStoreRestored(At(1000));
+  registry.Update(MakeMember("gone"), RowVersion(1), At(1000));
+  BOOST_TEST(Addresses(registry, "z", At(1001)).size() == 2U);
+  registry.RecordHeartbeat(InstanceId("gone"), {}, At(1100));
+  BOOST_TEST(Addresses(registry, "z", At(1101)).size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
