Do not take a copy of the store for a confirmation of the configuration

Callers saw: a key that had been withdrawn worked beyond the deadline.

Cause: an instance that was cut off while the key was withdrawn, and reached the store after it had come back from a copy, found its own, older configuration there and took it for confirmed. What the operator writes again comes later.

Change: after a restore, answers of the store do not confirm the configuration until the operator has written it in the new era or 2.2 s have passed, the time in which the platform writes lost rows again. Zones that were evacuated before remain so in that time.

Evidence: a_copy_does_not_confirm_the_configuration failed before (the key was accepted after the deadline) and passes now.

Not covered: an instance that starts during a restore knows no earlier era. It takes the copy for the present table, like any other first read.

--- a/src/gateway/control/config_observer.cc
+++ b/src/gateway/control/config_observer.cc
@@ -6,28 +6,64 @@
 #include "telemetry/log.h"
 
 namespace bamboomount {
+namespace {
+
+// Time within which the operator writes again what a restore of the store has
+// lost.
+constexpr Millis kRewriteTime{2200};
+
+}  // namespace
 
 void ConfigObserver::OnSnapshot(const std::vector<TableRow>& rows) {
   ApplyConfig(rows);
-  UpdateEvacuations(rows, {});
+  listed_evacuations_.clear();
+  UpdateEvacuations(rows);
 }
 
 void ConfigObserver::OnChanges(const std::vector<TableRow>& rows) {
+  for (const TableRow& row : rows) {
+    // The operator has written it since the restore.
+    if (row.key == decoder_.config_key())
+      config_is_rewritten_ = true;
+  }
   ApplyConfig(rows);
-  UpdateEvacuations(rows, state().backends().evacuated_zones());
+  UpdateEvacuations(rows);
+}
+
+void ConfigObserver::OnStoreRestored(Millis /*store_time*/) {
+  lacks_rows_until_ = BootClock::now() + kRewriteTime;
+  config_is_rewritten_ = false;
+  evacuations_before_restore_ = state().backends().evacuated_zones();
+}
+
+bool ConfigObserver::MayLackRows() const {
+  return lacks_rows_until_ && BootClock::now() < *lacks_rows_until_;
+}
+
+bool ConfigObserver::IsConfirmable() {
+  return !unreadable_ && state().policy() &&
+         (config_is_rewritten_ || !MayLackRows());
 }
 
-void ConfigObserver::UpdateEvacuations(const std::vector<TableRow>& rows,
-                                       std::set<ZoneId> zones) {
+void ConfigObserver::UpdateEvacuations(const std::vector<TableRow>& rows) {
   for (const TableRow& row : rows) {
     const auto zone = decoder_.EvacuatedZone(row.key);
     if (!zone)
       continue;
     if (row.deleted)
-      zones.erase(*zone);
+      listed_evacuations_.erase(*zone);
     else
-      zones.insert(*zone);
+      listed_evacuations_.insert(*zone);
   }
+  ApplyEvacuations();
+}
+
+void ConfigObserver::ApplyEvacuations() {
+  if (!MayLackRows())
+    evacuations_before_restore_.clear();
+  std::set<ZoneId> zones = listed_evacuations_;
+  zones.insert(evacuations_before_restore_.begin(),
+               evacuations_before_restore_.end());
   const std::set<ZoneId> before = state().backends().evacuated_zones();
   if (zones == before)
     return;
@@ -46,13 +82,17 @@
 }
 
 void ConfigObserver::OnConfirmed(const StoreResponseInfo& info) {
-  if (IsReadable())
-    state().freshness().Confirm(info.sent, info.store_time);
+  if (!IsConfirmable())
+    return;
+  ApplyEvacuations();
+  state().freshness().Confirm(info.sent, info.store_time);
 }
 
 void ConfigObserver::OnConfirmedByPeer(Millis store_time) {
-  if (IsReadable())
-    state().freshness().ConfirmByPeer(store_time, BootClock::now());
+  if (!IsConfirmable())
+    return;
+  ApplyEvacuations();
+  state().freshness().ConfirmByPeer(store_time, BootClock::now());
 }
 
 void ConfigObserver::ApplyConfig(const std::vector<TableRow>& rows) {
