Keep requests at brittle servers to the slots that are known to be free

What callers would see: the backend servers of a pool say in all their answers that they are brittle, that is, fall over once they refuse more than N requests in a second for want of room. Under more load than fits they fall over again and again, and hardly any request is served.

Cause: nothing read the statement. A plain service got as many requests as its connections allow, an engine up to two for each slot, and each refusal was retried at up to two more servers. Instances see each other's loads some time late and use the same free slot at the same time.

Change: BrittleServers claims free slots by chance, reuses a slot that a request of this instance has just left, bounds the requests without an answer, and pauses after refusals. What finds no room waits in the instance's own queue, more urgent requests first. Without the statement nothing changes.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -68,6 +68,10 @@
     7028, Severity::kInfo, "backend_paused",
     "A backend server refused a request and asked for a pause; it gets no "
     "requests of this instance for that time."};
+inline constexpr LogEvent kPoolBrittle{
+    7029, Severity::kWarning, "pool_brittle",
+    "The backend servers of a pool say that they fall over if they refuse many "
+    "requests for want of room; this instance sends them only what fits."};
 inline constexpr LogEvent kEvacuationBegan{
     7016, Severity::kInfo, "evacuation_began",
     "The operator takes an availability zone out of use; its backend servers "
@@ -154,16 +158,16 @@
     "are refused), exhausted (connections are closed) or normal again."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,         kStopRequested,     kStopped,          kSettingsReloaded,
-    kSettingsRefused, kConfigApplied,     kConfigUnreadable, kStoreLost,
-    kStoreRegained,   kHistoryLost,       kStorePollFailed,  kEvacuationBegan,
-    kEvacuationEnded, kBackendListed,     kBackendGone,      kBackendUnreadable,
-    kBackendLeaving,  kBackendPaused,     kMemberUnreadable, kMemberListed,
-    kMemberGone,      kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,
-    kAttemptFailed,   kRequestEnded,      kPoisonPartFound,  kStreamResumed,
-    kLeaseTaken,      kLeaseLost,         kUsageReported,    kUsageNotReported,
-    kBackendsOrdered, kOrderFailed,       kStoreRestored,    kPoolOverloaded,
-    kPoolRecovered,   kMemoryStateChanged};
+    kStarted,          kStopRequested,   kStopped,           kSettingsReloaded,
+    kSettingsRefused,  kConfigApplied,   kConfigUnreadable,  kStoreLost,
+    kStoreRegained,    kHistoryLost,     kStorePollFailed,   kEvacuationBegan,
+    kEvacuationEnded,  kBackendListed,   kBackendGone,       kBackendUnreadable,
+    kBackendLeaving,   kBackendPaused,   kPoolBrittle,       kMemberUnreadable,
+    kMemberListed,     kMemberGone,      kPeerRowsFailed,    kRequestPlaced,
+    kRequestRefused,   kAttemptFailed,   kRequestEnded,      kPoisonPartFound,
+    kStreamResumed,    kLeaseTaken,      kLeaseLost,         kUsageReported,
+    kUsageNotReported, kBackendsOrdered, kOrderFailed,       kStoreRestored,
+    kPoolOverloaded,   kPoolRecovered,   kMemoryStateChanged};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/attempt_load.cc
+++ b/src/gateway/forwarding/attempt_load.cc
@@ -14,6 +14,7 @@
       sent_at_(now) {
   BackendLoads& loads = dispatcher_.state().loads();
   loads.AddRequest(server_, request_.load);
+  dispatcher_.state().brittle_servers().RecordSent(server, now);
   const BackendLoad total = loads.Total(server_);
   queued_tokens_ = Tokens(request_.urgent ? total.urgent_prefill_tokens
                                           : total.pending_prefill_tokens);
@@ -24,6 +25,16 @@
   engine_is_busy_ = 2 * total.requests > server.slots;
 }
 
+void AttemptLoad::RecordHead(const ReplyHead& head, Instant now) {
+  constexpr unsigned kServiceUnavailable = 503;
+  BrittleServers& brittle_servers = dispatcher_.state().brittle_servers();
+  accepted_ = !head.not_executed;
+  if (accepted_)
+    brittle_servers.RecordAccepted(server_, sent_at_);
+  else if (head.status == kServiceUnavailable)
+    brittle_servers.RecordRejected(server_, request_.pool, sent_at_, now);
+}
+
 bool AttemptLoad::RecordFirstBytes(Instant now) {
   if (generating_)
     return false;
@@ -48,6 +59,8 @@
 
 void AttemptLoad::Release(Instant now) {
   dispatcher_.state().loads().EndRequest(server_, request_.load, generating_);
+  dispatcher_.state().brittle_servers().RecordEnded(server_, request_.pool,
+                                                    accepted_, sent_at_, now);
   if (!request_.engine)
     return;
   const bool gave_up = ToMillis(now - sent_at_) >= request_.target_latency;
--- a/src/gateway/forwarding/attempt_load.h
+++ b/src/gateway/forwarding/attempt_load.h
@@ -39,6 +39,9 @@
   // Whether the server has begun to send its answer.
   bool generating() const { return generating_; }
 
+  // Records the head of the answer, which says whether the server took the
+  // request.
+  void RecordHead(const ReplyHead& head, Instant now);
   // Records that the first bytes of the answer arrived. Only the first call has
   // an effect; returns whether it was this one.
   bool RecordFirstBytes(Instant now);
@@ -61,6 +64,8 @@
   bool engine_is_busy_ = false;
   bool server_was_full_ = false;
   bool generating_ = false;
+  // Whether the server took the request.
+  bool accepted_ = false;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -11,6 +11,9 @@
 constexpr double kConnectionFraction = 0.9;
 // Longest pause that a backend server may ask for.
 constexpr Millis kMaxPause{3'600'000};
+// Requests that wait for room at brittle servers look for it this often,
+// because nothing tells when other instances leave a slot.
+constexpr Millis kBrittleRecheckInterval{30};
 // Lower limit of an instance's share of the connections, however many instances
 // there are.
 constexpr int kMinConnections = 2;
@@ -25,6 +28,7 @@
       protocol_(protocol),
       state_(state),
       metrics_(metrics),
+      recheck_timer_(context),
       random_(std::random_device{}()) {}
 
 std::vector<const BackendServer*> Dispatcher::UntriedBackends(
@@ -71,10 +75,11 @@
   std::erase_if(servers, [this, limit](const BackendServer* server) {
     return state_.loads().LocalRequests(server->id) >= limit;
   });
+  const Instant now = BootClock::now();
+  RemoveFullBrittle(servers, pool, now);
   const Pool* rule = FindPool(pool);
   if (!rule || !rule->PacesColdServers())
     return servers;
-  const Instant now = BootClock::now();
   const auto held_back =
       std::erase_if(servers, [this, rule, now](const BackendServer* server) {
         return !state_.cold_pacer().MaySend(*server, *rule, now);
@@ -87,6 +92,27 @@
   return servers;
 }
 
+void Dispatcher::RemoveFullBrittle(std::vector<const BackendServer*>& servers,
+                                   const PoolId& pool,
+                                   Instant now) {
+  const auto removed =
+      std::erase_if(servers, [this, now](const BackendServer* server) {
+        return !state_.brittle_servers().MaySend(*server, now);
+      });
+  if (removed == 0)
+    return;
+  metrics_.Increment("bamboomount_brittle_servers_left_out_total",
+                     {{"pool", pool.value()}});
+  if (std::exchange(recheck_armed_, true))
+    return;
+  recheck_timer_.expires_after(kBrittleRecheckInterval);
+  recheck_timer_.async_wait([this](const error_code& error) {
+    recheck_armed_ = false;
+    if (!error)
+      WakeAll();
+  });
+}
+
 void Dispatcher::RecordUnreachable(const BackendId& server,
                                    const PoolId& pool,
                                    Instant now) {
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -49,7 +49,7 @@
       const AdmittedRequest& request) const;
   // Filters `servers` to those that this instance may send a request to now:
   // they have fewer requests of this instance than its connection limit, and
-  // are not too cold for another one.
+  // are neither too cold nor, if they are brittle, too full for another one.
   std::vector<const BackendServer*> WithCapacity(
       std::vector<const BackendServer*> servers,
       const PoolId& pool);
@@ -105,6 +105,11 @@
   // Null if the configuration does not contain the pool.
   const Pool* FindPool(const PoolId& pool) const;
   int ConnectionLimit(const PoolId& pool) const;
+  // Removes the brittle servers that might reject a request now, and has the
+  // waiting requests woken soon if there are any.
+  void RemoveFullBrittle(std::vector<const BackendServer*>& servers,
+                         const PoolId& pool,
+                         Instant now);
 
   asio::io_context& context_;
   const MessageProtocol& protocol_;
@@ -122,6 +127,8 @@
   // One timer for each server that has asked for a pause; wakes the waiting
   // requests at its end.
   std::map<BackendId, asio::steady_timer> pause_timers_;
+  asio::steady_timer recheck_timer_;
+  bool recheck_armed_ = false;
   std::mt19937_64 random_;
 };
 
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -250,6 +250,7 @@
   response_timer_.cancel();
   relay_.OnHead(header, head, content_length, admitted_.route->kind);
   ApplyServerSignals(dispatcher_, attempt_->server(), head_.id, head);
+  load_->RecordHead(head, BootClock::now());
   if (!StatesNotRun(head))
     CountUsageOnce();
 }
--- a/src/gateway/forwarding/message_protocol.h
+++ b/src/gateway/forwarding/message_protocol.h
@@ -58,6 +58,9 @@
   bool sealed = false;
   // The server is about to leave and wants no new requests.
   bool server_leaving = false;
+  // The server is brittle: it falls over once it refuses more requests than
+  // this in a second for want of room.
+  std::optional<int> brittle_rejections;
   // For how long a server that refused the request wants no further ones.
   std::optional<Millis> retry_after;
   // How long the server keeps an idle connection open.
--- a/src/gateway/forwarding/server_search.cc
+++ b/src/gateway/forwarding/server_search.cc
@@ -40,7 +40,7 @@
     return;
   }
   const BackendServer* server = nullptr;
-  if (!request_->engine || HasRoomAtEngines())
+  if (!MustQueue(now))
     server = dispatcher_.state().selector().Choose(
         dispatcher_.WithCapacity(untried, pool),
         MakePlacementRequest(*request_, dispatcher_.state()), now);
@@ -50,11 +50,16 @@
     Wait(owner);
 }
 
-bool ServerSearch::HasRoomAtEngines() const {
+bool ServerSearch::MustQueue(Instant now) const {
   const Tier urgency = request_->admitted.urgency;
-  return dispatcher_.concurrency_limit(request_->pool)
-             .HasRoom(urgency, request_->IsUrgent()) &&
-         !dispatcher_.HasMoreUrgentWaiter(request_->pool, urgency);
+  const PoolId& pool = request_->pool;
+  const bool is_limited =
+      request_->engine ||
+      dispatcher_.state().brittle_servers().IsBrittle(pool, now);
+  if (is_limited && dispatcher_.HasMoreUrgentWaiter(pool, urgency))
+    return true;
+  return request_->engine && !dispatcher_.concurrency_limit(pool).HasRoom(
+                                 urgency, request_->IsUrgent());
 }
 
 PlacementRequest ServerSearch::MakePlacementRequest(
--- a/src/gateway/forwarding/server_search.h
+++ b/src/gateway/forwarding/server_search.h
@@ -62,7 +62,9 @@
 
  private:
   void Search(const std::shared_ptr<void>& owner);
-  bool HasRoomAtEngines() const;
+  // Whether the request has to wait whatever the servers' load is: behind more
+  // urgent ones, or because this instance has enough at the engines.
+  bool MustQueue(Instant now) const;
   void Wait(const std::shared_ptr<void>& owner);
   void OnWaitTimeout();
 
--- a/src/gateway/forwarding/server_signals.cc
+++ b/src/gateway/forwarding/server_signals.cc
@@ -17,6 +17,12 @@
       dispatcher.state().backends().MarkLeaving(server, now))
     Log(gateway_events::kBackendLeaving,
         {{"backend", server.id.value()}, {"request", request.value()}});
+  if (head.brittle_rejections &&
+      dispatcher.state().brittle_servers().RecordStatement(
+          server.pool, *head.brittle_rejections, now))
+    Log(gateway_events::kPoolBrittle,
+        {{"pool", server.pool.value()},
+         {"max_rejections", std::to_string(*head.brittle_rejections)}});
   if (head.status != kServiceUnavailable || !head.retry_after)
     return;
   if (dispatcher.AcceptsRequests(server.id))
--- a/src/gateway/forwarding/server_signals.h
+++ b/src/gateway/forwarding/server_signals.h
@@ -7,8 +7,8 @@
 namespace bamboomount {
 
 // Applies what the head of a response says of the server itself, whatever
-// became of the request: that it leaves, or that it wants no requests for a
-// time.
+// became of the request: that it leaves, that it is brittle, or that it wants
+// no requests for a time.
 void ApplyServerSignals(Dispatcher& dispatcher,
                         const BackendServer& server,
                         const RequestId& request,
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -234,6 +234,7 @@
   BackendRegistry& backends = dispatcher_.state().backends();
   backends.Expire(now);
   dispatcher_.state().cold_pacer().Expire(now);
+  dispatcher_.state().brittle_servers().Expire(now);
   dispatcher_.WakeHeldBack();
   for (const PoisonPart& part : dispatcher_.state().poison_parts().Update(now))
     LogPoisonPart(part);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 
 #include "gateway/admission/admission_controller.h"
 #include "gateway/admission/request_cost_model.h"
@@ -17,6 +18,7 @@
 #include "gateway/membership/state_freshness.h"
 #include "gateway/placement/backend_loads.h"
 #include "gateway/placement/backend_selector.h"
+#include "gateway/placement/brittle_servers.h"
 #include "gateway/placement/cold_server_pacer.h"
 #include "gateway/placement/poison_part_detector.h"
 #include "gateway/streams/pool_version_history.h"
@@ -94,6 +96,7 @@
   PrefillThroughput& prefill_throughput() { return prefill_throughput_; }
   BackendSelector& selector() { return selector_; }
   ColdServerPacer& cold_pacer() { return cold_pacer_; }
+  BrittleServers& brittle_servers() { return brittle_servers_; }
   PoisonPartDetector& poison_parts() { return poison_parts_; }
   StreamOriginTable& stream_origins() { return stream_origins_; }
   PoolVersionHistory& pool_versions() { return pool_versions_; }
@@ -154,6 +157,7 @@
   PrefillThroughput prefill_throughput_;
   BackendSelector selector_{loads_, health_, prefill_throughput_};
   ColdServerPacer cold_pacer_{settings_.instance, members_};
+  BrittleServers brittle_servers_{loads_, members_, std::random_device{}()};
   PoisonPartDetector poison_parts_;
   StreamOriginTable stream_origins_;
   PoolVersionHistory pool_versions_;
--- a/tests/entry_fixture/backend_standin.cc
+++ b/tests/entry_fixture/backend_standin.cc
@@ -1,6 +1,8 @@
 #include "entry_fixture/backend_standin.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace bamboomount::entry_test {
 namespace {
@@ -74,6 +76,17 @@
   });
 }
 
+void BackendStandin::SetBrittleness(const Brittleness& brittleness) {
+  server_.Run([&] {
+    mode_ = BackendMode::kBrittle;
+    brittleness_ = brittleness;
+  });
+}
+
+BrittleRecord BackendStandin::brittle_record() {
+  return server_.Run([&] { return brittle_record_; });
+}
+
 std::vector<HttpRequest> BackendStandin::ExecutedRequests() {
   std::vector<HttpRequest> ran;
   for (Arrival& arrival : Arrivals()) {
@@ -115,6 +128,10 @@
   const bool runs = addressed_here && mode_ != BackendMode::kRefuse &&
                     mode_ != BackendMode::kRefuseWithRetryAfter;
   arrivals_.push_back({request, std::chrono::steady_clock::now(), runs});
+  if (runs && mode_ == BackendMode::kBrittle) {
+    co_await RunBrittle(exchange, std::move(reply));
+    co_return;
+  }
   if (!runs) {
     reply.status = addressed_here ? kServiceUnavailable : kMisdirected;
     reply.headers = {{"X-Bamboomount-Request-Id", request_id},
@@ -139,6 +156,57 @@
   co_await Answer(exchange, std::move(reply));
 }
 
+boost::asio::awaitable<void> BackendStandin::RunBrittle(
+    standin::Exchange& exchange,
+    HttpReply reply) {
+  const std::pair<std::string, std::string> statement{
+      "Server-Brittle", std::to_string(brittleness_.max_rejections)};
+  if (std::chrono::steady_clock::now() < fallen_until_) {
+    exchange.Close(true);
+    co_return;
+  }
+  if (running_ >= brittleness_.room) {
+    if (RecordRejection()) {
+      exchange.Close(true);
+      co_return;
+    }
+    reply.status = kServiceUnavailable;
+    reply.headers = {{"X-Bamboomount-Request-Id",
+                      exchange.request().header("X-Bamboomount-Request-Id")},
+                     {"X-Bamboomount-Not-Executed", "1"},
+                     statement};
+    co_await exchange.Reply(std::move(reply));
+    co_return;
+  }
+  ++running_;
+  co_await exchange.Wait(brittleness_.service_time.count());
+  --running_;
+  if (std::chrono::steady_clock::now() < fallen_until_) {
+    exchange.Close(true);
+    co_return;
+  }
+  ++brittle_record_.served;
+  reply.headers.push_back(statement);
+  co_await exchange.Reply(std::move(reply));
+}
+
+bool BackendStandin::RecordRejection() {
+  const auto now = std::chrono::steady_clock::now();
+  ++brittle_record_.rejected;
+  rejections_.push_back(now);
+  while (now - rejections_.front() >= std::chrono::seconds(1))
+    rejections_.pop_front();
+  const int count = static_cast<int>(rejections_.size());
+  brittle_record_.most_rejected_in_one_second =
+      std::max(brittle_record_.most_rejected_in_one_second, count);
+  if (count <= brittleness_.max_rejections)
+    return false;
+  ++brittle_record_.falls;
+  rejections_.clear();
+  fallen_until_ = now + brittleness_.outage;
+  return true;
+}
+
 boost::asio::awaitable<void> BackendStandin::Answer(standin::Exchange& exchange,
                                                     HttpReply reply) {
   const HttpRequest request = exchange.request();
--- a/tests/entry_fixture/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -2,6 +2,7 @@
 #define TESTS_ENTRY_FIXTURE_BACKEND_STANDIN_H_
 
 #include <chrono>
+#include <deque>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -46,6 +47,29 @@
   // Streams that begin are cut as in kCutInEvent; the script answers the
   // requests that resume them.
   kScript,
+  // Says that it is brittle and runs the requests as SetBrittleness() has it.
+  kBrittle,
+};
+
+// How a stand-in in mode kBrittle runs requests and when it falls over.
+struct Brittleness {
+  // Requests that it takes at a time; it refuses the others.
+  int room = 8;
+  // The most refusals in one second that it bears.
+  int max_rejections = 0;
+  std::chrono::milliseconds service_time{0};
+  // For how long it closes all connections once it has fallen over.
+  std::chrono::milliseconds outage{0};
+};
+
+// What a stand-in in mode kBrittle has seen.
+struct BrittleRecord {
+  int served = 0;
+  int rejected = 0;
+  // How often it fell over.
+  int falls = 0;
+  // The largest number of refusals within one second.
+  int most_rejected_in_one_second = 0;
 };
 
 // What a stand-in in mode kScript sends. In `reply`, "{id}" stands for the id
@@ -93,6 +117,9 @@
   void SetMode(BackendMode mode);
   // Sets the mode kScript.
   void SetScript(BackendScript script);
+  // Sets the mode kBrittle.
+  void SetBrittleness(const Brittleness& brittleness);
+  BrittleRecord brittle_record();
   // Requests that ran, in order of arrival.
   std::vector<standin::HttpRequest> ExecutedRequests();
   // Requests that arrived, whether they ran or were refused.
@@ -111,6 +138,10 @@
   boost::asio::awaitable<void> Stream(standin::Exchange& exchange,
                                       standin::HttpReply head);
   boost::asio::awaitable<void> RunScript(standin::Exchange& exchange);
+  boost::asio::awaitable<void> RunBrittle(standin::Exchange& exchange,
+                                          standin::HttpReply reply);
+  // Counts a refusal. Returns whether the stand-in falls over.
+  bool RecordRejection();
   // Replies without a length and closes the connection.
   boost::asio::awaitable<void> ReplyUntilClose(standin::Exchange& exchange,
                                                const standin::HttpReply& reply);
@@ -120,6 +151,11 @@
   const std::string version_;
   BackendMode mode_ = BackendMode::kAnswer;
   BackendScript script_;
+  Brittleness brittleness_;
+  BrittleRecord brittle_record_;
+  int running_ = 0;
+  std::deque<std::chrono::steady_clock::time_point> rejections_;
+  std::chrono::steady_clock::time_point fallen_until_;
   std::vector<Arrival> arrivals_;
   int abandoned_count_ = 0;
   ServerThread server_;
--- a/tests/platform/http_message_protocol_test.cc
+++ b/tests/platform/http_message_protocol_test.cc
@@ -100,12 +100,18 @@
   header.set("X-Bamboomount-Not-Executed", "1");
   header.set("Retry-After", "0.25");
   header.set("Keep-Alive", "max=3, timeout=7");
+  header.set("Server-Brittle", "12");
   const ReplyHead head = protocol.DecodeReplyHead(header);
   BOOST_TEST(head.status == 503U);
   BOOST_TEST(head.not_executed);
   BOOST_TEST(!head.sealed);
   BOOST_TEST(head.retry_after->count() == 250);
   BOOST_TEST(head.idle_timeout->count() == 7000);
+  BOOST_TEST(head.brittle_rejections.value() == 12);
+  for (const char* odd : {"", "-1", "many", "99999999999999999999"}) {
+    header.set("Server-Brittle", odd);
+    BOOST_TEST(!protocol.DecodeReplyHead(header).brittle_rejections);
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
