--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -235,6 +235,7 @@
   backends.Expire(now);
   dispatcher_.state().members().Expire(now);
   dispatcher_.state().cold_pacer().Expire(now);
+  dispatcher_.state().brittle_servers().Expire(now);
   dispatcher_.WakeHeldBack();
   for (const PoisonPart& part : dispatcher_.state().poison_parts().Update(now))
     LogPoisonPart(part);
