Resume unknown streams only by a list confirmed since the resume

What callers saw: an instance that was cut off, or stood still, for less than 1.5 s while servers of a new version joined let a stream that had begun on them through another instance go on at a server of the old version.

Cause: a stream that nobody had recorded went on at the only version that the pool had had for 30 s, by a list confirmed within 1.5 s. That is long enough for a server to join, and for a stream to begin on it and to break. The silence of the instances that were asked counted as "unknown to all", and their answers were as old as their lists.

Change: a query waits until the list is confirmed at a time after the query began, up to 1.5 s; whatever began the stream was listed before. The answers of others count only for the time up to 1.5 s before the query; the own history must be without a gap from there on, and must name no other version.

Ruled out: a quorum of answers. One stopped instance among the five would refuse resumes, and answers as old as their lists prove nothing.

Cost: only resumes of streams that none of five instances has recorded. They wait for the next confirmation, and an instance that has been up, or back in touch, for less than 1.5 s refuses them.

--- a/src/gateway/streams/local_stream_origins.cc
+++ b/src/gateway/streams/local_stream_origins.cc
@@ -8,11 +8,9 @@
 }
 
 void LocalStreamOrigins::Find(const RequestId& stream,
-                              const PoolId& pool,
+                              const PoolId& /*pool*/,
                               Callback done) {
-  const Instant now = BootClock::now();
-  const auto recorded = FindRecorded(stream, now);
-  done(recorded ? recorded : OnlyOrigin(pool, now));
+  done(FindRecorded(stream, BootClock::now()));
 }
 
 std::optional<StreamOrigin> LocalStreamOrigins::FindRecorded(
@@ -23,7 +21,6 @@
 
 std::optional<StreamOrigin> LocalStreamOrigins::OnlyOrigin(const PoolId& pool,
                                                            Instant now) const {
-  // Another instance may know of a version that this one has not heard of.
   if (!state_.BackendVersionsAreCurrent(now))
     return std::nullopt;
   const auto version = state_.pool_versions().OnlyVersion(pool, now);
--- a/src/gateway/streams/local_stream_origins.h
+++ b/src/gateway/streams/local_stream_origins.h
@@ -8,9 +8,8 @@
 
 namespace bamboomount {
 
-// Origins of streams as far as this instance can tell alone: those that it has
-// recorded, and those of pools that have had only one software version for
-// longer than a stream lasts. Not thread-safe.
+// Origins of streams as far as this instance can tell alone and at once: those
+// that it has recorded. Not thread-safe.
 class LocalStreamOrigins : public StreamOriginDirectory {
  public:
   // `state` must outlive this object.
@@ -24,8 +23,9 @@
   // The origin of the stream if it was recorded here.
   std::optional<StreamOrigin> FindRecorded(const RequestId& stream,
                                            Instant now) const;
-  // The origin that all streams of the pool must have; empty if there may be
-  // several.
+  // The origin that all streams of the pool had that began before the list of
+  // servers was confirmed last; empty if there may have been several, or if
+  // that was longer ago than PoolVersionHistory::kMaxUnconfirmed.
   std::optional<StreamOrigin> OnlyOrigin(const PoolId& pool, Instant now) const;
 
  private:
--- a/src/gateway/streams/peer_stream_origins.cc
+++ b/src/gateway/streams/peer_stream_origins.cc
@@ -27,21 +27,23 @@
 void PeerStreamOrigins::Find(const RequestId& stream,
                              const PoolId& pool,
                              Callback done) {
-  const auto recorded = local_.FindRecorded(stream, BootClock::now());
-  const auto holders = Holders(stream, kAsked);
-  if (recorded || holders.empty()) {
-    local_.Find(stream, pool, std::move(done));
+  if (const auto recorded = local_.FindRecorded(stream, BootClock::now())) {
+    done(recorded);
     return;
   }
   const std::uint64_t number = ++last_query_;
   auto query = std::make_unique<Query>(
       context_, StreamOriginTable::Entry{stream, {pool, SoftwareVersion()}});
   query->done = std::move(done);
-  for (const Member* holder : holders)
+  for (const Member* holder : Holders(stream, kAsked))
     query->open.insert(holder->instance);
+  const bool asks = !query->open.empty();
   SendQuery(number, *query);
   queries_.emplace(number, std::move(query));
-  ArmTimer(number, kRepeatAfter, true);
+  if (asks)
+    ScheduleStep(number, kRepeatAfter, &PeerStreamOrigins::Repeat);
+  else
+    Conclude(number);
 }
 
 void PeerStreamOrigins::SendQuery(std::uint64_t number, const Query& query) {
@@ -54,24 +56,24 @@
   }
 }
 
-void PeerStreamOrigins::ArmTimer(std::uint64_t number,
-                                 Millis delay,
-                                 bool repeat) {
+void PeerStreamOrigins::ScheduleStep(
+    std::uint64_t number,
+    Millis delay,
+    void (PeerStreamOrigins::*step)(std::uint64_t)) {
   asio::steady_timer& timer = queries_.at(number)->timer;
   timer.expires_after(delay);
-  timer.async_wait([this, number, repeat](const error_code& error) {
-    const auto query = queries_.find(number);
-    if (error || query == queries_.end())
-      return;
-    if (!repeat) {
-      End(number, std::nullopt);
-      return;
-    }
-    SendQuery(number, *query->second);
-    ArmTimer(number, kGiveUpAfter - kRepeatAfter, false);
+  timer.async_wait([this, number, step](const error_code& error) {
+    if (!error && queries_.contains(number))
+      (this->*step)(number);
   });
 }
 
+void PeerStreamOrigins::Repeat(std::uint64_t number) {
+  SendQuery(number, *queries_.at(number));
+  ScheduleStep(number, kGiveUpAfter - kRepeatAfter,
+               &PeerStreamOrigins::Conclude);
+}
+
 void PeerStreamOrigins::OnMessage(const StreamOriginMessage& message,
                                   const Member& sender) {
   const Instant now = BootClock::now();
@@ -122,6 +124,7 @@
   if (query.open.erase(reply.sender) == 0)
     return;
   if (reply.answer == StreamOriginAnswer::kRecorded && names_version) {
+    local_.Record(query.subject.stream, reply.entries.front().origin);
     End(reply.query, reply.entries.front().origin);
     return;
   }
@@ -129,31 +132,42 @@
     query.only.insert(reply.entries.front().origin.version);
   query.several |= reply.answer == StreamOriginAnswer::kSeveralVersions;
   if (query.open.empty())
-    End(reply.query, std::nullopt);
+    Conclude(reply.query);
+}
+
+void PeerStreamOrigins::Conclude(std::uint64_t number) {
+  const Query& query = *queries_.at(number);
+  const auto version = OnlyVersion(query);
+  if (version && state_.pool_versions().IsConfirmedSince(query.asked_at))
+    End(number, StreamOrigin{query.subject.origin.pool, *version});
+  else if (version && BootClock::now() - query.asked_at < kConfirmWithin)
+    ScheduleStep(number, kConfirmCheckInterval, &PeerStreamOrigins::Conclude);
+  else
+    End(number, std::nullopt);
 }
 
 void PeerStreamOrigins::End(std::uint64_t number,
-                            std::optional<StreamOrigin> recorded) {
+                            const std::optional<StreamOrigin>& origin) {
   const auto query = std::move(queries_.extract(number).mapped());
   query->timer.cancel();
-  if (recorded)
-    local_.Record(query->subject.stream, *recorded);
-  else
-    recorded = Conclude(*query);
-  query->done(recorded);
+  query->done(origin);
 }
 
-std::optional<StreamOrigin> PeerStreamOrigins::Conclude(
+std::optional<SoftwareVersion> PeerStreamOrigins::OnlyVersion(
     const Query& query) const {
-  const Instant now = BootClock::now();
-  const PoolId& pool = query.subject.origin.pool;
-  std::set<SoftwareVersion> only = query.only;
-  if (const auto own = local_.OnlyOrigin(pool, now))
-    only.insert(own->version);
-  if (query.several || only.size() != 1 ||
-      state_.pool_versions().HasSeveral(pool, now))
+  const PoolVersionHistory& history = state_.pool_versions();
+  // Others vouch for the time until their lists were confirmed.
+  const Millis own_reach = query.only.empty()
+                               ? StreamOriginTable::kStreamLifetime
+                               : PoolVersionHistory::kMaxUnconfirmed;
+  if (query.several || !history.IsCompleteSince(query.asked_at - own_reach))
+    return std::nullopt;
+  std::set<SoftwareVersion> versions =
+      history.RecentVersions(query.subject.origin.pool, BootClock::now());
+  versions.insert(query.only.begin(), query.only.end());
+  if (versions.size() != 1)
     return std::nullopt;
-  return StreamOrigin{pool, *only.begin()};
+  return *versions.begin();
 }
 
 std::vector<const Member*> PeerStreamOrigins::Holders(const RequestId& stream,
--- a/src/gateway/streams/pool_version_history.cc
+++ b/src/gateway/streams/pool_version_history.cc
@@ -59,7 +59,7 @@
 std::optional<SoftwareVersion> PoolVersionHistory::OnlyVersion(
     const PoolId& pool,
     Instant now) const {
-  if (!complete_since_ || now - *complete_since_ < kReach)
+  if (!IsCompleteSince(now - kReach))
     return std::nullopt;
   const std::set<SoftwareVersion> recent = RecentVersions(pool, now);
   if (recent.size() != 1)
--- a/src/gateway/streams/pool_version_history.h
+++ b/src/gateway/streams/pool_version_history.h
@@ -28,9 +28,22 @@
   // Records that the list of servers is confirmed as current. After more than
   // kMaxUnconfirmed without, a server may have come and left unseen.
   void RecordConfirmed(Instant now);
-  // The version at which every stream of the pool that may still be resumed has
-  // begun. Empty if there may have been several, or if the history does not
-  // reach back far enough.
+  // Whether the list has been confirmed at `time` or later.
+  bool IsConfirmedSince(Instant time) const {
+    return confirmed_at_ && *confirmed_at_ >= time;
+  }
+  // Whether no server can have come and left unseen between `time` and the last
+  // confirmation.
+  bool IsCompleteSince(Instant time) const {
+    return complete_since_ && *complete_since_ <= time;
+  }
+  // The versions of servers that are listed, or were within the lifetime of a
+  // stream.
+  std::set<SoftwareVersion> RecentVersions(const PoolId& pool,
+                                           Instant now) const;
+  // The version at which every stream of the pool that may still be resumed had
+  // begun by the last confirmation. Empty if there may have been several, or if
+  // the history does not reach back far enough.
   std::optional<SoftwareVersion> OnlyVersion(const PoolId& pool,
                                              Instant now) const;
   // Whether servers of several versions have been seen within the lifetime of a
@@ -38,9 +51,6 @@
   bool HasSeveral(const PoolId& pool, Instant now) const;
 
  private:
-  std::set<SoftwareVersion> RecentVersions(const PoolId& pool,
-                                           Instant now) const;
-
   std::optional<Instant> complete_since_;
   std::optional<Instant> confirmed_at_;
   ListedVersions listed_;
--- a/tests/gateway/peer_stream_origins_test.cc
+++ b/tests/gateway/peer_stream_origins_test.cc
@@ -51,9 +51,15 @@
       state.backend_freshness().RecordStoreTime(now, Millis(1000));
       state.backend_freshness().Confirm(now, Millis(1000));
     }
+    // Confirms the list as it is now.
+    void ConfirmList() {
+      state.pool_versions().RecordConfirmed(BootClock::now());
+    }
 
     GatewayState state;
     PeerStreamOrigins origins;
+    // Whether the list is confirmed as time passes.
+    bool reaches_store = true;
   };
 
   explicit Fleet(int size) {
@@ -79,6 +85,8 @@
       ++answers;
       found = origin;
     });
+    asio::steady_timer confirmation(context_, kConfirmedAfter);
+    confirmation.async_wait([this](const error_code&) { ConfirmLists(); });
     Run();
     BOOST_TEST(answers == 1);
     return found;
@@ -95,6 +103,15 @@
   }
 
  private:
+  // Time after a query at which the store confirms the lists.
+  static constexpr Millis kConfirmedAfter{10};
+
+  void ConfirmLists() {
+    for (Instance& instance : instances_) {
+      if (instance.reaches_store && !dead_.contains(instance.id()))
+        instance.ConfirmList();
+    }
+  }
   void Deliver(const Instance& sender,
                const InstanceId& target,
                const StreamOriginMessage& message) {
@@ -160,7 +177,7 @@
 // the others know that the pool has had one version only.
 BOOST_AUTO_TEST_CASE(an_instance_that_has_just_started_asks_the_others) {
   Fleet fleet(4);
-  fleet[0].List({kOld}, Millis(1000));
+  fleet[0].List({kOld}, PoolVersionHistory::kMaxUnconfirmed + Millis(500));
   for (std::size_t i = 1; i < 4; ++i)
     fleet[i].List({kOld}, kUp);
   BOOST_TEST((fleet.Find(fleet[0]) == StreamOrigin{kPool, kOld}));
@@ -176,6 +193,56 @@
   BOOST_TEST(!fleet.Find(fleet[0]).has_value());
 }
 
+// Guards against a stream of two versions at an instance that was cut off from
+// the store and from the others, or stood still, for less time than its list of
+// servers is relied on: a server of a new version has joined meanwhile, and the
+// silence of those that know its streams was taken for "unknown to all".
+BOOST_AUTO_TEST_CASE(an_instance_that_is_cut_off_assumes_nothing) {
+  Fleet fleet(6);
+  fleet[0].List({kOld}, kUp);
+  fleet[0].reaches_store = false;
+  for (std::size_t i = 1; i < fleet.all().size(); ++i) {
+    fleet[i].List({kOld, kNew}, kUp);
+    fleet.Kill(fleet[i]);
+  }
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+}
+
+// Guards against the same at an instance that reaches others, which have not
+// heard of the new version either: all lists are from before the stream.
+BOOST_AUTO_TEST_CASE(instances_that_are_cut_off_together_assume_nothing) {
+  Fleet fleet(3);
+  for (Fleet::Instance& instance : fleet.all()) {
+    instance.List({kOld}, kUp);
+    instance.reaches_store = false;
+  }
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+}
+
+// Guards against an instance that has healed, and takes what others knew before
+// for what is true now: a version may have come and left since they heard.
+BOOST_AUTO_TEST_CASE(lists_of_others_prove_nothing_of_the_time_since) {
+  Fleet fleet(3);
+  fleet[0].List({kOld}, PoolVersionHistory::kMaxUnconfirmed - Millis(500));
+  for (const std::size_t other : {1U, 2U}) {
+    fleet[other].List({kOld}, kUp);
+    fleet[other].reaches_store = false;
+  }
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+}
+
+// Guards against refused resumes at an instance that reaches the store, and
+// whose list tells that there was one version, while the others are silent.
+BOOST_AUTO_TEST_CASE(an_instance_needs_no_others_to_know_of_one_version) {
+  for (const int size : {1, 6}) {
+    Fleet fleet(size);
+    fleet[0].List({kOld}, kUp);
+    for (std::size_t i = 1; i < fleet.all().size(); ++i)
+      fleet.Kill(fleet[i]);
+    BOOST_TEST((fleet.Find(fleet[0]) == StreamOrigin{kPool, kOld}));
+  }
+}
+
 // Guards against a query without an end when all instances are silent.
 BOOST_AUTO_TEST_CASE(silent_instances_end_no_query_twice_or_never) {
   Fleet fleet(3);
