Date confirmations of the server list by the store's clock

What callers saw: no case of our own on a deployment.

Cause: the history of versions counted a confirmation from its arrival, not from the time that it is about. Gossip repeats the last confirmation several times a second, so that instances that reach each other but not the store saw no gap, and a list of before a resume counted as confirmed after it. The freshness of the same list was already dated by the store's clock.

Change: GatewayState records both from one time, as of which the list holds.

Evidence: gateway_state/a_confirmation_that_is_repeated_proves_nothing_new failed in two of its checks with the confirmation dated by its arrival, and passes now.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -91,14 +91,11 @@
 }
 
 void BackendObserver::OnConfirmed(const StoreResponseInfo& info) {
-  dispatcher_.state().pool_versions().RecordConfirmed(BootClock::now());
-  dispatcher_.state().backend_freshness().Confirm(info.sent, info.store_time);
+  dispatcher_.state().ConfirmBackends(info.sent, info.store_time);
 }
 
 void BackendObserver::OnConfirmedByPeer(Millis store_time) {
-  dispatcher_.state().pool_versions().RecordConfirmed(BootClock::now());
-  dispatcher_.state().backend_freshness().ConfirmByPeer(store_time,
-                                                        BootClock::now());
+  dispatcher_.state().ConfirmBackendsByPeer(store_time, BootClock::now());
 }
 
 void BackendObserver::OnStoreRecovered(const StoreResponseInfo& info) {
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -38,6 +38,21 @@
   return freshness_.IsConfirmedWithin(settings_.config_deadline, now);
 }
 
+void GatewayState::ConfirmBackends(Instant sent, Millis store_time) {
+  backend_freshness_.Confirm(sent, store_time);
+  RecordBackendsConfirmed();
+}
+
+void GatewayState::ConfirmBackendsByPeer(Millis store_time, Instant now) {
+  backend_freshness_.ConfirmByPeer(store_time, now);
+  RecordBackendsConfirmed();
+}
+
+void GatewayState::RecordBackendsConfirmed() {
+  if (const auto confirmed_at = backend_freshness_.ConfirmedAt())
+    pool_versions_.RecordConfirmed(*confirmed_at);
+}
+
 bool GatewayState::BackendVersionsAreCurrent(Instant now) const {
   return backend_freshness_.IsConfirmedWithin(
       PoolVersionHistory::kMaxUnconfirmed, now);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -123,6 +123,12 @@
   // Whether the configuration is recent enough that an unknown route or key is
   // not merely a new one.
   bool ConfigIsCurrent(Instant now) const;
+  // Records that the list of backend servers holds all changes up to a response
+  // of the store to a call that was sent at `sent`.
+  void ConfirmBackends(Instant sent, Millis store_time);
+  // Records the same of the store's time `store_time`, according to another
+  // instance.
+  void ConfirmBackendsByPeer(Millis store_time, Instant now);
   // Whether the list of backend servers is so recent that a server still has
   // the software version in it.
   bool BackendVersionsAreCurrent(Instant now) const;
@@ -138,6 +144,8 @@
   std::optional<Millis> LocalWallClockOffset(Instant now) const;
 
  private:
+  void RecordBackendsConfirmed();
+
   InstanceSettings settings_;
   std::shared_ptr<const TrafficPolicy> policy_;
   StateFreshness freshness_;
--- a/src/gateway/membership/state_freshness.h
+++ b/src/gateway/membership/state_freshness.h
@@ -39,6 +39,10 @@
     return confirmed_store_time_;
   }
 
+  // The local time as of which the state was last confirmed; empty if it never
+  // was.
+  std::optional<Instant> ConfirmedAt() const { return confirmed_; }
+
   // Whether the state was confirmed while the store's clock read a time after
   // `from` and before `to`. Covers the last kHistory before the last
   // confirmation.
--- a/src/gateway/streams/pool_version_history.cc
+++ b/src/gateway/streams/pool_version_history.cc
@@ -27,10 +27,12 @@
   listed_ = std::move(listed);
 }
 
-void PoolVersionHistory::RecordConfirmed(Instant now) {
-  if (confirmed_at_ && now - *confirmed_at_ > kMaxUnconfirmed)
-    RecordGap(now);
-  confirmed_at_ = now;
+void PoolVersionHistory::RecordConfirmed(Instant time) {
+  if (confirmed_at_ && time <= *confirmed_at_)
+    return;
+  if (confirmed_at_ && time - *confirmed_at_ > kMaxUnconfirmed)
+    RecordGap(time);
+  confirmed_at_ = time;
 }
 
 void PoolVersionHistory::RecordGap(Instant now) {
--- a/src/gateway/streams/pool_version_history.h
+++ b/src/gateway/streams/pool_version_history.h
@@ -25,10 +25,11 @@
   // Records that nothing is known of the time before `now`: the list of servers
   // has been read anew, after a start or a gap in its changes.
   void RecordGap(Instant now);
-  // Records that the list of servers is confirmed as current. After more than
-  // kMaxUnconfirmed without, a server may have come and left unseen.
-  void RecordConfirmed(Instant now);
-  // Whether the list has been confirmed at `time` or later.
+  // Records that the list of servers is confirmed as of `time`, which may be
+  // earlier than the arrival of the news. After more than kMaxUnconfirmed
+  // without, a server may have come and left unseen.
+  void RecordConfirmed(Instant time);
+  // Whether the list has been confirmed as of `time` or later.
   bool IsConfirmedSince(Instant time) const {
     return confirmed_at_ && *confirmed_at_ >= time;
   }
--- a/tests/gateway/gateway_state_test.cc
+++ b/tests/gateway/gateway_state_test.cc
@@ -55,6 +55,31 @@
   BOOST_TEST((state.store_recovery_time() == Millis(13000)));
 }
 
+// Guards against streams of two versions at an instance that was cut off from
+// the store: others, cut off like it, repeated an old confirmation of the list
+// several times a second, and the time in which a version came and left unseen
+// counted as seen.
+BOOST_AUTO_TEST_CASE(a_confirmation_that_is_repeated_proves_nothing_new) {
+  constexpr int kCutMs = 60'000;
+  constexpr int kHealedMs = 65'000;
+  constexpr int kGossipMs = 150;
+  PoolVersionHistory& history = state.pool_versions();
+  const auto only = [&](int time) {
+    return history.OnlyVersion(PoolId("engines"), At(time));
+  };
+  history.RecordGap(At(0));
+  history.SetListed({{PoolId("engines"), {SoftwareVersion("v1")}}}, At(0));
+  for (int time = 0; time <= kCutMs; time += 500)
+    state.ConfirmBackends(At(time), Millis(time));
+  for (int time = kCutMs; time < kHealedMs; time += kGossipMs)
+    state.ConfirmBackendsByPeer(Millis(kCutMs), At(time));
+  BOOST_TEST(!history.IsConfirmedSince(At(kCutMs + 1)));
+  BOOST_TEST((only(kCutMs) == SoftwareVersion("v1")));
+  state.ConfirmBackendsByPeer(Millis(kHealedMs), At(kHealedMs));
+  BOOST_TEST(history.IsConfirmedSince(At(kHealedMs)));
+  BOOST_TEST(!only(kHealedMs).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
