Bind streams by no list of servers from before an outage

In a test: an instance that is cut off from the store goes on sending requests by its list. A server in it had come back under its id with other software. The stream that began there was recorded, and copied to other instances, with the version of the old row. When the store was back, a resume went on at a server of that version.

Cause: what continues a stream needs a list confirmed within 1.5 s, but what began it did not.

Change: the version of the server that began a stream counts as known if the list was current when the request was sent, or as soon as a current list names the same process with the same version. Until then the stream is not recorded, and nothing continues it.

Ruled out: judging by the time of the first event. A request that was sent by a current list runs on the process that the list names, however late its first event comes.

Cost: a stream that was sent while the list was older than 1.5 s, and that broke before the list was current, can't be resumed. While the list is old, no instance with such a list resumed any stream before either.

--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -236,6 +236,7 @@
     keys_stale_ = true;
     return std::nullopt;
   }
+  stream_.RecordSent();
   ForwardingHead head{left,         server.id,         admitted_.customer,
                       std::nullopt, copy_prefix_from_, relay_.last_event_id()};
   if (engine_)
--- a/src/gateway/forwarding/stream_binding.cc
+++ b/src/gateway/forwarding/stream_binding.cc
@@ -41,20 +41,27 @@
       [&pool](const PoolShare& share) { return share.pool == pool; });
 }
 
+void StreamBinding::RecordSent() {
+  sent_by_current_list_ = ListIsCurrent();
+}
+
 void StreamBinding::RecordBegin(const PoolId& pool,
                                 const BackendServer& server) {
   if (recorded_ || request_.route->kind != RequestKind::kResumableStream)
     return;
-  recorded_ = true;
   request_.stream_version = server.version;
+  origin_is_known_ =
+      sent_by_current_list_ || (ListIsCurrent() && IsListedAlike(server));
+  if (!origin_is_known_)
+    return;
+  recorded_ = true;
   const RequestId& stream = IsResume() ? head_.resumed_request : head_.id;
   if (!stream.empty())
     dispatcher_.stream_origins().Record(stream, {pool, server.version});
 }
 
 bool StreamBinding::KnowsServers() const {
-  return !request_.stream_version ||
-         dispatcher_.state().BackendVersionsAreCurrent(BootClock::now());
+  return !request_.stream_version || (origin_is_known_ && ListIsCurrent());
 }
 
 bool StreamBinding::Accepts(const BackendServer& server) const {
@@ -63,4 +70,14 @@
          listed->version == server.version && KnowsServers();
 }
 
+bool StreamBinding::ListIsCurrent() const {
+  return dispatcher_.state().BackendVersionsAreCurrent(BootClock::now());
+}
+
+bool StreamBinding::IsListedAlike(const BackendServer& server) const {
+  const BackendServer* listed = dispatcher_.state().backends().Find(server.id);
+  return listed && listed->version == server.version &&
+         IsSameProcess(listed->started_at_ms, server.started_at_ms);
+}
+
 }  // namespace bamboomount
--- a/src/gateway/forwarding/stream_binding.h
+++ b/src/gateway/forwarding/stream_binding.h
@@ -30,8 +30,12 @@
   // resumed.
   std::optional<std::string_view> BindTo(
       const std::optional<StreamOrigin>& origin);
-  // Binds the stream to the server whose first event is forwarded, unless that
-  // was done, and records its origin.
+  // Records that the request is being sent to a server.
+  void RecordSent();
+  // Binds the stream to the server whose events are forwarded, unless that was
+  // done, and records its origin. The server's version is known if its row was
+  // current when the request was sent, or is current now and of the same
+  // process; until then nothing continues the stream.
   void RecordBegin(const PoolId& pool, const BackendServer& server);
 
   // Whether servers for the rest of a bound stream are known; true if the
@@ -43,11 +47,16 @@
 
  private:
   bool MayUsePool(const PoolId& pool) const;
+  bool ListIsCurrent() const;
+  // Whether the server is listed with the same version and process.
+  bool IsListedAlike(const BackendServer& server) const;
 
   Dispatcher& dispatcher_;
   const CallerHead& head_;
   AdmittedRequest& request_;
   bool recorded_ = false;
+  bool sent_by_current_list_ = false;
+  bool origin_is_known_ = true;
 };
 
 }  // namespace bamboomount
--- a/tests/entry/stream_version_test.cc
+++ b/tests/entry/stream_version_test.cc
@@ -39,6 +39,13 @@
     instance.WaitUntilReady();
     return instance;
   }
+  // Writes the row of the old server as one of its processes writes it.
+  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
+    nlohmann::json row = nlohmann::json::parse(old_->RowValue("pool"));
+    row["version"] = version;
+    row["born"] = started_at_ms;
+    store().Put("servers", "e-old", row.dump());
+  }
   // Begins a stream, which breaks off after two events while only the old
   // server is there.
   StreamPart BeginAtOldServer(EntryInstance& instance) {
@@ -191,10 +198,7 @@
   BackendStandin& twin = AddBackend("e-old-2", "pool", "v1");
   EntryInstance& instance = AddReadyInstance();
   store().SetMode(StoreMode::kSilent);
-  nlohmann::json row = nlohmann::json::parse(old_server().RowValue("pool"));
-  row["version"] = "v2";
-  row["born"] = kFirstStartMs + 1;
-  store().Put("servers", "e-old", row.dump());
+  ListOldServer("v2", kFirstStartMs + 1);
   BOOST_TEST(WaitUntilListIsOld(instance));
   constexpr int kStreams = 6;
   old_server().SetMode(BackendMode::kCutInEvent);
@@ -203,6 +207,26 @@
   BOOST_TEST(twin.ResumeCount() == 0);
 }
 
+// Guards against a stream of two versions after an instance was cut off from
+// the store: it recorded the version of the row from before, although the
+// server had come back under its id with other software.
+BOOST_AUTO_TEST_CASE(a_stream_begun_by_an_old_list_is_not_resumed) {
+  BackendStandin& twin = AddBackend("e-old-2", "pool", "v1");
+  ListOldServer("v1", kFirstStartMs);
+  EntryInstance& instance = AddReadyInstance();
+  store().SetMode(StoreMode::kSilent);
+  ListOldServer("v2", kFirstStartMs + 1);
+  BOOST_TEST(WaitUntilListIsOld(instance));
+  twin.SetMode(BackendMode::kRefuse);
+  const StreamPart begun = BeginAtOldServer(instance);
+  BOOST_TEST(begun.events == 2U);
+  twin.SetMode(BackendMode::kAnswer);
+  store().SetMode(StoreMode::kUp);
+  BOOST_TEST(WaitUntilListed(instance, "e-old", "v2"));
+  BOOST_TEST(Read(instance, MakeResume(begun)).status == 503);
+  BOOST_TEST(twin.ResumeCount() + old_server().ResumeCount() == 0);
+}
+
 // Guards against a resume that waits for a server that cannot come.
 BOOST_AUTO_TEST_CASE(a_resume_without_a_server_of_its_version_is_refused) {
   EntryInstance& instance = AddReadyInstance();
@@ -249,13 +273,6 @@
     BOOST_TEST(begun.events == 2U);
     return begun;
   }
-  // Writes the row of the old server as one of its processes writes it.
-  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
-    nlohmann::json row = nlohmann::json::parse(old_server().RowValue("pool"));
-    row["version"] = version;
-    row["born"] = started_at_ms;
-    store().Put("servers", "e-old", row.dump());
-  }
   static void Kill(EntryInstance& instance) {
     instance.process().Signal(SIGKILL);
     BOOST_TEST(
