Test that a stream of an outage goes on once its server is confirmed

Guards the cost of the rule that no stream is bound by an old list: when the list is current again and names the same process, the stream is continued.

--- a/tests/entry/stream_version_test.cc
+++ b/tests/entry/stream_version_test.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdint>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "entry_fixture/entry_fleet.h"
@@ -227,6 +228,32 @@
   BOOST_TEST(twin.ResumeCount() + old_server().ResumeCount() == 0);
 }
 
+// Guards against streams that are broken off because they began during an
+// outage of the store, although its list proves their version afterwards.
+BOOST_AUTO_TEST_CASE(a_stream_begun_by_an_old_list_is_continued_after_it) {
+  BackendStandin& twin = AddBackend("e-old-2", "pool", "v1");
+  ListOldServer("v1", kFirstStartMs);
+  EntryInstance& instance = AddReadyInstance();
+  store().SetMode(StoreMode::kSilent);
+  BOOST_TEST(WaitUntilListIsOld(instance));
+  twin.SetMode(BackendMode::kRefuse);
+  old_server().SetMode(BackendMode::kHold);
+  const int arrived = old_server().ArrivalCount();
+  StreamPart part;
+  std::thread caller([&] { part = Read(instance, MakeStreamRequest()); });
+  BOOST_TEST(support::WaitUntil(
+      [&] { return old_server().ArrivalCount() > arrived; }));
+  store().SetMode(StoreMode::kUp);
+  AddBackend("e-new", "pool", "v2");
+  BOOST_TEST(WaitUntilListed(instance, "e-new", "v2"));
+  twin.SetMode(BackendMode::kAnswer);
+  old_server().SetMode(BackendMode::kCutInEvent);
+  caller.join();
+  BOOST_TEST(part.events == static_cast<std::size_t>(kStreamEvents));
+  BOOST_TEST(part.clean);
+  BOOST_TEST(twin.ResumeCount() == 1);
+}
+
 // Guards against a resume that waits for a server that cannot come.
 BOOST_AUTO_TEST_CASE(a_resume_without_a_server_of_its_version_is_refused) {
   EntryInstance& instance = AddReadyInstance();
