Don't continue streams by a list from before a pause of the instance

Cause: a list counts as current for 1.5 s after its confirmation. That is meant for an instance that hears of a change within a few hundred ms; one that stood still heard nothing.

Change: an instance that did nothing for more than 500 ms counts the list as current only when it is confirmed as of a time after the pause. The pause is seen at each use, not by a timer that may run late.

Ruled out: a new confirmation for each resume. Every one would wait for up to half a second or so, for a fault that needs a restart under the same id.

Cost: after a pause of more than 500 ms, resumes and continuations are refused until the next confirmation. None without a pause.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
-constexpr Millis kMaintenanceInterval{250};
+constexpr Millis kMaintenanceInterval = GatewayState::kMaxPause / 2;
 // The most addresses in one response.
 constexpr std::size_t kMaxAddresses = 64;
 constexpr Millis kAddressLifetime{2000};
@@ -234,6 +234,7 @@
   BackendRegistry& backends = dispatcher_.state().backends();
   backends.Expire(now);
   dispatcher_.state().cold_pacer().Expire(now);
+  dispatcher_.state().RecordRunning(now);
   dispatcher_.WakeHeldBack();
   for (const PoisonPart& part : dispatcher_.state().poison_parts().Update(now))
     LogPoisonPart(part);
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -53,7 +53,17 @@
     pool_versions_.RecordConfirmed(*confirmed_at);
 }
 
+void GatewayState::RecordRunning(Instant now) {
+  if (last_running_ && now - *last_running_ > kMaxPause)
+    woken_at_ = now;
+  last_running_ = now;
+}
+
 bool GatewayState::BackendVersionsAreCurrent(Instant now) const {
+  if (last_running_ && now - *last_running_ > kMaxPause)
+    return false;
+  if (woken_at_ && backend_freshness_.ConfirmedAt() < woken_at_)
+    return false;
   return backend_freshness_.IsConfirmedWithin(
       PoolVersionHistory::kMaxUnconfirmed, now);
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -35,6 +35,10 @@
   // have expired. After a shorter outage, or one in which other instances still
   // reached the store, they have not.
   static constexpr Millis kMinOutageDuration{1500};
+  // The instance stood still if it did nothing for longer than this. Shorter
+  // than the restart of a backend server, and longer than timers are late on a
+  // busy machine.
+  static constexpr Millis kMaxPause{500};
 
   GatewayState(const GatewayState&) = delete;
   GatewayState& operator=(const GatewayState&) = delete;
@@ -130,8 +134,12 @@
   // instance.
   void ConfirmBackendsByPeer(Millis store_time, Instant now);
   // Whether the list of backend servers is so recent that a server still has
-  // the software version in it.
+  // the software version in it. False after the instance has stood still, until
+  // the list is confirmed as of a later time.
   bool BackendVersionsAreCurrent(Instant now) const;
+  // Called at least every kMaxPause / 2, so that a time in which the instance
+  // stood still is noticed.
+  void RecordRunning(Instant now);
   // Whether the configuration and the list of backend servers have been loaded.
   bool IsReady() const { return policy_ && backends_loaded_; }
   void MarkBackendsLoaded() { backends_loaded_ = true; }
@@ -173,6 +181,9 @@
   UsageByIncarnation peer_usage_;
   UsageDelivery usage_delivery_;
   bool backends_loaded_ = false;
+  std::optional<Instant> last_running_;
+  // When the instance went on after it had stood still.
+  std::optional<Instant> woken_at_;
 };
 
 }  // namespace bamboomount
--- a/tests/entry/stream_version_test.cc
+++ b/tests/entry/stream_version_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <string>
@@ -254,6 +255,35 @@
   BOOST_TEST(twin.ResumeCount() == 1);
 }
 
+// Guards against a resume by the list from before a pause: the instance stood
+// still while the server came back under its id with other software, and the
+// resume is the first thing that it reads when it wakes.
+BOOST_AUTO_TEST_CASE(a_woken_instance_does_not_resume_by_its_old_list) {
+  static constexpr auto kPause = std::chrono::milliseconds(1000);
+  constexpr int kTries = 3;
+  ListOldServer("v1", kFirstStartMs);
+  EntryInstance& instance = AddReadyInstance();
+  for (int i = 0; i < kTries; ++i) {
+    const StreamPart begun = BeginAtOldServer(instance);
+    BOOST_TEST(begun.events == 2U);
+    const std::string next = "v" + std::to_string(i + 2);
+    instance.process().Signal(SIGSTOP);
+    const auto stopped_at = std::chrono::steady_clock::now();
+    ListOldServer(next, kFirstStartMs + i + 1);
+    int status = 0;
+    std::thread caller(
+        [&] { status = Read(instance, MakeResume(begun)).status; });
+    BOOST_TEST(support::WaitUntil([&] {
+      return std::chrono::steady_clock::now() - stopped_at > kPause;
+    }));
+    instance.process().Signal(SIGCONT);
+    caller.join();
+    BOOST_TEST(status == 503);
+    BOOST_TEST(WaitUntilListed(instance, "e-old", next));
+  }
+  BOOST_TEST(old_server().ResumeCount() == 0);
+}
+
 // Guards against a resume that waits for a server that cannot come.
 BOOST_AUTO_TEST_CASE(a_resume_without_a_server_of_its_version_is_refused) {
   EntryInstance& instance = AddReadyInstance();
--- a/tests/gateway/gateway_state_test.cc
+++ b/tests/gateway/gateway_state_test.cc
@@ -80,6 +80,26 @@
   BOOST_TEST(!only(kHealedMs).has_value());
 }
 
+// Guards against an instance that wakes and relies on a list of servers from
+// before it stood still, or on a confirmation that waited for it meanwhile.
+BOOST_AUTO_TEST_CASE(a_list_from_before_a_pause_is_not_current) {
+  constexpr int kStopped = 1000;
+  constexpr int kWoken = 2000;
+  constexpr int kTick = 250;
+  for (int time = 0; time <= kStopped; time += kTick) {
+    state.RecordRunning(At(time));
+    state.ConfirmBackends(At(time), Millis(time));
+    BOOST_TEST(state.BackendVersionsAreCurrent(At(time + kTick)));
+  }
+  BOOST_TEST(!state.BackendVersionsAreCurrent(At(kWoken)));
+  state.ConfirmBackendsByPeer(Millis(kWoken - kTick), At(kWoken));
+  BOOST_TEST(!state.BackendVersionsAreCurrent(At(kWoken)));
+  state.RecordRunning(At(kWoken));
+  BOOST_TEST(!state.BackendVersionsAreCurrent(At(kWoken)));
+  state.ConfirmBackendsByPeer(Millis(kWoken + 1), At(kWoken + 2));
+  BOOST_TEST(state.BackendVersionsAreCurrent(At(kWoken + 2)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
