--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -39,7 +39,32 @@
   return freshness_.IsConfirmedWithin(settings_.config_deadline, now);
 }
 
+void GatewayState::ConfirmBackends(Instant sent, Millis store_time) {
+  backend_freshness_.Confirm(sent, store_time);
+  RecordBackendsConfirmed();
+}
+
+void GatewayState::ConfirmBackendsByPeer(Millis store_time, Instant now) {
+  backend_freshness_.ConfirmByPeer(store_time, now);
+  RecordBackendsConfirmed();
+}
+
+void GatewayState::RecordBackendsConfirmed() {
+  if (const auto confirmed_at = backend_freshness_.ConfirmedAt())
+    pool_versions_.RecordConfirmed(*confirmed_at);
+}
+
+void GatewayState::RecordRunning(Instant now) {
+  if (last_running_ && now - *last_running_ > kMaxPause)
+    woken_at_ = now;
+  last_running_ = now;
+}
+
 bool GatewayState::BackendVersionsAreCurrent(Instant now) const {
+  if (last_running_ && now - *last_running_ > kMaxPause)
+    return false;
+  if (woken_at_ && backend_freshness_.ConfirmedAt() < woken_at_)
+    return false;
   return backend_freshness_.IsConfirmedWithin(
       PoolVersionHistory::kMaxUnconfirmed, now);
 }
--- a/src/gateway/streams/pool_version_history.cc
+++ b/src/gateway/streams/pool_version_history.cc
@@ -27,10 +27,12 @@
   listed_ = std::move(listed);
 }
 
-void PoolVersionHistory::RecordConfirmed(Instant now) {
-  if (confirmed_at_ && now - *confirmed_at_ > kMaxUnconfirmed)
-    RecordGap(now);
-  confirmed_at_ = now;
+void PoolVersionHistory::RecordConfirmed(Instant time) {
+  if (confirmed_at_ && time <= *confirmed_at_)
+    return;
+  if (confirmed_at_ && time - *confirmed_at_ > kMaxUnconfirmed)
+    RecordGap(time);
+  confirmed_at_ = time;
 }
 
 void PoolVersionHistory::RecordGap(Instant now) {
@@ -59,7 +61,7 @@
 std::optional<SoftwareVersion> PoolVersionHistory::OnlyVersion(
     const PoolId& pool,
     Instant now) const {
-  if (!complete_since_ || now - *complete_since_ < kReach)
+  if (!IsCompleteSince(now - kReach))
     return std::nullopt;
   const std::set<SoftwareVersion> recent = RecentVersions(pool, now);
   if (recent.size() != 1)
--- a/tests/entry/stream_version_test.cc
+++ b/tests/entry/stream_version_test.cc
@@ -1,8 +1,10 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "entry_fixture/entry_fleet.h"
@@ -39,6 +41,13 @@
     instance.WaitUntilReady();
     return instance;
   }
+  // Writes the row of the old server as one of its processes writes it.
+  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
+    nlohmann::json row = nlohmann::json::parse(old_->RowValue("pool"));
+    row["version"] = version;
+    row["born"] = started_at_ms;
+    store().Put("servers", "e-old", row.dump());
+  }
   // Begins a stream, which breaks off after two events while only the old
   // server is there.
   StreamPart BeginAtOldServer(EntryInstance& instance) {
@@ -191,10 +200,7 @@
   BackendStandin& twin = AddBackend("e-old-2", "pool", "v1");
   EntryInstance& instance = AddReadyInstance();
   store().SetMode(StoreMode::kSilent);
-  nlohmann::json row = nlohmann::json::parse(old_server().RowValue("pool"));
-  row["version"] = "v2";
-  row["born"] = kFirstStartMs + 1;
-  store().Put("servers", "e-old", row.dump());
+  ListOldServer("v2", kFirstStartMs + 1);
   BOOST_TEST(WaitUntilListIsOld(instance));
   constexpr int kStreams = 6;
   old_server().SetMode(BackendMode::kCutInEvent);
@@ -203,6 +209,81 @@
   BOOST_TEST(twin.ResumeCount() == 0);
 }
 
+// Guards against a stream of two versions after an instance was cut off from
+// the store: it recorded the version of the row from before, although the
+// server had come back under its id with other software.
+BOOST_AUTO_TEST_CASE(a_stream_begun_by_an_old_list_is_not_resumed) {
+  BackendStandin& twin = AddBackend("e-old-2", "pool", "v1");
+  ListOldServer("v1", kFirstStartMs);
+  EntryInstance& instance = AddReadyInstance();
+  store().SetMode(StoreMode::kSilent);
+  ListOldServer("v2", kFirstStartMs + 1);
+  BOOST_TEST(WaitUntilListIsOld(instance));
+  twin.SetMode(BackendMode::kRefuse);
+  const StreamPart begun = BeginAtOldServer(instance);
+  BOOST_TEST(begun.events == 2U);
+  twin.SetMode(BackendMode::kAnswer);
+  store().SetMode(StoreMode::kUp);
+  BOOST_TEST(WaitUntilListed(instance, "e-old", "v2"));
+  BOOST_TEST(Read(instance, MakeResume(begun)).status == 503);
+  BOOST_TEST(twin.ResumeCount() + old_server().ResumeCount() == 0);
+}
+
+// Guards against streams that are broken off because they began during an
+// outage of the store, although its list proves their version afterwards.
+BOOST_AUTO_TEST_CASE(a_stream_begun_by_an_old_list_is_continued_after_it) {
+  BackendStandin& twin = AddBackend("e-old-2", "pool", "v1");
+  ListOldServer("v1", kFirstStartMs);
+  EntryInstance& instance = AddReadyInstance();
+  store().SetMode(StoreMode::kSilent);
+  BOOST_TEST(WaitUntilListIsOld(instance));
+  twin.SetMode(BackendMode::kRefuse);
+  old_server().SetMode(BackendMode::kHold);
+  const int arrived = old_server().ArrivalCount();
+  StreamPart part;
+  std::thread caller([&] { part = Read(instance, MakeStreamRequest()); });
+  BOOST_TEST(support::WaitUntil(
+      [&] { return old_server().ArrivalCount() > arrived; }));
+  store().SetMode(StoreMode::kUp);
+  AddBackend("e-new", "pool", "v2");
+  BOOST_TEST(WaitUntilListed(instance, "e-new", "v2"));
+  twin.SetMode(BackendMode::kAnswer);
+  old_server().SetMode(BackendMode::kCutInEvent);
+  caller.join();
+  BOOST_TEST(part.events == static_cast<std::size_t>(kStreamEvents));
+  BOOST_TEST(part.clean);
+  BOOST_TEST(twin.ResumeCount() == 1);
+}
+
+// Guards against a resume by the list from before a pause: the instance stood
+// still while the server came back under its id with other software, and the
+// resume is the first thing that it reads when it wakes.
+BOOST_AUTO_TEST_CASE(a_woken_instance_does_not_resume_by_its_old_list) {
+  static constexpr auto kPause = std::chrono::milliseconds(1000);
+  constexpr int kTries = 3;
+  ListOldServer("v1", kFirstStartMs);
+  EntryInstance& instance = AddReadyInstance();
+  for (int i = 0; i < kTries; ++i) {
+    const StreamPart begun = BeginAtOldServer(instance);
+    BOOST_TEST(begun.events == 2U);
+    const std::string next = "v" + std::to_string(i + 2);
+    instance.process().Signal(SIGSTOP);
+    const auto stopped_at = std::chrono::steady_clock::now();
+    ListOldServer(next, kFirstStartMs + i + 1);
+    int status = 0;
+    std::thread caller(
+        [&] { status = Read(instance, MakeResume(begun)).status; });
+    BOOST_TEST(support::WaitUntil([&] {
+      return std::chrono::steady_clock::now() - stopped_at > kPause;
+    }));
+    instance.process().Signal(SIGCONT);
+    caller.join();
+    BOOST_TEST(status == 503);
+    BOOST_TEST(WaitUntilListed(instance, "e-old", next));
+  }
+  BOOST_TEST(old_server().ResumeCount() == 0);
+}
+
 // Guards against a resume that waits for a server that cannot come.
 BOOST_AUTO_TEST_CASE(a_resume_without_a_server_of_its_version_is_refused) {
   EntryInstance& instance = AddReadyInstance();
@@ -249,13 +330,6 @@
     BOOST_TEST(begun.events == 2U);
     return begun;
   }
-  // Writes the row of the old server as one of its processes writes it.
-  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
-    nlohmann::json row = nlohmann::json::parse(old_server().RowValue("pool"));
-    row["version"] = version;
-    row["born"] = started_at_ms;
-    store().Put("servers", "e-old", row.dump());
-  }
   static void Kill(EntryInstance& instance) {
     instance.process().Signal(SIGKILL);
     BOOST_TEST(
--- a/tests/gateway/gateway_state_test.cc
+++ b/tests/gateway/gateway_state_test.cc
@@ -55,6 +55,51 @@
   BOOST_TEST((state.store_recovery_time() == Millis(13000)));
 }
 
+// Guards against streams of two versions at an instance that was cut off from
+// the store: others, cut off like it, repeated an old confirmation of the list
+// several times a second, and the time in which a version came and left unseen
+// counted as seen.
+BOOST_AUTO_TEST_CASE(a_confirmation_that_is_repeated_proves_nothing_new) {
+  constexpr int kCutMs = 60'000;
+  constexpr int kHealedMs = 65'000;
+  constexpr int kGossipMs = 150;
+  PoolVersionHistory& history = state.pool_versions();
+  const auto only = [&](int time) {
+    return history.OnlyVersion(PoolId("engines"), At(time));
+  };
+  history.RecordGap(At(0));
+  history.SetListed({{PoolId("engines"), {SoftwareVersion("v1")}}}, At(0));
+  for (int time = 0; time <= kCutMs; time += 500)
+    state.ConfirmBackends(At(time), Millis(time));
+  for (int time = kCutMs; time < kHealedMs; time += kGossipMs)
+    state.ConfirmBackendsByPeer(Millis(kCutMs), At(time));
+  BOOST_TEST(!history.IsConfirmedSince(At(kCutMs + 1)));
+  BOOST_TEST((only(kCutMs) == SoftwareVersion("v1")));
+  state.ConfirmBackendsByPeer(Millis(kHealedMs), At(kHealedMs));
+  BOOST_TEST(history.IsConfirmedSince(At(kHealedMs)));
+  BOOST_TEST(!only(kHealedMs).has_value());
+}
+
+// Guards against an instance that wakes and relies on a list of servers from
+// before it stood still, or on a confirmation that waited for it meanwhile.
+BOOST_AUTO_TEST_CASE(a_list_from_before_a_pause_is_not_current) {
+  constexpr int kStopped = 1000;
+  constexpr int kWoken = 2000;
+  constexpr int kTick = 250;
+  for (int time = 0; time <= kStopped; time += kTick) {
+    state.RecordRunning(At(time));
+    state.ConfirmBackends(At(time), Millis(time));
+    BOOST_TEST(state.BackendVersionsAreCurrent(At(time + kTick)));
+  }
+  BOOST_TEST(!state.BackendVersionsAreCurrent(At(kWoken)));
+  state.ConfirmBackendsByPeer(Millis(kWoken - kTick), At(kWoken));
+  BOOST_TEST(!state.BackendVersionsAreCurrent(At(kWoken)));
+  state.RecordRunning(At(kWoken));
+  BOOST_TEST(!state.BackendVersionsAreCurrent(At(kWoken)));
+  state.ConfirmBackendsByPeer(Millis(kWoken + 1), At(kWoken + 2));
+  BOOST_TEST(state.BackendVersionsAreCurrent(At(kWoken + 2)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
