Give lapsed servers the whole time after a second restore

Callers would see: 503 after two restores of the store, one soon after the other, while the only server of a pool has not written its row again.

Cause: a server whose row was missing kept the end of the first window, although the second restore undoes what was written again, and starts a window anew.

Change: each full read after a restore sets the end of the present window. A server that is gone stays usable for 2.2 s after the last restore at most.

Ruled out: repeated reads in one era extend nothing, as the window is set by a restore or a recovery only.

Evidence: a_second_restore_extends_the_time_of_lapsed_servers failed before (no usable server 2.2 s after the first of two restores 1.5 s apart) and passes now, with the other cases of backend_registry.

--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -56,8 +56,7 @@
     return;
   ++revision_;
   if (InRestoreWindow(now) && !entry->second.server.draining) {
-    if (!entry->second.usable_until)
-      entry->second.usable_until = restore_until_;
+    entry->second.usable_until = restore_until_;
     return;
   }
   EraseDeparted(entry, now);
--- a/tests/gateway/backend_registry_test.cc
+++ b/tests/gateway/backend_registry_test.cc
@@ -179,6 +179,23 @@
   BOOST_TEST(registry.FindUsable(BackendId("a")) != nullptr);
 }
 
+// Guards against an empty pool after two restores of the store, one soon after
+// the other: the second undid what the servers had written again, and its
+// window did not count for them.
+BOOST_AUTO_TEST_CASE(a_second_restore_extends_the_time_of_lapsed_servers) {
+  constexpr Millis kBetween{1500};
+  BackendRegistry registry;
+  registry.Update(Process("a", 1), At(0));
+  registry.OnStoreRestored(At(0));
+  registry.Replace({}, At(0));
+  registry.OnStoreRestored(At(0) + kBetween);
+  registry.Replace({}, At(0) + kBetween);
+  registry.Expire(At(0) + BackendRegistry::kRestoreWindow);
+  BOOST_TEST(registry.FindUsable(BackendId("a")) != nullptr);
+  registry.Expire(At(0) + kBetween + BackendRegistry::kRestoreWindow);
+  BOOST_TEST(!registry.Find(BackendId("a")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
