Remove the copied row of an instance that had left

Operators would see: an instance that is gone stays listed in the store for ever, and counts in the shares of instances that start later.

Cause: when a copy of the store listed an instance as ready that was known to be leaving, its row counted as lost. If the process was gone before it wrote the row again, the registry dropped the entry after the window, and so the holder of the duty lease never removed the row.

Change: such a row is listed, but outdated. The process itself still writes it again, and others remove it as that of a silent instance.

Ruled out: instances that only the copy knows; they count as silent and are removed as before.

Evidence: the_copied_row_of_a_process_that_left_is_removed failed before (no row to remove after 20 s) and passes now, with the other cases of member_registry.

--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -39,7 +39,8 @@
   const bool outdated = !restarted && entry.member.leaving && !member.leaving;
   entry.member = member;
   entry.member.leaving = member.leaving || outdated;
-  entry.listed = !outdated;
+  entry.listed = true;
+  entry.row_is_outdated = outdated;
   entry.version = version;
   entry.rank_hash = StableHash(member.instance.value());
   instance_by_hash_[HashOf(member.instance)] = member.instance;
@@ -88,7 +89,8 @@
 
 bool MemberRegistry::IsListed(const InstanceId& instance) const {
   const auto entry = entries_.find(instance);
-  return entry != entries_.end() && entry->second.listed;
+  return entry != entries_.end() && entry->second.listed &&
+         !entry->second.row_is_outdated;
 }
 
 void MemberRegistry::RecordHeartbeat(const InstanceId& instance,
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -133,6 +133,8 @@
     RowVersion version;
     // The store has this row; false if a restore of the store has lost it.
     bool listed = true;
+    // That row is from before the process began to leave.
+    bool row_is_outdated = false;
     // Decides the rank among instances of equal capacity.
     std::uint64_t rank_hash = 0;
     // Empty if the instance does not take part in gossip.
--- a/tests/gateway/member_registry_test.cc
+++ b/tests/gateway/member_registry_test.cc
@@ -215,6 +215,32 @@
   BOOST_TEST(Addresses(registry, "z", At(1101)).size() == 3U);
 }
 
+// Guards against a row that stays in the store for ever: it is that of a
+// process which the others know to be leaving, in a copy from before, and the
+// process was gone before it could write it again.
+BOOST_AUTO_TEST_CASE(the_copied_row_of_a_process_that_left_is_removed) {
+  constexpr Millis kLater{20'000};
+  MemberRegistry registry;
+  for (const char* name : {"a", "b", "c"})
+    Add(registry, MakeMember(name));
+  Member leaving = MakeMember("gone");
+  leaving.leaving = true;
+  Add(registry, leaving);
+  registry.OnStoreRestored(At(0));
+  registry.RetainOnly(
+      {InstanceId("a"), InstanceId("b"), InstanceId("c"), InstanceId("gone")},
+      At(0));
+  registry.Update(MakeMember("gone"), RowVersion(7), At(0));
+  registry.Expire(At(0) + MemberRegistry::kRestoreWindow);
+  for (const char* name : {"a", "b", "c"})
+    registry.RecordHeartbeat(InstanceId(name), {}, At(0) + kLater);
+  BOOST_TEST(Addresses(registry, "z", At(0) + kLater).size() == 3U);
+  const auto failed = registry.RowsOfFailedMembers(At(0) + kLater);
+  BOOST_REQUIRE(failed.size() == 1U);
+  BOOST_TEST((failed.front().instance == InstanceId("gone")));
+  BOOST_TEST((failed.front().version == RowVersion(7)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
