Do not take a copy of the store for a proof of software versions

Callers would see: streams of two software versions (ORDER). A server came back under its id with other software while an instance was cut off; the copy that the instance read next lists the process before, and the instance let servers of that version continue streams that the new process had begun.

Cause: answers of a store that came back from a copy confirmed the list of servers, although the servers had not written their rows again.

Class: an answer from a copy counts as a confirmation of the present state.

Staleness and the calls to the store remain as they were.

Ruled out: a longer time for the streams of an instance that was not cut off; it keeps what it knows of a process, as rows of the copy that are older are dropped.

Not covered: an instance that starts during a restore knows no earlier era.

--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -40,8 +40,9 @@
 }
 
 bool GatewayState::BackendVersionsAreCurrent(Instant now) const {
-  return backend_freshness_.IsConfirmedWithin(
-      PoolVersionHistory::kMaxUnconfirmed, now);
+  return !backends_.MayLackRows(now) &&
+         backend_freshness_.IsConfirmedWithin(
+             PoolVersionHistory::kMaxUnconfirmed, now);
 }
 
 void GatewayState::RecordCommitResult(const Result<CommitResponse>& response) {
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -70,11 +70,11 @@
 
 void BackendRegistry::OnStoreRestored(Instant now) {
   OnStoreRecovered(now);
-  copied_rows_until_ = now + kCopiedRowLifetime;
+  restored_at_ = now;
 }
 
 bool BackendRegistry::IsOutdated(const BackendServer& row, Instant now) const {
-  if (!copied_rows_until_ || now >= *copied_rows_until_)
+  if (!restored_at_ || now >= *restored_at_ + kCopiedRowLifetime)
     return false;
   const BackendServer* known = Find(row.id);
   if (!known)
@@ -94,7 +94,7 @@
   for (const BackendServer& server : servers) {
     if (IsOutdated(server, now)) {
       if (departed_.MayHaveLapsed(server))
-        withheld[server.id] = {server, *copied_rows_until_};
+        withheld[server.id] = {server, *restored_at_ + kCopiedRowLifetime};
       continue;
     }
     listed.insert(server.id);
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -62,6 +62,11 @@
   // time in which a full read may hold older rows than those known. Called
   // before the rows of that copy are applied.
   void OnStoreRestored(Instant now);
+  // Whether rows that a restore of the store has lost may not be written again
+  // yet, so that a listed server may have become another process.
+  bool MayLackRows(Instant now) const {
+    return restored_at_ && now < *restored_at_ + kRestoreWindow;
+  }
   // Whether the row, of a full read, is older than what is known of the server.
   bool IsOutdated(const BackendServer& row, Instant now) const;
   // Removes lapsed servers that were not listed again within the restore
@@ -122,8 +127,9 @@
   std::map<BackendId, WithheldRow> withheld_;
   std::set<ZoneId> evacuated_zones_;
   std::optional<Instant> restore_until_;
-  // Until then, full reads may hold rows of a copy.
-  std::optional<Instant> copied_rows_until_;
+  // When the last restore was noticed. Full reads may hold rows of the copy for
+  // kCopiedRowLifetime.
+  std::optional<Instant> restored_at_;
   std::uint64_t revision_ = 0;
 };
 
--- a/tests/entry/stream_version_test.cc
+++ b/tests/entry/stream_version_test.cc
@@ -1,11 +1,13 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include "entry_fixture/entry_fleet.h"
+#include "support/tcp_proxy.h"
 #include "support/wait_until.h"
 
 namespace bamboomount::entry_test {
@@ -33,6 +35,13 @@
   }
 
   BackendStandin& old_server() { return *old_; }
+  // Writes the row of the old server as one of its processes writes it.
+  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
+    nlohmann::json row = nlohmann::json::parse(old_server().RowValue("pool"));
+    row["version"] = version;
+    row["born"] = started_at_ms;
+    store().Put("servers", "e-old", row.dump());
+  }
   // Each stream may be continued.
   EntryInstance& AddReadyInstance(const std::string& name = "i-1") {
     EntryInstance& instance = AddInstance(name, {{"retry_slack", 1000}});
@@ -203,6 +212,34 @@
   BOOST_TEST(twin.ResumeCount() == 0);
 }
 
+// Guards against a stream of two versions after the store came back from a
+// copy: a server has come back under its id with other software while the
+// instance was cut off, and the copy lists it as it was before.
+BOOST_AUTO_TEST_CASE(a_row_of_a_copy_proves_no_version) {
+  // Servers write lost rows again some time later.
+  constexpr std::chrono::milliseconds kRowIsLost{1000};
+  support::TcpProxy link(store().address());
+  BackendStandin& twin = AddBackend("e-old-2", "pool", "v1");
+  EntryInstance& instance = AddInstance(
+      "i-1", {{"retry_slack", 1000}, {"store_address", link.address()}});
+  instance.WaitUntilReady();
+  store().TakeCopy();
+  link.SetMode(support::LinkMode::kReset);
+  ListOldServer("v2", kFirstStartMs + 1);
+  store().RestoreCopy(LostRows::kMissing);
+  AddBackend("e-3", "other");
+  old_server().SetMode(BackendMode::kCutInEvent);
+  link.SetMode(support::LinkMode::kForward);
+  BOOST_TEST(WaitUntilListed(instance, "e-3", "v1"));
+  const auto listed = std::chrono::steady_clock::now();
+  int begun = 0;
+  do {
+    begun += Read(instance, MakeStreamRequest()).status == 200 ? 1 : 0;
+  } while (std::chrono::steady_clock::now() - listed < kRowIsLost);
+  BOOST_TEST(begun > 0);
+  BOOST_TEST(twin.ResumeCount() == 0);
+}
+
 // Guards against a resume that waits for a server that cannot come.
 BOOST_AUTO_TEST_CASE(a_resume_without_a_server_of_its_version_is_refused) {
   EntryInstance& instance = AddReadyInstance();
@@ -249,13 +286,6 @@
     BOOST_TEST(begun.events == 2U);
     return begun;
   }
-  // Writes the row of the old server as one of its processes writes it.
-  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
-    nlohmann::json row = nlohmann::json::parse(old_server().RowValue("pool"));
-    row["version"] = version;
-    row["born"] = started_at_ms;
-    store().Put("servers", "e-old", row.dump());
-  }
   static void Kill(EntryInstance& instance) {
     instance.process().Signal(SIGKILL);
     BOOST_TEST(
