--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -61,6 +61,8 @@
 }
 
 bool GatewayState::BackendVersionsAreCurrent(Instant now) const {
+  if (backends_.MayLackRows(now))
+    return false;
   if (last_running_ && now - *last_running_ > kMaxPause)
     return false;
   if (woken_at_ && backend_freshness_.ConfirmedAt() < woken_at_)
