Test an instance that is cut off from all backend servers

What callers saw: an instance that lost its connections to all servers refused every request with 503, although the other instances served at the same servers.

The suite runs a gossiping fleet in which one instance reaches the servers through proxies: the store's answers name the proxies to it. The proxies refuse connections, leave them without any answer, or refuse new ones only.

The proxy stand-in learns three link modes.

--- a/tests/support/tcp_proxy.cc
+++ b/tests/support/tcp_proxy.cc
@@ -3,6 +3,8 @@
 // Asio of Boost 1.74 uses std::exchange without including <utility>.
 #include <utility>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -16,7 +18,9 @@
 #include <future>
 #include <list>
 #include <sstream>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 namespace bamboomount::support {
 namespace {
@@ -39,12 +43,31 @@
   socket.close(ignored);
 }
 
+// How often a link that hangs looks whether it may go on.
+constexpr std::chrono::milliseconds kHangPollInterval{5};
+constexpr int kListenBacklog = 128;
+// Connections that fill the queue of a listener with a backlog of 0.
+constexpr int kFillers = 3;
+
 // The current settings of the proxy; links read them for each buffer of bytes.
 struct LinkState {
   LinkMode mode = LinkMode::kForward;
   std::chrono::milliseconds delay{0};
+  std::vector<std::pair<std::string, std::string>> replacements;
 };
 
+void ReplaceIn(std::string_view from,
+               std::string_view to,
+               char* bytes,
+               std::size_t size) {
+  char* const end = bytes + size;
+  char* at = std::search(bytes, end, from.begin(), from.end());
+  while (at != end) {
+    at = std::copy(to.begin(), to.end(), at);
+    at = std::search(at, end, from.begin(), from.end());
+  }
+}
+
 class Link;
 
 // Forwards bytes from one socket to the other, in order.
@@ -131,12 +154,22 @@
 void ByteForwarder::Forward(const std::shared_ptr<Link>& self,
                             std::size_t size) {
   const LinkMode mode = link_.state().mode;
+  if (mode == LinkMode::kHang) {
+    timer_.expires_after(kHangPollInterval);
+    timer_.async_wait(
+        [this, self, size](const error_code&) { Forward(self, size); });
+    return;
+  }
   // Dropped bytes are lost for good, also if the mode changes back.
   if (mode == LinkMode::kDropBothDirections ||
       (mode == LinkMode::kDropFromTarget && !to_target_)) {
     Read(self);
     return;
   }
+  if (!to_target_) {
+    for (const auto& [from, to] : link_.state().replacements)
+      ReplaceIn(from, to, bytes_.data(), size);
+  }
   asio::async_write(to_, asio::buffer(bytes_.data(), size),
                     [this, self](const error_code& error, std::size_t) {
                       if (error)
@@ -151,10 +184,9 @@
 class TcpProxy::Impl {
  public:
   explicit Impl(const std::string& target)
-      : target_(ParseEndpoint(target)),
-        acceptor_(context_,
-                  tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
-    Accept();
+      : target_(ParseEndpoint(target)), acceptor_(context_) {
+    Bind();
+    Listen();
     thread_ = std::thread([this] { context_.run(); });
   }
   ~Impl() {
@@ -179,6 +211,18 @@
     done.get_future().wait();
   }
 
+  void SetMode(LinkMode mode) {
+    state_.mode = mode;
+    if (mode == LinkMode::kReset || mode == LinkMode::kRefuse)
+      ResetConnections();
+    if (mode == LinkMode::kRefuse || mode == LinkMode::kRefuseNew)
+      Refuse();
+    else if (mode == LinkMode::kHang)
+      HangUpNew();
+    else if (!listening_)
+      Listen();
+  }
+
   void ResetConnections() {
     for (const auto& link : links_)
       link->ResetBoth();
@@ -188,16 +232,63 @@
   LinkState& state() { return state_; }
 
  private:
+  // Binds the acceptor to a port that it keeps while it does not listen, which
+  // it does only if the port is given.
+  void Bind() {
+    tcp::endpoint endpoint(asio::ip::address_v4::loopback(), 0);
+    error_code error;
+    do {
+      endpoint.port(tcp::acceptor(context_, endpoint).local_endpoint().port());
+      error_code ignored;
+      acceptor_.close(ignored);
+      acceptor_.open(endpoint.protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(endpoint, error);
+      endpoint.port(0);
+    } while (error);
+  }
+
+  void Listen() {
+    fillers_.clear();
+    acceptor_.listen(kListenBacklog);
+    listening_ = true;
+    Accept();
+  }
+
+  void Refuse() {
+    StopAccepting();
+    fillers_.clear();
+    ::shutdown(acceptor_.native_handle(), SHUT_RD);
+  }
+
+  // Fills the queue of new connections, so that further ones get no answer.
+  void HangUpNew() {
+    StopAccepting();
+    acceptor_.listen(0);
+    for (int i = 0; i < kFillers; ++i) {
+      fillers_.emplace_back(context_);
+      fillers_.back().async_connect(acceptor_.local_endpoint(),
+                                    [](const error_code&) {});
+    }
+  }
+
+  void StopAccepting() {
+    listening_ = false;
+    error_code ignored;
+    acceptor_.cancel(ignored);
+  }
+
   void Accept() {
     acceptor_.async_accept([this](const error_code& error, tcp::socket client) {
       if (!error)
         Serve(std::move(client));
-      Accept();
+      if (listening_ && error != asio::error::operation_aborted)
+        Accept();
     });
   }
 
   void Serve(tcp::socket client) {
-    if (state_.mode == LinkMode::kReset) {
+    if (state_.mode == LinkMode::kReset || !listening_) {
       Reset(client);
       return;
     }
@@ -209,8 +300,13 @@
 
   const tcp::endpoint target_;
   asio::io_context context_{1};
+  // Keeps the thread running while the proxy accepts nothing.
+  const asio::executor_work_guard<asio::io_context::executor_type> work_{
+      context_.get_executor()};
   LinkState state_;
   tcp::acceptor acceptor_;
+  bool listening_ = false;
+  std::list<tcp::socket> fillers_;
   std::list<std::shared_ptr<Link>> links_;
   std::thread thread_;
 };
@@ -225,11 +321,11 @@
 }
 
 void TcpProxy::SetMode(LinkMode mode) {
-  impl_->Run([this, mode] {
-    impl_->state().mode = mode;
-    if (mode == LinkMode::kReset)
-      impl_->ResetConnections();
-  });
+  impl_->Run([this, mode] { impl_->SetMode(mode); });
+}
+
+void TcpProxy::Replace(const std::string& from, const std::string& to) {
+  impl_->Run([&] { impl_->state().replacements.emplace_back(from, to); });
 }
 
 void TcpProxy::SetDelay(std::chrono::milliseconds delay) {
--- a/tests/support/tcp_proxy.h
+++ b/tests/support/tcp_proxy.h
@@ -16,6 +16,13 @@
   kDropFromTarget,
   // Resets open and new connections.
   kReset,
+  // Resets open connections and refuses new ones.
+  kRefuse,
+  // Forwards on open connections and refuses new ones.
+  kRefuseNew,
+  // Neither forwards anything nor completes new connections until the mode
+  // changes; nothing is lost.
+  kHang,
 };
 
 // TCP proxy between two processes on loopback that injects network faults. Runs
@@ -35,6 +42,9 @@
   void SetMode(LinkMode mode);
   // Delays each buffer of forwarded bytes by `delay`.
   void SetDelay(std::chrono::milliseconds delay);
+  // Replaces `from` by `to`, a string of the same length, in the bytes from the
+  // target. Does not find what is split between two reads of the proxy.
+  void Replace(const std::string& from, const std::string& to);
   // Resets the connections that are currently open.
   void ResetConnections();
 
