Relay requests through other instances when no server can be reached

Cause: an instance had one way to a server, its own connection, and nothing told the others, or the address answers, that it reached none. Besides, it took the failures of its network path for failures of the servers: all were ejected, for up to 8 s after the cut.

Now failed connections to two servers, or silence of all, make the instance probe up to four servers; if none accepts a connection, it sends requests to an instance that reaches servers, which serves them as those of its own callers. A refusal that states that the request did not run leads to another instance; what may have run is not sent again; a relayed request is not relayed again. A search that was waiting for capacity is started anew when it is woken, so that it can be relayed as well.

Ruled out: a faster refusal (the first try still fails), and deciding by outcomes of requests alone (a few failed servers look the same).

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -115,6 +115,18 @@
     7035, Severity::kInfo, "stream_resumed",
     "A caller resumes a stream. It goes on only at servers of the software "
     "version that began it, and is refused if that is unknown."};
+inline constexpr LogEvent kRequestRelayed{
+    7036, Severity::kInfo, "request_relayed",
+    "This instance reaches no backend server and sends the request to another "
+    "instance, which sends it to a backend server."};
+inline constexpr LogEvent kServersUnreachable{
+    7037, Severity::kWarning, "servers_unreachable",
+    "This instance reaches no backend server; its requests go through other "
+    "instances, if any reaches one."};
+inline constexpr LogEvent kServersReachable{
+    7038, Severity::kInfo, "servers_reachable",
+    "This instance reaches backend servers again and sends them its requests "
+    "itself."};
 inline constexpr LogEvent kPoolOverloaded{
     7050, Severity::kWarning, "pool_overloaded",
     "The demand on a pool exceeds its capacity, both in servers; this instance "
@@ -154,16 +166,20 @@
     "are refused), exhausted (connections are closed) or normal again."};
 // All events of this library, in the order of the catalogue.
 inline constexpr std::array kGatewayEvents{
-    kStarted,         kStopRequested,     kStopped,          kSettingsReloaded,
-    kSettingsRefused, kConfigApplied,     kConfigUnreadable, kStoreLost,
-    kStoreRegained,   kHistoryLost,       kStorePollFailed,  kEvacuationBegan,
-    kEvacuationEnded, kBackendListed,     kBackendGone,      kBackendUnreadable,
-    kBackendLeaving,  kBackendPaused,     kMemberUnreadable, kMemberListed,
-    kMemberGone,      kPeerRowsFailed,    kRequestPlaced,    kRequestRefused,
-    kAttemptFailed,   kRequestEnded,      kPoisonPartFound,  kStreamResumed,
-    kLeaseTaken,      kLeaseLost,         kUsageReported,    kUsageNotReported,
-    kBackendsOrdered, kOrderFailed,       kStoreRestored,    kPoolOverloaded,
-    kPoolRecovered,   kMemoryStateChanged};
+    kStarted,           kStopRequested,     kStopped,
+    kSettingsReloaded,  kSettingsRefused,   kConfigApplied,
+    kConfigUnreadable,  kStoreLost,         kStoreRegained,
+    kHistoryLost,       kStorePollFailed,   kEvacuationBegan,
+    kEvacuationEnded,   kBackendListed,     kBackendGone,
+    kBackendUnreadable, kBackendLeaving,    kBackendPaused,
+    kMemberUnreadable,  kMemberListed,      kMemberGone,
+    kPeerRowsFailed,    kRequestPlaced,     kRequestRefused,
+    kAttemptFailed,     kRequestEnded,      kPoisonPartFound,
+    kStreamResumed,     kRequestRelayed,    kServersUnreachable,
+    kServersReachable,  kLeaseTaken,        kLeaseLost,
+    kUsageReported,     kUsageNotReported,  kBackendsOrdered,
+    kOrderFailed,       kStoreRestored,     kPoolOverloaded,
+    kPoolRecovered,     kMemoryStateChanged};
 
 }  // namespace bamboomount::gateway_events
 
--- a/src/gateway/forwarding/caller_connection.h
+++ b/src/gateway/forwarding/caller_connection.h
@@ -17,11 +17,14 @@
 
 namespace bamboomount {
 
-// A complete request of a caller.
+// A complete request of a caller, or of another instance.
 struct IncomingRequest {
   http::request<http::string_body> message;
   // When the first byte of the request was read.
   Instant received;
+  // Whether another instance, which reaches no backend server, relays the
+  // request of its caller.
+  bool relayed = false;
 };
 
 // The server that accepted a connection, as the connection sees it.
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -25,7 +25,8 @@
       protocol_(protocol),
       state_(state),
       metrics_(metrics),
-      random_(std::random_device{}()) {}
+      random_(std::random_device{}()),
+      reachability_(context, state, [this] { WakeAll(); }) {}
 
 std::vector<const BackendServer*> Dispatcher::UntriedBackends(
     const PoolId& pool,
--- a/src/gateway/forwarding/dispatcher.h
+++ b/src/gateway/forwarding/dispatcher.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/placement/concurrency_limit.h"
 #include "gateway/placement/retry_budget_share.h"
+#include "gateway/relay/server_reachability.h"
 #include "gateway/streams/local_stream_origins.h"
 #include "telemetry/metrics.h"
 
@@ -40,6 +41,8 @@
     return {context_, protocol_, connections_};
   }
   BackendConnectionPool& connections() { return connections_; }
+  // Knows whether this instance reaches backend servers at all.
+  ServerReachability& reachability() { return reachability_; }
 
   // Usable backend servers of the pool that may run the request, are not in
   // `tried` and have not asked for a pause.
@@ -123,6 +126,7 @@
   // requests at its end.
   std::map<BackendId, asio::steady_timer> pause_timers_;
   std::mt19937_64 random_;
+  ServerReachability reachability_;
 };
 
 }  // namespace bamboomount
--- a/src/gateway/forwarding/exchange.cc
+++ b/src/gateway/forwarding/exchange.cc
@@ -8,6 +8,7 @@
 #include "gateway/forwarding/forwarded_head.h"
 #include "gateway/forwarding/request_log.h"
 #include "gateway/forwarding/server_signals.h"
+#include "gateway/relay/relay_peers.h"
 
 namespace bamboomount {
 namespace {
@@ -103,6 +104,10 @@
   pool_ = pool;
   const Pool* rule = admitted_.policy->FindPool(pool_);
   engine_ = rule && rule->engine ? &*rule->engine : nullptr;
+  if (const auto instance = FindRelay()) {
+    Relay(*instance);
+    return;
+  }
   dispatcher_.CountRequest(pool_);
   if (rule && RefuseIfExcess(*rule))
     return;
@@ -145,10 +150,41 @@
 }
 
 void Exchange::FindServer() {
-  if (!ended_)
+  if (ended_)
+    return;
+  if (MustAwaitProbes())
+    dispatcher_.reachability().WhenDecided(
+        [self = shared_from_this()] { self->FindServer(); });
+  else if (const auto instance = FindRelay())
+    Relay(*instance);
+  else
     search_.Find(SearchRequest(), retries_.tried(), shared_from_this());
 }
 
+bool Exchange::MustAwaitProbes() {
+  return retries_.history().failed_connects > 0 &&
+         dispatcher_.reachability().IsDeciding();
+}
+
+std::optional<BackendServer> Exchange::FindRelay() {
+  if (request_.relayed || relay_.started() ||
+      !dispatcher_.reachability().IsCutOff())
+    return std::nullopt;
+  return ChooseRelay(dispatcher_.state(), retries_.tried(),
+                     dispatcher_.Random(), BootClock::now());
+}
+
+void Exchange::Relay(const BackendServer& instance) {
+  LogRelayed(head_.id, instance.id);
+  dispatcher_.metrics().Increment("bamboomount_relayed_requests_total",
+                                  {{"route", admitted_.route->name}});
+  BeginAttempt(instance);
+}
+
+void Exchange::OnWoken() {
+  FindServer();
+}
+
 void Exchange::OnNoServer(std::string_view reason) {
   if (!ended_)
     FailWithoutResponse(reason);
@@ -182,7 +218,6 @@
   const PrefixPlan prefix = state.selector().PlanPrefix(
       server, ServerSearch::MakePlacementRequest(SearchRequest(), state), now);
   copy_prefix_from_ = prefix.copy_from ? prefix.copy_from->address : "";
-  relay_.BeginAttempt();
   load_.emplace(dispatcher_, server, LoadRequest(prefix), now);
   state.selector().RecordPrefixSent(server, head_.prompt, now);
   state.cold_pacer().RecordSent(server.id, now);
@@ -191,21 +226,27 @@
              prefix.prefill_tokens,
              prefix.copy_from ? prefix.copy_from->id : BackendId(),
              state.freshness().Age(now)});
+  dispatcher_.reachability().RecordSent(now);
+  ArmResponseTimer();
+  BeginAttempt(server);
+  // There may be room for the next waiting request as well.
+  if (engine_)
+    asio::post(dispatcher_.context(), [self = shared_from_this()] {
+      self->dispatcher_.WakeOne(self->pool_);
+    });
+}
+
+void Exchange::BeginAttempt(const BackendServer& target) {
+  relay_.BeginAttempt();
   attempt_ = std::make_shared<BackendAttempt>(
-      dispatcher_.environment(), server,
+      dispatcher_.environment(), target,
       BackendAttempt::Options{head_.id,
                               request_.message.method() == http::verb::head,
                               !MayRepeat(admitted_.route->kind)},
       *this);
-  ArmResponseTimer();
   // A copy, because the attempt may end within Start and reset the member.
   const auto attempt = attempt_;
   attempt->Start();
-  // There may be room for the next waiting request as well.
-  if (engine_)
-    asio::post(dispatcher_.context(), [self = shared_from_this()] {
-      self->dispatcher_.WakeOne(self->pool_);
-    });
 }
 
 void Exchange::ArmResponseTimer() {
@@ -227,6 +268,10 @@
   const Millis left = TimeLeft(now);
   if (ended_ || left <= Millis(0))
     return std::nullopt;
+  if (IsRelaying())
+    return EncodeRelayedHead(request_.message,
+                             {left, dispatcher_.state().settings().instance},
+                             dispatcher_.protocol());
   const BackendServer& server = attempt_->server();
   // The server may have started to leave, or asked for a pause, while the
   // connection was being set up.
@@ -249,20 +294,26 @@
                            std::optional<std::uint64_t> content_length) {
   response_timer_.cancel();
   relay_.OnHead(header, head, content_length, admitted_.route->kind);
+  if (IsRelaying())
+    return;
+  dispatcher_.reachability().RecordBytes();
   ApplyServerSignals(dispatcher_, attempt_->server(), head_.id, head);
   if (!StatesNotRun(head))
     CountUsageOnce();
 }
 
 bool Exchange::OnReplyBody(std::string_view piece) {
-  if (relay_.forwards())
-    RecordFirstBytes();
+  if (!IsRelaying()) {
+    dispatcher_.reachability().RecordBytes();
+    if (relay_.forwards())
+      RecordFirstBytes();
+  }
   const ResponseRelay::Step step = relay_.OnBody(piece, BootClock::now());
   if (relay_.started())
     retries_.RecordReplyStarted();
   if (ended_)
     return false;
-  if (relay_.started())
+  if (relay_.started() && !IsRelaying())
     stream_.RecordBegin(pool_, attempt_->server());
   switch (step) {
     case ResponseRelay::Step::kContinue:
@@ -312,6 +363,10 @@
   if (ended_)
     return;
   response_timer_.cancel();
+  if (IsRelaying()) {
+    OnRelayEnd(outcome);
+    return;
+  }
   switch (outcome) {
     case AttemptOutcome::kNotSent:
       OnNotSent(ServerFailure::kNoResponse);
@@ -331,6 +386,67 @@
   }
 }
 
+void Exchange::OnRelayEnd(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kConnectionRefused:
+      OnRelayNotSent();
+      return;
+    case AttemptOutcome::kInterrupted:
+      OnRelayInterrupted();
+      return;
+    case AttemptOutcome::kComplete:
+      if (StatesNotRun(relay_.head()))
+        OnRelayRefused();
+      else if (relay_.IsCompleteAnswer())
+        OnRelayComplete();
+      else
+        OnRelayInterrupted();
+      return;
+  }
+}
+
+void Exchange::OnRelayNotSent() {
+  const BackendId instance = attempt_->server().id;
+  ReleaseAttempt();
+  retries_.RecordFailedConnect(instance);
+  LogAttemptFailed(head_.id, instance, {"no connection", "no", std::nullopt});
+  if (!TryAnotherServer())
+    FailWithoutResponse("the request could not be sent to another instance");
+}
+
+void Exchange::OnRelayRefused() {
+  const BackendId instance = attempt_->server().id;
+  ReleaseAttempt();
+  retries_.RecordRefusal(instance);
+  LogAttemptFailed(head_.id, instance, {"refused", "no", relay_.head().status});
+  if (!TryAnotherServer())
+    FailWithoutResponse("all instances that were tried refused the request");
+}
+
+// The other instance may have used all attempts of the route, so that the
+// request is not sent again whatever its kind.
+void Exchange::OnRelayInterrupted() {
+  const BackendId instance = attempt_->server().id;
+  ReleaseAttempt();
+  retries_.RecordPossibleRun(instance);
+  LogAttemptFailed(
+      head_.id, instance,
+      {"no complete, sealed response", "unknown", relay_.head().status});
+  FailWithoutResponse("no complete, sealed response from another instance");
+}
+
+void Exchange::OnRelayComplete() {
+  const BackendId instance = attempt_->server().id;
+  const unsigned status = relay_.head().status;
+  ReleaseAttempt();
+  retries_.RecordPossibleRun(instance);
+  EndRequest(StatusClass(status) == 2 || relay_.started()
+                 ? "passed on"
+                 : "failure passed on");
+  relay_.Finish();
+}
+
 void Exchange::OnNotSent(ServerFailure failure) {
   const BackendId server = attempt_->server().id;
   const bool accepts_requests = stream_.Accepts(attempt_->server());
@@ -344,6 +460,7 @@
     retries_.RecordFailedConnect(server);
     dispatcher_.state().health().RecordFailure(server, failure, now);
     dispatcher_.RecordUnreachable(server, pool_, now);
+    dispatcher_.reachability().RecordFailedConnect(server, now);
     LogAttemptFailed(head_.id, server, {"no connection", "no", std::nullopt});
   } else {
     retries_.RecordNotSent(server);
@@ -369,6 +486,8 @@
     dispatcher_.RecordUnreachable(server, pool_, now);
   ReleaseAttempt();
   retries_.RecordPossibleRun(server);
+  if (relay_.head().status == 0)
+    dispatcher_.reachability().RecordFailedConnect(server, now);
   if (!stale_connection)
     dispatcher_.state().health().RecordFailure(server,
                                                ServerFailure::kNoResponse, now);
@@ -426,7 +545,8 @@
 
 bool Exchange::TryAnotherServer() {
   if (ended_ || TimeLeft(BootClock::now()) <= Millis(0) ||
-      !stream_.KnowsServers() || !retries_.TryRetry(admitted_, pool_))
+      !stream_.KnowsServers() ||
+      !retries_.TryRetry(admitted_, pool_, FindRelay().has_value()))
     return false;
   // Posted, because the call stack still contains the attempt that ended.
   asio::post(dispatcher_.context(),
@@ -487,7 +607,8 @@
 void Exchange::ReleaseAttempt() {
   if (!attempt_)
     return;
-  load_->Release(BootClock::now());
+  if (load_)
+    load_->Release(BootClock::now());
   load_.reset();
   attempt_.reset();
   dispatcher_.WakeOne(pool_);
@@ -498,6 +619,13 @@
   LogRefused(head_.id, RouteName(),
              {response.result_int(), reason, retries_.history(), std::nullopt});
   EndRequest("refused");
+  SendOwnReply(std::move(response));
+}
+
+void Exchange::SendOwnReply(http::response<http::string_body> response) {
+  if (request_.relayed)
+    dispatcher_.protocol().EncodeOwnReply(
+        head_.id, retries_.history().possible_runs == 0, response);
   reply_->Send(std::move(response));
 }
 
@@ -516,7 +644,7 @@
   LogRefused(head_.id, RouteName(),
              {response.result_int(), reason, retries_.history(), retry_after});
   EndRequest("refused");
-  reply_->Send(std::move(response));
+  SendOwnReply(std::move(response));
 }
 
 void Exchange::EndRequest(std::string_view outcome) {
--- a/src/gateway/forwarding/exchange.h
+++ b/src/gateway/forwarding/exchange.h
@@ -37,6 +37,7 @@
 
   void OnServerFound(const BackendServer& server) override;
   void OnNoServer(std::string_view reason) override;
+  void OnWoken() override;
   void OnPoisonousPrompt(Millis retry_after) override;
 
   std::optional<std::string> PrepareHead() override;
@@ -62,6 +63,14 @@
   // whether it did.
   bool RefuseIfExcess(const Pool& pool);
   void FindServer();
+  // Whether the probes of the servers must end before the next attempt, because
+  // they decide whether it is sent to another instance.
+  bool MustAwaitProbes();
+  // The instance to send the request to while this one reaches no server. Empty
+  // if the request may not be relayed or there is none.
+  std::optional<BackendServer> FindRelay();
+  void Relay(const BackendServer& instance);
+  void BeginAttempt(const BackendServer& target);
   ServerSearchRequest SearchRequest() const;
   AttemptLoad::Request LoadRequest(const PrefixPlan& prefix) const;
   void ArmResponseTimer();
@@ -70,6 +79,14 @@
   void OnResponseTimeout();
   void OnCallerGone();
 
+  // Whether the attempt is one at another instance, which accounts for it.
+  bool IsRelaying() const { return attempt_ && !load_; }
+  void OnRelayEnd(AttemptOutcome outcome);
+  void OnRelayNotSent();
+  void OnRelayRefused();
+  void OnRelayInterrupted();
+  void OnRelayComplete();
+
   void OnNotSent(ServerFailure failure);
   void OnInterrupted();
   void OnRefusedByServer();
@@ -84,6 +101,8 @@
   void AbandonReply();
   void ResumeWhenDrained();
 
+  // Completes a response of this instance's own and sends it.
+  void SendOwnReply(http::response<http::string_body> response);
   void Refuse(http::status status, std::string_view reason);
   // Refuses with 503, so that the caller may retry after a random short time.
   void RefuseTemporarily(std::string_view reason);
@@ -111,8 +130,9 @@
   ServerSearch search_;
   RetryState retries_;
   ResponseRelay relay_;
-  // Both are set while an attempt is in progress.
+  // Set while an attempt is in progress.
   std::shared_ptr<BackendAttempt> attempt_;
+  // Set while an attempt at a backend server is in progress.
   std::optional<AttemptLoad> load_;
   // "ip:port" of the engine from which the server copies the shared prefix of
   // the prompt; empty if it copies none.
--- a/src/gateway/forwarding/forwarded_head.cc
+++ b/src/gateway/forwarding/forwarded_head.cc
@@ -14,15 +14,14 @@
          message.find(http::field::content_length) != message.end();
 }
 
-}  // namespace
-
-std::string EncodeForwardedHead(const http::request<http::string_body>& request,
-                                const ForwardingHead& head,
-                                const MessageProtocol& protocol) {
+// Encodes the request's header after `add_fields` has changed its fields.
+template <typename AddFields>
+std::string EncodeHead(const http::request<http::string_body>& request,
+                       AddFields add_fields) {
   http::request_header<> header(request.base());
   header.version(kHttp11);
   RemoveHopByHopHeaders(header);
-  protocol.EncodeForwardingHead(head, header);
+  add_fields(header);
   if (HasBody(request))
     header.set(http::field::content_length,
                std::to_string(request.body().size()));
@@ -31,4 +30,22 @@
   return text.str();
 }
 
+}  // namespace
+
+std::string EncodeForwardedHead(const http::request<http::string_body>& request,
+                                const ForwardingHead& head,
+                                const MessageProtocol& protocol) {
+  return EncodeHead(request, [&](http::fields& fields) {
+    protocol.EncodeForwardingHead(head, fields);
+  });
+}
+
+std::string EncodeRelayedHead(const http::request<http::string_body>& request,
+                              const RelayingHead& head,
+                              const MessageProtocol& protocol) {
+  return EncodeHead(request, [&](http::fields& fields) {
+    protocol.EncodeRelayingHead(head, fields);
+  });
+}
+
 }  // namespace bamboomount
--- a/src/gateway/forwarding/forwarded_head.h
+++ b/src/gateway/forwarding/forwarded_head.h
@@ -14,6 +14,11 @@
                                 const ForwardingHead& head,
                                 const MessageProtocol& protocol);
 
+// The same for a request that another instance sends to a backend server.
+std::string EncodeRelayedHead(const http::request<http::string_body>& request,
+                              const RelayingHead& head,
+                              const MessageProtocol& protocol);
+
 }  // namespace bamboomount
 
 #endif  // GATEWAY_FORWARDING_FORWARDED_HEAD_H_
--- a/src/gateway/forwarding/message_protocol.h
+++ b/src/gateway/forwarding/message_protocol.h
@@ -48,6 +48,14 @@
   std::string resume_after;
 };
 
+// What an instance adds to the header of a request that another instance sends
+// to a backend server.
+struct RelayingHead {
+  Millis time_left{0};
+  // The instance that the caller has sent the request to.
+  InstanceId instance;
+};
+
 // The decoded header fields of a backend server's response.
 struct ReplyHead {
   unsigned status = 0;
@@ -78,6 +86,18 @@
   // hop-by-hop fields, and adds `head`.
   virtual void EncodeForwardingHead(const ForwardingHead& head,
                                     http::fields& fields) const = 0;
+  // Removes the fields that callers must not send to other instances and the
+  // hop-by-hop fields, and adds `head`. The customer's key stays.
+  virtual void EncodeRelayingHead(const RelayingHead& head,
+                                  http::fields& fields) const = 0;
+  // Whether another instance relays the request. Meaningful only for requests
+  // that do not come from callers.
+  virtual bool IsRelayed(const http::fields& fields) const = 0;
+  // Marks the response of this instance's own to a relayed request as the one
+  // to request `id`. `not_executed`: the request did not run and will not.
+  virtual void EncodeOwnReply(const RequestId& id,
+                              bool not_executed,
+                              http::fields& fields) const = 0;
   // Fields that are missing or cannot be parsed keep their defaults.
   virtual ReplyHead DecodeReplyHead(
       const http::response_header<>& header) const = 0;
--- a/src/gateway/forwarding/request_log.cc
+++ b/src/gateway/forwarding/request_log.cc
@@ -29,6 +29,11 @@
        {"config_age_ms", Text(placement.config_age.value_or(Millis(-1)))}});
 }
 
+void LogRelayed(const RequestId& request, const BackendId& instance) {
+  Log(gateway_events::kRequestRelayed,
+      {{"request", request.value()}, {"to", instance.value()}});
+}
+
 void LogResumed(const CallerHead& head,
                 const std::optional<StreamOrigin>& origin) {
   Log(gateway_events::kStreamResumed,
--- a/src/gateway/forwarding/request_log.h
+++ b/src/gateway/forwarding/request_log.h
@@ -59,6 +59,8 @@
 void LogPlaced(const CallerHead& head,
                const AdmittedRequest& request,
                const PlacementRecord& placement);
+// `instance` is the one that the request is sent to.
+void LogRelayed(const RequestId& request, const BackendId& instance);
 // `origin` is empty if the stream's is not known.
 void LogResumed(const CallerHead& head,
                 const std::optional<StreamOrigin>& origin);
--- a/src/gateway/forwarding/retry_state.cc
+++ b/src/gateway/forwarding/retry_state.cc
@@ -17,9 +17,12 @@
   tried_.push_back(server);
 }
 
-bool RetryState::TryRetry(const AdmittedRequest& request, const PoolId& pool) {
+bool RetryState::TryRetry(const AdmittedRequest& request,
+                          const PoolId& pool,
+                          bool has_relay) {
   if (!MayRetry(*request.route, history_) ||
-      dispatcher_.UntriedBackends(pool, tried_, request).empty())
+      (!has_relay &&
+       dispatcher_.UntriedBackends(pool, tried_, request).empty()))
     return false;
   const bool reached_a_server = history_.possible_runs + history_.refusals > 0;
   return !reached_a_server || dispatcher_.TryConsumeRetry(pool);
--- a/src/gateway/forwarding/retry_state.h
+++ b/src/gateway/forwarding/retry_state.h
@@ -27,9 +27,12 @@
   void RecordPossibleRun(const BackendId& server);
   void RecordReplyStarted() { history_.reply_started = true; }
 
-  // Whether the request may be sent to another server of the pool. If so,
-  // consumes a retry of the pool's budget where one is needed.
-  bool TryRetry(const AdmittedRequest& request, const PoolId& pool);
+  // Whether the request may be sent to another server of the pool, or to one of
+  // the instances that relay if `has_relay`. If so, consumes a retry of the
+  // pool's budget where one is needed.
+  bool TryRetry(const AdmittedRequest& request,
+                const PoolId& pool,
+                bool has_relay);
   // Whether an attempt may be given up for a second one, as if the server had
   // run the request. Consumes a retry of the pool's budget if so.
   bool TryReplaceAttempt(const Route& route, const PoolId& pool);
--- a/src/gateway/forwarding/server_search.cc
+++ b/src/gateway/forwarding/server_search.cc
@@ -19,11 +19,6 @@
                         const std::vector<BackendId>& tried,
                         const std::shared_ptr<void>& owner) {
   request_.emplace(request);
-  tried_ = &tried;
-  Search(owner);
-}
-
-void ServerSearch::Search(const std::shared_ptr<void>& owner) {
   const Instant now = BootClock::now();
   const PoolId& pool = request_->pool;
   if (request_->engine) {
@@ -34,8 +29,8 @@
     }
   }
   const auto untried =
-      dispatcher_.UntriedBackends(pool, *tried_, request_->admitted);
-  if (untried.empty() && !tried_->empty()) {
+      dispatcher_.UntriedBackends(pool, tried, request_->admitted);
+  if (untried.empty() && !tried.empty()) {
     observer_.OnNoServer("no other backend server left to try");
     return;
   }
@@ -89,7 +84,7 @@
                                   [this, owner] {
                                     ticket_.reset();
                                     timer_.cancel();
-                                    Search(owner);
+                                    observer_.OnWoken();
                                   });
   timer_.expires_after(limit - waited);
   timer_.async_wait([this, owner](const error_code& error) {
--- a/src/gateway/forwarding/server_search.h
+++ b/src/gateway/forwarding/server_search.h
@@ -39,6 +39,8 @@
     virtual ~Observer() = default;
     virtual void OnServerFound(const BackendServer& server) = 0;
     virtual void OnNoServer(std::string_view reason) = 0;
+    // The wait for capacity has ended; the search must be started again.
+    virtual void OnWoken() = 0;
     // A part of the prompt crashes engines; the request may be sent again after
     // `retry_after`.
     virtual void OnPoisonousPrompt(Millis retry_after) = 0;
@@ -46,8 +48,8 @@
 
   ServerSearch(Dispatcher& dispatcher, Observer& observer);
 
-  // Searches among the servers that are not in `tried`, which must outlive the
-  // search. `owner` is kept alive while the search waits. May call the observer
+  // Searches among the servers that are not in `tried`. `owner` is kept alive
+  // while the search waits. May call the observer
   // before it returns.
   void Find(const ServerSearchRequest& request,
             const std::vector<BackendId>& tried,
@@ -61,7 +63,6 @@
       const GatewayState& state);
 
  private:
-  void Search(const std::shared_ptr<void>& owner);
   bool HasRoomAtEngines() const;
   void Wait(const std::shared_ptr<void>& owner);
   void OnWaitTimeout();
@@ -69,7 +70,6 @@
   Dispatcher& dispatcher_;
   Observer& observer_;
   std::optional<ServerSearchRequest> request_;
-  const std::vector<BackendId>* tried_ = nullptr;
   std::optional<Dispatcher::WaitTicket> ticket_;
   asio::steady_timer timer_;
 };
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -28,6 +28,8 @@
 // for a backend server.
 constexpr std::size_t kCallerDescriptorDivisor = 2;
 constexpr std::size_t kOtherDescriptorDivisor = 32;
+// Other instances may relay as many requests as they cannot serve themselves.
+constexpr std::size_t kPeerDescriptorDivisor = 8;
 // At most one log line about memory in this time.
 constexpr Millis kMemoryReportInterval{5000};
 // Retry-After of requests that are refused during a shutdown. Short, because
@@ -129,13 +131,13 @@
                     ServeAddresses(request, *reply);
                   });
   if (!settings.peer_address.empty()) {
-    const ConnectionListener& peers =
-        AddListener({settings.peer_address, other_connections},
-                    [this](const IncomingRequest& request,
-                           const std::shared_ptr<CallerReply>& reply) {
-                      ServePeer(request, *reply);
-                    });
-    dispatcher_.state().SetPeerAddress(peers.address());
+    peer_listener_ = &AddListener(
+        {settings.peer_address,
+         MaxConnections(settings, kPeerDescriptorDivisor)},
+        [this](IncomingRequest request, std::shared_ptr<CallerReply> reply) {
+          ServePeer(std::move(request), std::move(reply));
+        });
+    dispatcher_.state().SetPeerAddress(peer_listener_->address());
   }
   if (!settings.metrics_address.empty()) {
     AddListener({settings.metrics_address, other_connections},
@@ -154,8 +156,7 @@
 
 void GatewayServer::ServeCaller(IncomingRequest request,
                                 std::shared_ptr<CallerReply> reply) {
-  if (shutdown_started_ &&
-      BootClock::now() - *shutdown_started_ >= Schedule().accept_period) {
+  if (RefusesNewRequests()) {
     auto refusal =
         TextReply(http::status::service_unavailable, "text/plain", "");
     refusal.set(http::field::retry_after, FormatSeconds(kShutdownRetryAfter));
@@ -210,14 +211,44 @@
                        discovery_.EncodeAddresses(address_list)));
 }
 
-void GatewayServer::ServePeer(const IncomingRequest& request,
-                              CallerReply& reply) {
+void GatewayServer::ServePeer(IncomingRequest request,
+                              std::shared_ptr<CallerReply> reply) {
+  if (dispatcher_.protocol().IsRelayed(request.message)) {
+    ServeRelayed(std::move(request), std::move(reply));
+    return;
+  }
   auto body = peer_request_handler_(TargetOf(request));
   if (body)
-    reply.Send(
+    reply->Send(
         TextReply(http::status::ok, "application/msgpack", std::move(*body)));
   else
-    reply.Send(TextReply(http::status::not_found, "text/plain", ""));
+    reply->Send(TextReply(http::status::not_found, "text/plain", ""));
+}
+
+void GatewayServer::ServeRelayed(IncomingRequest request,
+                                 std::shared_ptr<CallerReply> reply) {
+  request.relayed = true;
+  if (!RefusesNewRequests() && memory_->state() == MemoryState::kNormal) {
+    std::make_shared<Exchange>(dispatcher_, std::move(request),
+                               std::move(reply))
+        ->Start();
+    return;
+  }
+  auto refusal = TextReply(http::status::service_unavailable, "text/plain", "");
+  const auto head = dispatcher_.protocol().DecodeCallerHead(request.message);
+  if (head)
+    dispatcher_.protocol().EncodeOwnReply(head.value().id, true, refusal);
+  reply->Send(std::move(refusal));
+}
+
+bool GatewayServer::RefusesNewRequests() const {
+  return shutdown_started_ &&
+         BootClock::now() - *shutdown_started_ >= Schedule().accept_period;
+}
+
+bool GatewayServer::IsBusy() const {
+  return caller_listener_->IsBusy() ||
+         (peer_listener_ && peer_listener_->IsBusy());
 }
 
 void GatewayServer::ServeMetrics(CallerReply& reply) {
@@ -263,15 +294,20 @@
   const bool over = elapsed > schedule.end_of_requests;
   if (over)
     EndRequests();
-  if ((!caller_listener_->IsBusy() || over) && on_shutdown_done_)
+  if ((!IsBusy() || over) && on_shutdown_done_)
     std::exchange(on_shutdown_done_, nullptr)();
 }
 
 void GatewayServer::EndRequests() {
   // A request that ends makes room at its server. No other one may use it now.
   dispatcher_.ClearWaiters();
-  for (const auto& connection : caller_listener_->connections())
-    connection->EndRequest();
+  for (const ConnectionListener* listener :
+       {caller_listener_, peer_listener_}) {
+    if (!listener)
+      continue;
+    for (const auto& connection : listener->connections())
+      connection->EndRequest();
+  }
 }
 
 ShutdownSchedule GatewayServer::Schedule() const {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -49,7 +49,15 @@
   void ServeCaller(IncomingRequest request, std::shared_ptr<CallerReply> reply);
   void ServeReadiness(const IncomingRequest& request, CallerReply& reply);
   void ServeAddresses(const IncomingRequest& request, CallerReply& reply);
-  void ServePeer(const IncomingRequest& request, CallerReply& reply);
+  // Answers a row request of another instance, or serves a request that it
+  // relays.
+  void ServePeer(IncomingRequest request, std::shared_ptr<CallerReply> reply);
+  void ServeRelayed(IncomingRequest request,
+                    std::shared_ptr<CallerReply> reply);
+  // Whether new requests of callers are refused because of a shutdown.
+  bool RefusesNewRequests() const;
+  // Whether a request of a caller, also a relayed one, is in progress.
+  bool IsBusy() const;
   void ServeMetrics(CallerReply& reply);
   // Soon closes connections if memory is exhausted.
   void OnMemoryCharged() override;
@@ -69,6 +77,8 @@
   const std::shared_ptr<MemoryBudget> memory_;
   std::vector<std::unique_ptr<ConnectionListener>> listeners_;
   ConnectionListener* caller_listener_ = nullptr;
+  // Null if the instance does not take part in gossip.
+  ConnectionListener* peer_listener_ = nullptr;
   asio::steady_timer maintenance_timer_;
   bool relief_scheduled_ = false;
   MemoryState reported_state_ = MemoryState::kNormal;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -75,6 +75,9 @@
   bool store_reachable() const {
     return store_reads_succeed_ && store_writes_succeed_;
   }
+  // Whether this instance reaches backend servers, as far as it knows.
+  bool reaches_servers() const { return reaches_servers_; }
+  void SetReachesServers(bool reaches) { reaches_servers_ = reaches; }
   // Records that the store recovered from an outage when its clock read
   // `store_time`. Rows of live backend servers may have expired during the
   // outage.
@@ -147,6 +150,7 @@
   Millis reported_recovery_time_{0};
   bool store_reads_succeed_ = true;
   bool store_writes_succeed_ = true;
+  bool reaches_servers_ = true;
   BackendRegistry backends_;
   MemberRegistry members_;
   BackendLoads loads_;
--- a/src/gateway/membership/backend_registry.cc
+++ b/src/gateway/membership/backend_registry.cc
@@ -117,6 +117,15 @@
   return usable;
 }
 
+std::vector<const BackendServer*> BackendRegistry::AllUsable() const {
+  std::vector<const BackendServer*> usable;
+  for (const auto& [id, entry] : servers_) {
+    if (IsUsable(entry.server))
+      usable.push_back(&entry.server);
+  }
+  return usable;
+}
+
 const BackendServer* BackendRegistry::Find(const BackendId& id) const {
   const auto entry = servers_.find(id);
   return entry == servers_.end() ? nullptr : &entry->second.server;
--- a/src/gateway/membership/backend_registry.h
+++ b/src/gateway/membership/backend_registry.h
@@ -58,6 +58,8 @@
 
   // Servers of the pool that may get new requests.
   std::vector<const BackendServer*> Usable(const PoolId& pool) const;
+  // Servers of all pools that may get new requests.
+  std::vector<const BackendServer*> AllUsable() const;
   // Returns null if the server is unknown, draining or in an evacuated zone.
   const BackendServer* FindUsable(const BackendId& id) const;
   // Returns null if the server is unknown.
--- a/src/gateway/membership/member_registry.cc
+++ b/src/gateway/membership/member_registry.cc
@@ -156,13 +156,18 @@
     Instant now) const {
   const bool trusts_timeouts = !IsLikelyIsolated(now);
   std::vector<const Member*> eligible;
+  std::vector<const Member*> with_servers;
   for (const auto& [instance, entry] : entries_) {
     if (entry.member.leaving || (trusts_timeouts && IsSilent(entry, now)))
       continue;
     if (entry.member.region != region && !regions.Allows(entry.member.region))
       continue;
     eligible.push_back(&entry.member);
+    if (entry.status.reaches_servers)
+      with_servers.push_back(&entry.member);
   }
+  if (!with_servers.empty())
+    eligible = std::move(with_servers);
   std::vector<std::string> addresses;
   for (const LocalityFilter filter : kLocalityFilters) {
     addresses.clear();
@@ -176,6 +181,17 @@
   return addresses;
 }
 
+std::vector<const Member*> MemberRegistry::WithServers(Instant now) const {
+  std::vector<const Member*> members;
+  for (const auto& [instance, entry] : entries_) {
+    const bool heard = entry.last_heartbeat &&
+                       now - *entry.last_heartbeat <= HeartbeatTimeout() / 2;
+    if (heard && !entry.member.leaving && entry.status.reaches_servers)
+      members.push_back(&entry.member);
+  }
+  return members;
+}
+
 int MemberRegistry::Count() const {
   return std::max<int>(1, static_cast<int>(entries_.size()));
 }
--- a/src/gateway/membership/member_registry.h
+++ b/src/gateway/membership/member_registry.h
@@ -21,6 +21,8 @@
   std::optional<Millis> wall_offset;
   // Whether the last calls of the instance to the store were answered.
   bool store_reachable = true;
+  // Whether the instance reaches backend servers.
+  bool reaches_servers = true;
 };
 
 // A heartbeat of another instance that the sender of a gossip message received
@@ -88,12 +90,17 @@
   // Returns at most `limit` caller addresses of instances in the zone; if there
   // are fewer than two, of those in the region, and then of the whole fleet.
   // Leaving instances are left out, and so are silent ones unless this instance
-  // is likely isolated. Of other regions, only those in `regions` are returned.
+  // is likely isolated, and those that reach no backend servers unless none
+  // does. Of other regions, only those in `regions` are returned.
   std::vector<std::string> AddressesFor(const ZoneId& zone,
                                         const RegionId& region,
                                         const RegionLimit& regions,
                                         std::size_t limit,
                                         Instant now) const;
+  // The instances that other instances may send requests to: they take part in
+  // gossip, were heard from a short time ago, are not leaving and reach backend
+  // servers.
+  std::vector<const Member*> WithServers(Instant now) const;
   // Number of instances with a row, at least 1.
   int Count() const;
   // The instance's rank, from 0, as a candidate for tasks that few instances do
--- a/src/gateway/placement/backend_loads.cc
+++ b/src/gateway/placement/backend_loads.cc
@@ -108,6 +108,12 @@
   return loads;
 }
 
+std::size_t BackendLoads::BusyServers() const {
+  return static_cast<std::size_t>(std::count_if(
+      records_.begin(), records_.end(),
+      [](const auto& item) { return item.second.local.requests > 0; }));
+}
+
 int BackendLoads::LocalRequests(const BackendId& server) const {
   const auto record = records_.find(server);
   return record == records_.end() ? 0 : record->second.local.requests;
--- a/src/gateway/placement/backend_loads.h
+++ b/src/gateway/placement/backend_loads.h
@@ -67,6 +67,8 @@
   std::map<BackendId, BackendLoad> LocalLoads() const;
   // Number of other instances whose loads are known.
   std::size_t remote_count() const { return remote_.size(); }
+  // Number of servers that have requests of this instance.
+  std::size_t BusyServers() const;
   // The number of requests that this instance has at the server.
   int LocalRequests(const BackendId& server) const;
 
--- a/src/gateway/placement/server_health.cc
+++ b/src/gateway/placement/server_health.cc
@@ -72,6 +72,13 @@
   return record != records_.end() && now < record->second.retry_not_before;
 }
 
+void ServerHealth::ForgetFailures() {
+  for (auto& [server, record] : records_) {
+    record.failures_in_row = 0;
+    record.ejected_until = Instant();
+  }
+}
+
 void ServerHealth::SetRemoteEjections(const InstanceId& instance,
                                       const std::vector<EjectedServer>& ejected,
                                       Instant now) {
--- a/src/gateway/placement/server_health.h
+++ b/src/gateway/placement/server_health.h
@@ -61,6 +61,9 @@
   void SetRemoteEjections(const InstanceId& instance,
                           const std::vector<EjectedServer>& ejected,
                           Instant now);
+  // Ends the ejections by this instance and forgets the failures that it has
+  // seen, because its own network path caused them.
+  void ForgetFailures();
   // Removes all records of a server that is gone or has restarted.
   void Reset(const BackendId& server);
 
--- a/src/gateway/relay/reachability_evidence.cc
+++ b/src/gateway/relay/reachability_evidence.cc
@@ -17,17 +17,15 @@
   failed_connects_.insert_or_assign(server, now);
 }
 
-bool ReachabilityEvidence::IsSuspicious(std::size_t busy_servers,
-                                        Instant now) const {
-  if (cut_off_ || (trusted_until_ && now < *trusted_until_))
-    return false;
-  std::size_t failures = 0;
-  for (const auto& [server, at] : failed_connects_)
-    failures += now - at <= kFailurePeriod ? 1 : 0;
-  const bool silent = waiting_since_ &&
-                      now - *waiting_since_ > kSuspiciousSilence &&
-                      busy_servers > 1;
-  return failures >= kSuspiciousFailures || silent;
+bool ReachabilityEvidence::ConnectsFail(Instant now) const {
+  const auto failures = std::count_if(
+      failed_connects_.begin(), failed_connects_.end(),
+      [now](const auto& item) { return now - item.second <= kFailurePeriod; });
+  return static_cast<std::size_t>(failures) >= kSuspiciousFailures;
+}
+
+bool ReachabilityEvidence::IsSilent(Instant now) const {
+  return waiting_since_ && now - *waiting_since_ > kSuspiciousSilence;
 }
 
 bool ReachabilityEvidence::RecordProbes(const std::set<BackendId>& probed,
--- a/src/gateway/relay/reachability_evidence.h
+++ b/src/gateway/relay/reachability_evidence.h
@@ -34,9 +34,15 @@
   void RecordBytes() { waiting_since_.reset(); }
   // Records that no connection to the server could be set up.
   void RecordFailedConnect(const BackendId& server, Instant now);
-  // Whether the servers should be probed. `busy_servers`: number of servers
-  // that have requests of this instance.
-  bool IsSuspicious(std::size_t busy_servers, Instant now) const;
+  // Whether connections to several servers have just failed.
+  bool ConnectsFail(Instant now) const;
+  // Whether no server has sent a byte for a suspicious time. Meaningful while
+  // several servers have requests of this instance.
+  bool IsSilent(Instant now) const;
+  // Whether probes were answered so recently that neither is suspicious.
+  bool IsTrusted(Instant now) const {
+    return trusted_until_ && now < *trusted_until_;
+  }
 
   // Records the outcomes of a round of probes: the servers that were probed and
   // those of them that accepted a connection. Returns whether IsCutOff()
--- a/src/gateway/relay/relay_peers.cc
+++ b/src/gateway/relay/relay_peers.cc
@@ -48,8 +48,8 @@
   }
   if (nearest.empty())
     return std::nullopt;
-  return nearest[static_cast<std::size_t>(
-      random * static_cast<double>(nearest.size()))];
+  return nearest[static_cast<std::size_t>(random *
+                                          static_cast<double>(nearest.size()))];
 }
 
 }  // namespace bamboomount
--- a/src/gateway/relay/server_reachability.cc
+++ b/src/gateway/relay/server_reachability.cc
@@ -20,9 +20,11 @@
 };
 
 ServerReachability::ServerReachability(asio::io_context& context,
-                                       GatewayState& state)
+                                       GatewayState& state,
+                                       std::function<void()> on_change)
     : context_(context),
       state_(state),
+      on_change_(std::move(on_change)),
       timer_(context),
       random_(std::random_device{}()) {}
 
@@ -38,17 +40,21 @@
 }
 
 void ServerReachability::ProbeIfSuspicious(Instant now) {
-  if (!round_ && !IsCutOff() &&
-      evidence_.IsSuspicious(state_.loads().BusyServers(), now))
+  if (round_ || IsCutOff() || evidence_.IsTrusted(now))
+    return;
+  const bool silent =
+      evidence_.IsSilent(now) && state_.loads().BusyServers() > 1;
+  if (silent || evidence_.ConnectsFail(now))
     BeginRound();
 }
 
 void ServerReachability::BeginRound() {
   const std::vector<BackendServer> servers = ServersToProbe();
-  round_.emplace();
-  round_->pending = servers.size();
+  Round round;
+  round.pending = servers.size();
   for (const BackendServer& server : servers)
-    round_->probed.insert(server.id);
+    round.probed.insert(server.id);
+  round_ = std::move(round);
   for (const BackendServer& server : servers)
     Connect(server);
   if (servers.empty())
@@ -75,8 +81,8 @@
     if (!error)
       end(false);
   });
-  probe->socket.async_connect(
-      *endpoint, [end](const error_code& error) { end(!error); });
+  probe->socket.async_connect(*endpoint,
+                              [end](const error_code& error) { end(!error); });
 }
 
 void ServerReachability::OnProbeEnd(const BackendId& server, bool answered) {
@@ -98,8 +104,15 @@
         {{"probed", std::to_string(round.probed.size())}});
   }
   state_.SetReachesServers(!IsCutOff());
-  if (!IsCutOff())
-    return;
+  if (IsCutOff())
+    ProbeLater();
+  for (const auto& decided : std::exchange(waiting_, {}))
+    decided();
+  if (changed)
+    on_change_();
+}
+
+void ServerReachability::ProbeLater() {
   timer_.expires_after(kProbeInterval);
   timer_.async_wait([this](const error_code& error) {
     if (!error)
@@ -113,6 +126,7 @@
   // The servers of each pool and zone in turn.
   std::map<std::pair<PoolId, ZoneId>, std::size_t> counts;
   std::vector<std::pair<std::size_t, const BackendServer*>> ranked;
+  ranked.reserve(servers.size());
   for (const BackendServer* server : servers)
     ranked.emplace_back(counts[{server->pool, server->zone}]++, server);
   std::stable_sort(
--- a/src/gateway/relay/server_reachability.h
+++ b/src/gateway/relay/server_reachability.h
@@ -1,7 +1,9 @@
 #ifndef GATEWAY_RELAY_SERVER_REACHABILITY_H_
 #define GATEWAY_RELAY_SERVER_REACHABILITY_H_
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -22,10 +24,19 @@
   static constexpr Millis kProbeTimeout{300};
   static constexpr Millis kProbeInterval{200};
 
-  ServerReachability(asio::io_context& context, GatewayState& state);
+  // `on_change` is called when IsCutOff() has changed.
+  ServerReachability(asio::io_context& context,
+                     GatewayState& state,
+                     std::function<void()> on_change);
 
   // Whether the instance reaches no server. Other instances may.
   bool IsCutOff() const { return evidence_.IsCutOff(); }
+  // Whether probes are in progress that may change IsCutOff() to true.
+  bool IsDeciding() const { return round_ && !IsCutOff(); }
+  // Calls `decided` once when these probes have ended.
+  void WhenDecided(std::function<void()> decided) {
+    waiting_.push_back(std::move(decided));
+  }
   // See ReachabilityEvidence. Each may start a round of probes.
   void RecordSent(Instant now);
   void RecordBytes() { evidence_.RecordBytes(); }
@@ -45,11 +56,14 @@
   void Connect(const BackendServer& server);
   void OnProbeEnd(const BackendId& server, bool answered);
   void EndRound();
+  void ProbeLater();
   // At most kProbes usable servers, of as many pools and zones as possible.
   std::vector<BackendServer> ServersToProbe();
 
   asio::io_context& context_;
   GatewayState& state_;
+  const std::function<void()> on_change_;
+  std::vector<std::function<void()>> waiting_;
   ReachabilityEvidence evidence_;
   // Set while a round is in progress.
   std::optional<Round> round_;
--- a/src/gateway/replication/fleet_gossip_handler.cc
+++ b/src/gateway/replication/fleet_gossip_handler.cc
@@ -13,8 +13,12 @@
   message.member_status.store_reachable = state_.store_reachable();
   message.store_recovery_time = state_.store_recovery_time();
   message.holder_statement = lease_.LatestHolderStatement(now);
-  message.unreachable = state_.cold_pacer().Unreachable(now);
-  message.ejected = state_.health().EjectedServers(now);
+  message.member_status.reaches_servers = state_.reaches_servers();
+  // While this instance reaches no server, its failures say nothing of them.
+  if (state_.reaches_servers()) {
+    message.unreachable = state_.cold_pacer().Unreachable(now);
+    message.ejected = state_.health().EjectedServers(now);
+  }
   message.part_evidence = state_.poison_parts().Evidence(now);
   message.usage_sealed_through = state_.usage_delivery().sealed_through();
   return message;
--- a/src/gateway/replication/gossip_message.cc
+++ b/src/gateway/replication/gossip_message.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kPartEvidenceIndex = 13;
 constexpr std::size_t kDemandIndex = 14;
 constexpr std::size_t kUnreachableIndex = 15;
+constexpr std::size_t kReachesServersIndex = 16;
 // Demand is encoded as a whole number of millionths of a server.
 constexpr double kDemandUnitsPerServer = 1e6;
 
@@ -243,7 +244,7 @@
        message.usage_sealed_through.value(),
        EncodeReceipt(message.usage_receipt), EncodeHeartbeats(message),
        EncodePartEvidence(message), EncodeDemand(message),
-       EncodeUnreachable(message)}));
+       EncodeUnreachable(message), message.member_status.reaches_servers}));
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::uint8_t* data,
@@ -279,6 +280,9 @@
       message.demand = DecodeDemand(json.at(kDemandIndex));
     if (json.size() > kUnreachableIndex)
       message.unreachable = DecodeUnreachable(json.at(kUnreachableIndex));
+    if (json.size() > kReachesServersIndex)
+      message.member_status.reaches_servers =
+          json.at(kReachesServersIndex).get<bool>();
     return message;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInternal,
--- a/tests/entry/cut_off_instance_test.cc
+++ b/tests/entry/cut_off_instance_test.cc
@@ -105,6 +105,7 @@
     Outcomes all;
     std::mutex mutex;
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&] {
         for (int i = 0; i < kCallsOfEach; ++i) {
@@ -125,8 +126,10 @@
 
   // Keeps calling for the time that an instance has to learn of a cut.
   static void CallUntilContactTime(EntryInstance& instance) {
+    constexpr int kCallers = 3;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 3; ++caller) {
+    callers.reserve(kCallers);
+    for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&instance] {
         WaitUntil(
             [&instance] {
--- a/tests/gateway/member_registry_test.cc
+++ b/tests/gateway/member_registry_test.cc
@@ -159,6 +159,31 @@
   BOOST_TEST(registry.FirstCandidates(9, At(0)).size() == 6U);
 }
 
+// Guards against callers that are sent to instances which reach no server, and
+// against requests that are relayed to such instances or to silent ones.
+BOOST_AUTO_TEST_CASE(instances_without_servers_are_left_out) {
+  MemberRegistry registry;
+  for (const char* name : {"a", "b", "c"}) {
+    Add(registry, MakeMember(name));
+    registry.RecordHeartbeat(InstanceId(name), MemberStatus(), At(0));
+  }
+  MemberStatus cut_off;
+  cut_off.reaches_servers = false;
+  registry.RecordHeartbeat(InstanceId("a"), cut_off, At(1500));
+  registry.RecordHeartbeat(InstanceId("b"), MemberStatus(), At(1500));
+  BOOST_TEST(Addresses(registry, "z", At(1500)) ==
+                 (std::vector<std::string>{"b:1", "c:1"}),
+             boost::test_tools::per_element());
+  const auto relays = registry.WithServers(At(1500));
+  BOOST_REQUIRE(relays.size() == 1U);
+  BOOST_TEST(relays.front()->instance.value() == "b");
+  // Without any other, callers are better off with one that may recover.
+  registry.RecordHeartbeat(InstanceId("b"), cut_off, At(1500));
+  registry.RecordHeartbeat(InstanceId("c"), cut_off, At(1500));
+  BOOST_TEST(Addresses(registry, "z", At(1500)).size() == 3U);
+  BOOST_TEST(registry.WithServers(At(1500)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/gateway/server_health_test.cc
+++ b/tests/gateway/server_health_test.cc
@@ -33,6 +33,18 @@
   BOOST_TEST(!health.HasFailures(kServer));
 }
 
+// Guards against an instance that keeps away from sound servers after its own
+// network path had failed.
+BOOST_AUTO_TEST_CASE(forgotten_failures_end_the_ejections) {
+  ServerHealth health;
+  health.RecordFailure(kServer, ServerFailure::kConnectionRefused, At(0));
+  BOOST_TEST(health.IsEjected(kServer, At(1)));
+  health.ForgetFailures();
+  BOOST_TEST(!health.IsEjected(kServer, At(1)));
+  BOOST_TEST(!health.HasFailures(kServer));
+  BOOST_TEST(health.EjectedServers(At(1)).empty());
+}
+
 // Guards against requests that keep failing at a crashed engine, whose row
 // remains in the store for some seconds: instances must not need several
 // failures each to notice.
