--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -128,6 +128,18 @@
     7035, Severity::kInfo, "stream_resumed",
     "A caller resumes a stream. It goes on only at servers of the software "
     "version that began it, and is refused if that is unknown."};
+inline constexpr LogEvent kRequestRelayed{
+    7036, Severity::kInfo, "request_relayed",
+    "This instance reaches no backend server and sends the request to another "
+    "instance, which sends it to a backend server."};
+inline constexpr LogEvent kServersUnreachable{
+    7037, Severity::kWarning, "servers_unreachable",
+    "This instance reaches no backend server; its requests go through other "
+    "instances, if any reaches one."};
+inline constexpr LogEvent kServersReachable{
+    7038, Severity::kInfo, "servers_reachable",
+    "This instance reaches backend servers again and sends them its requests "
+    "itself."};
 inline constexpr LogEvent kPoolOverloaded{
     7050, Severity::kWarning, "pool_overloaded",
     "The demand on a pool exceeds its capacity, both in servers; this instance "
@@ -177,7 +189,8 @@
     kMemberUnreadable, kMemberListed,      kMemberGone,
     kPeerRowsFailed,   kRequestPlaced,     kRequestRefused,
     kAttemptFailed,    kRequestEnded,      kPoisonPartFound,
-    kStreamResumed,    kLeaseTaken,        kLeaseLost,
+    kStreamResumed,    kRequestRelayed,    kServersUnreachable,
+    kServersReachable, kLeaseTaken,        kLeaseLost,
     kUsageReported,    kUsageNotReported,  kBackendsOrdered,
     kOrderFailed,      kStoreRestored,     kPoolOverloaded,
     kPoolRecovered,    kMemoryStateChanged};
--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -29,7 +29,8 @@
       state_(state),
       metrics_(metrics),
       recheck_timer_(context),
-      random_(std::random_device{}()) {}
+      random_(std::random_device{}()),
+      reachability_(context, state, [this] { WakeAll(); }) {}
 
 std::vector<const BackendServer*> Dispatcher::UntriedBackends(
     const PoolId& pool,
