Don't wait for a confirmation of a list that is already too old

What callers would see: an instance that has long been cut off keeps each resume of a stream that it doesn't know for 1.5 s and then refuses it, while others could serve the caller.

Change: the query waits only while the list is current.

Evidence: peer_stream_origins/an_old_list_is_not_waited_for failed before (the query took 1.5 s) and passes now.

--- a/src/gateway/streams/peer_stream_origins.cc
+++ b/src/gateway/streams/peer_stream_origins.cc
@@ -137,10 +137,12 @@
 
 void PeerStreamOrigins::Conclude(std::uint64_t number) {
   const Query& query = *queries_.at(number);
+  const Instant now = BootClock::now();
   const auto version = OnlyVersion(query);
   if (version && state_.pool_versions().IsConfirmedSince(query.asked_at))
     End(number, StreamOrigin{query.subject.origin.pool, *version});
-  else if (version && BootClock::now() - query.asked_at < kConfirmWithin)
+  else if (version && state_.BackendVersionsAreCurrent(now) &&
+           now - query.asked_at < kConfirmWithin)
     ScheduleStep(number, kConfirmCheckInterval, &PeerStreamOrigins::Conclude);
   else
     End(number, std::nullopt);
--- a/src/gateway/streams/peer_stream_origins.h
+++ b/src/gateway/streams/peer_stream_origins.h
@@ -39,7 +39,8 @@
   // no more are waited for.
   static constexpr Millis kRepeatAfter{40};
   static constexpr Millis kGiveUpAfter{100};
-  // How long after its begin a query waits for the list to be confirmed.
+  // How long after its begin a query waits for the list to be confirmed, unless
+  // the list is so old that the store is likely out of reach.
   static constexpr Millis kConfirmWithin{1500};
   static constexpr Millis kConfirmCheckInterval{20};
 
--- a/tests/gateway/peer_stream_origins_test.cc
+++ b/tests/gateway/peer_stream_origins_test.cc
@@ -231,6 +231,22 @@
   BOOST_TEST(!fleet.Find(fleet[0]).has_value());
 }
 
+// Guards against callers that an instance which has long been cut off keeps
+// waiting for a confirmation of its list.
+BOOST_AUTO_TEST_CASE(an_old_list_is_not_waited_for) {
+  Fleet fleet(3);
+  const Instant now = BootClock::now();
+  const Instant cut_at = now - 2 * PoolVersionHistory::kMaxUnconfirmed;
+  fleet[0].state.pool_versions().RecordGap(now - 2 * kUp);
+  fleet[0].state.pool_versions().SetListed({{kPool, {kOld}}}, cut_at);
+  fleet[0].state.ConfirmBackends(cut_at, Millis(1000));
+  fleet[0].reaches_store = false;
+  fleet.Kill(fleet[1]);
+  fleet.Kill(fleet[2]);
+  BOOST_TEST(!fleet.Find(fleet[0]).has_value());
+  BOOST_TEST((BootClock::now() - now < PeerStreamOrigins::kConfirmWithin / 2));
+}
+
 // Guards against refused resumes at an instance that reaches the store, and
 // whose list tells that there was one version, while the others are silent.
 BOOST_AUTO_TEST_CASE(an_instance_needs_no_others_to_know_of_one_version) {
