Show that a silence of a sound server ends no request

What callers could see: a sound backend server sends nothing for a second or so and goes on. Nothing tested that no timer cuts, refuses or repeats requests because of it.

Checked in the source: only idempotent requests have a timer that reacts to silence; it replaces the attempt within the attempts of the route and the retry budget and never ends the request.

Left as it is: seven look-ups that time out in one silence eject the server for 8 s (from the source, not measured).

--- a/tests/entry_fixture/backend_standin.cc
+++ b/tests/entry_fixture/backend_standin.cc
@@ -312,6 +312,8 @@
       exchange.Close(false);
       co_return;
     }
+    if (mode_ == BackendMode::kSilentInStream && number == kEventsBeforeCut + 1)
+      co_await exchange.Wait(kSilence.count());
     co_await exchange.WriteChunk(event);
   }
   co_await exchange.EndStream();
--- a/tests/entry_fixture/backend_standin.h
+++ b/tests/entry_fixture/backend_standin.h
@@ -47,10 +47,15 @@
   // Streams that begin are cut as in kCutInEvent; the script answers the
   // requests that resume them.
   kScript,
+  // Falls silent for kSilence in the middle of a stream and goes on.
+  kSilentInStream,
   // Says that it is brittle and runs the requests as SetBrittleness() has it.
   kBrittle,
 };
 
+// For how long a sound server may send nothing.
+inline constexpr std::chrono::milliseconds kSilence{1200};
+
 // How a stand-in in mode kBrittle runs requests and when it falls over.
 struct Brittleness {
   // Requests that it takes at a time; it refuses the others.
