Keep a cancelled recheck timer from touching the dispatcher

What could go wrong: the timer that wakes requests waiting at brittle servers is destroyed with the dispatcher. Its handler then ran with an error and wrote a member of the object that was gone, if the event loop still ran. Found by reading; not seen in a run.

Change: the handler returns on an error before it uses the object, as the one of the pause timers does.

Evidence: all of gateway_test and the entry suites brittle_server, silent_server, backend_signals, repeated_refusal and forwarding pass.

--- a/src/gateway/forwarding/dispatcher.cc
+++ b/src/gateway/forwarding/dispatcher.cc
@@ -107,9 +107,11 @@
     return;
   recheck_timer_.expires_after(kBrittleRecheckInterval);
   recheck_timer_.async_wait([this](const error_code& error) {
+    // The timer is cancelled only with this object.
+    if (error)
+      return;
     recheck_armed_ = false;
-    if (!error)
-      WakeAll();
+    WakeAll();
   });
 }
 
