Count the version of a server that a copy of the store brought back

Callers would see: streams of two software versions (ORDER), where a server of another version gets requests again whose row had lapsed before a restore.

Cause: the maintenance of the registry lists such a server some time after the restore, without a change of the table. The history of versions was updated by changes of the table only.

Change: GatewayState::ExpireBackends records the versions when expiry changes the list.

Evidence: the_version_of_a_server_that_a_copy_brought_back_counts failed with the call that the maintenance made before (only one version known), and passes now with the call that it makes.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -231,8 +231,7 @@
     listener->CheckTimeouts(now);
   ReportMemory(now);
   dispatcher_.connections().CloseExpired(now);
-  BackendRegistry& backends = dispatcher_.state().backends();
-  backends.Expire(now);
+  dispatcher_.state().ExpireBackends(now);
   dispatcher_.state().members().Expire(now);
   dispatcher_.state().cold_pacer().Expire(now);
   dispatcher_.WakeHeldBack();
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -67,6 +67,13 @@
   backends_.OnStoreRestored(now);
 }
 
+void GatewayState::ExpireBackends(Instant now) {
+  const std::uint64_t before = backends_.revision();
+  backends_.Expire(now);
+  if (before != backends_.revision())
+    pool_versions_.SetListed(backends_.ListedVersions(), now);
+}
+
 void GatewayState::OnReportedStoreRecovery(Millis store_time, Instant now) {
   if (store_time <= reported_recovery_time_)
     return;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -88,6 +88,9 @@
   void OnReportedStoreRecovery(Millis store_time, Instant now);
   // The store's clock at its latest recovery; 0 if no outage is known.
   Millis store_recovery_time() const { return store_recovery_time_; }
+  // Expires what the registry of the backend servers keeps for a time, and
+  // records the software versions of servers that are listed by that.
+  void ExpireBackends(Instant now);
   BackendRegistry& backends() { return backends_; }
   const BackendRegistry& backends() const { return backends_; }
   MemberRegistry& members() { return members_; }
--- a/tests/gateway/gateway_state_test.cc
+++ b/tests/gateway/gateway_state_test.cc
@@ -55,6 +55,31 @@
   BOOST_TEST((state.store_recovery_time() == Millis(13000)));
 }
 
+// Guards against streams of two software versions: a server of a copy of the
+// store turned out to be live and got requests, but its version did not count.
+BOOST_AUTO_TEST_CASE(the_version_of_a_server_that_a_copy_brought_back_counts) {
+  const PoolId pool("p");
+  BackendServer old_server;
+  old_server.id = BackendId("e-old");
+  old_server.pool = pool;
+  old_server.version = SoftwareVersion("v1");
+  old_server.started_at_ms = 1;
+  BackendServer new_server = old_server;
+  new_server.id = BackendId("e-new");
+  new_server.version = SoftwareVersion("v2");
+  state.backends().Update(old_server, At(0));
+  state.backends().Update(new_server, At(0));
+  state.backends().Remove(old_server.id, At(0));
+  state.backends().OnStoreRestored(At(0));
+  state.backends().Replace({old_server, new_server}, At(0));
+  state.pool_versions().SetListed(state.backends().ListedVersions(), At(0));
+  BOOST_TEST(!state.pool_versions().HasSeveral(pool, At(0)));
+  const Instant released = At(0) + BackendRegistry::kCopiedRowLifetime;
+  state.ExpireBackends(released);
+  BOOST_TEST(state.backends().Usable(pool).size() == 2U);
+  BOOST_TEST(state.pool_versions().HasSeveral(pool, released));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
