Drop a server whose row is unreadable in a full read

Callers would see: requests at a server whose row names none any more, for up to 2.2 s after a restore or an outage of the store.

Cause: a full read left out a row that cannot be decoded, so that its server counted as missing, and stayed usable in the restore window. A change of the row drops the server at once. Each restore opens the window now, and brings a full read.

Change: a full read drops it as well.

Evidence: a_server_of_an_unreadable_row_gets_no_requests failed before (200 in place of 503) and passes now, with the other cases of restored_tables and odd_server_row.

--- a/src/gateway/control/backend_observer.cc
+++ b/src/gateway/control/backend_observer.cc
@@ -13,6 +13,7 @@
     if (!server) {
       Log(gateway_events::kBackendUnreadable,
           {{"backend", row.key}, {"cause", server.error().message}});
+      backends().RemoveUnreadable(BackendId(row.key));
       continue;
     }
     if (!backends().IsOutdated(server.value(), now))
--- a/tests/entry/restored_tables_test.cc
+++ b/tests/entry/restored_tables_test.cc
@@ -307,6 +307,25 @@
   BOOST_TEST(StatusOf(instance, KeyOf(2)) == kOk);
 }
 
+// Guards against requests to a server whose row names none any more: the row
+// was read after a restore, and the server counted as one that the copy lacks.
+BOOST_AUTO_TEST_CASE(a_server_of_an_unreadable_row_gets_no_requests) {
+  TcpProxy link(store().address());
+  EntryInstance& instance =
+      AddReady("i-1", {{"store_address", link.address()}});
+  BOOST_TEST(StatusOf(instance, KeyOf(1)) == kOk);
+  store().TakeCopy();
+  link.SetMode(LinkMode::kReset);
+  store().Put("servers", "e-1", "{");
+  AddBackend("e-3", "other");
+  store().RestoreCopy();
+  link.SetMode(LinkMode::kForward);
+  BOOST_TEST(WaitUntil([&] {
+    return HasLogged(instance, "backend_listed", {{"backend", "e-3"}});
+  }));
+  BOOST_TEST(StatusOf(instance, KeyOf(1)) == kUnavailable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
