Test a start of an instance from a copy of the store (fails)

Callers would see: a withdrawn key that works at an instance that starts after the store came back from a copy, until the operator has written the configuration again. The first read of a table has no earlier era to compare with, so the copy counts as the present table.

--- a/tests/entry/restored_tables_test.cc
+++ b/tests/entry/restored_tables_test.cc
@@ -326,6 +326,23 @@
   BOOST_TEST(StatusOf(instance, KeyOf(1)) == kUnavailable);
 }
 
+// Guards against a withdrawn key that works at an instance that starts after a
+// restore: it knows no earlier era, and takes the copy for the present table.
+BOOST_AUTO_TEST_CASE(an_instance_that_starts_from_a_copy_accepts_no_old_key,
+                     *boost::unit_test::disabled()) {
+  constexpr std::chrono::milliseconds kDeadline{1000};
+  store().TakeCopy();
+  ConfigureKeyOf(2);
+  const auto withdrawn = std::chrono::steady_clock::now();
+  BOOST_TEST(WaitUntil([&] {
+    return std::chrono::steady_clock::now() - withdrawn > kDeadline;
+  }));
+  store().RestoreCopy(LostRows::kMissing);
+  EntryInstance& instance =
+      AddReady("i-1", {{"key_withdrawal_deadline_ms", kDeadline.count()}});
+  BOOST_TEST(StatusOf(instance, KeyOf(1)) != kOk);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
