--- a/tests/entry/stream_version_test.cc
+++ b/tests/entry/stream_version_test.cc
@@ -49,13 +49,6 @@
     instance.WaitUntilReady();
     return instance;
   }
-  // Writes the row of the old server as one of its processes writes it.
-  void ListOldServer(const std::string& version, std::int64_t started_at_ms) {
-    nlohmann::json row = nlohmann::json::parse(old_->RowValue("pool"));
-    row["version"] = version;
-    row["born"] = started_at_ms;
-    store().Put("servers", "e-old", row.dump());
-  }
   // Begins a stream, which breaks off after two events while only the old
   // server is there.
   StreamPart BeginAtOldServer(EntryInstance& instance) {
