Drop reports of unreachable servers at both ends of a cut

What callers would see: after an instance had been cut off from all servers it reported them by gossip as unreachable, so that all instances send each of them only the few requests of a cold server, on pools with a rate for cold servers.

Cause: the pacer's marks outlived the cut; only ejections were dropped. The new case of cold_server_pacer shows that the marks are neither used nor reported once forgotten; gateway_test's cases of the pacer, the evidence, the members and the health pass, and cut_off_instance too.

--- a/src/gateway/placement/cold_server_pacer.h
+++ b/src/gateway/placement/cold_server_pacer.h
@@ -56,6 +56,9 @@
   // Records that this instance could not connect to the server, or that the
   // connection broke before an answer began.
   void RecordUnreachable(const BackendId& server, Instant now);
+  // Forgets all unreachable servers, because this instance's network path was
+  // at fault. Those that other instances report are learned again.
+  void ForgetUnreachable() { unreachable_at_.clear(); }
   // Records the servers that another instance could not reach.
   void MergeUnreachable(const std::vector<UnreachableServer>& servers,
                         Instant now);
--- a/src/gateway/relay/server_reachability.cc
+++ b/src/gateway/relay/server_reachability.cc
@@ -99,6 +99,7 @@
   if (changed) {
     // The failures were those of this instance's network path.
     state_.health().ForgetFailures();
+    state_.cold_pacer().ForgetUnreachable();
     Log(IsCutOff() ? gateway_events::kServersUnreachable
                    : gateway_events::kServersReachable,
         {{"probed", std::to_string(round.probed.size())}});
--- a/tests/gateway/cold_server_pacer_test.cc
+++ b/tests/gateway/cold_server_pacer_test.cc
@@ -129,6 +129,18 @@
   BOOST_TEST(witness.Unreachable(At(8000)).empty());
 }
 
+// Guards against an instance that reports all servers as unreachable, so that
+// all instances send them few requests, after its own network path had failed.
+BOOST_AUTO_TEST_CASE(forgotten_servers_are_neither_cold_nor_reported) {
+  Fleet fleet;
+  ColdServerPacer& pacer = *fleet.pacers()[0];
+  pacer.RecordUnreachable(ColdServer().id, At(0));
+  BOOST_TEST(pacer.IsCold(ColdServer(), PacedPool(), At(500)));
+  pacer.ForgetUnreachable();
+  BOOST_TEST(!pacer.IsCold(ColdServer(), PacedPool(), At(500)));
+  BOOST_TEST(pacer.Unreachable(At(500)).empty());
+}
+
 // Load: servers that crash and return while traffic goes on. Guards against a
 // server that is kept at the rate of a cold one although its row, written after
 // its return, says that it is warm.
